--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -37,9 +37,10 @@
 /// Position of an endpoint in the pool.
 pub type EndpointId = u32;
 
-/// Most attempts that a stream may make to go on after its first chunk, so that an engine that
-/// always breaks off can't hold a request until its deadline.
-const MOVES_MOST: u32 = 32;
+/// Most attempts in a row that reach an engine and bring no new token, so that engines that
+/// always break off can't hold a stream until its deadline. Attempts that reach no engine don't
+/// count: they cost nothing, and a replacement may come up before the deadline.
+const FRUITLESS_MOST: u32 = 8;
 
 /// Part of the time before a reclaim that is kept free for the move itself.
 const MOVE_MARGIN: Duration = Duration::from_millis(400);
@@ -326,6 +327,8 @@
     pause_until: Option<Instant>,
     waiting_since: Option<Instant>,
     first_chunk: Option<Instant>,
+    /// Attempts in a row that brought no new token.
+    fruitless: u32,
     rng: Pcg64Mcg,
 }
 
@@ -348,6 +351,7 @@
             pause_until: None,
             waiting_since: None,
             first_chunk: None,
+            fruitless: 0,
             rng,
         }
     }
@@ -486,12 +490,16 @@
         }
         self.first_chunk.get_or_insert(now);
         match self.splice.push(chunk) {
-            Verdict::Emit(chunk) => out.push(Action::Emit { chunk }),
+            Verdict::Emit(chunk) => {
+                self.fruitless = 0;
+                out.push(Action::Emit { chunk });
+            }
             Verdict::Drop => {}
             Verdict::Gap => {
                 out.push(Action::Detach { attempt });
                 self.current = None;
                 self.resumable = false;
+                self.fruitless += 1;
                 self.retry_stream(now, out);
             }
         }
@@ -517,6 +525,7 @@
             // Only an attempt that was running leaves state behind to fetch.
             self.source = current.accepted.then_some(current.endpoint);
             self.resumable = false;
+            self.fruitless += u32::from(outcome != Outcome::NotSent);
             self.retry_stream(now, out);
         } else {
             self.retry_unopened(now, outcome, budget, out);
@@ -551,7 +560,7 @@
     /// Goes on with a stream of which the caller has a part. Not charged to the retry budget:
     /// the request was accepted and its answer has begun.
     fn retry_stream(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if self.moves.attempts >= MOVES_MOST {
+        if self.fruitless >= FRUITLESS_MOST {
             self.failure = FailureKind::AttemptsExhausted;
             self.step(now, RequestEvent::LostForGood, out);
             return;
--- a/crates/vaneway-test-support/src/engine/batch.rs
+++ b/crates/vaneway-test-support/src/engine/batch.rs
@@ -115,8 +115,9 @@
         if self.prompt.usage {
             self.send(self.generated, &self.prompt.usage_chunk(&self.id, self.created));
         }
-        if let Some(reader) = &self.reader {
+        if let Some(reader) = self.reader.take() {
             reader.push(b"data: [DONE]\n\n");
+            reader.finish();
         }
         true
     }
--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -6,7 +6,7 @@
 //! Its tokens depend on the prompt alone, so that any mistake in joining the parts of a stream
 //! changes the text.
 //!
-//! [`batch`] holds the engine's state and its steps, [`cache`] the prefix cache, [`text`] the
+//! `batch` holds the engine's state and its steps, `cache` the prefix cache, `text` the
 //! tokens and chunks; this file speaks HTTP.
 
 mod batch;
--- a/src/core/answer.rs
+++ b/src/core/answer.rs
@@ -119,7 +119,14 @@
     /// Ends the answer as whole; `text` is all of its text.
     pub fn complete(mut self, text: &str) {
         match &mut self.form {
-            Form::Stream { .. } => self.send_event("[DONE]"),
+            Form::Stream { .. } => {
+                self.send_event("[DONE]");
+                if let Form::Stream { outbox, .. } = &mut self.form
+                    && let Some(outbox) = outbox.take()
+                {
+                    outbox.finish();
+                }
+            }
             Form::Whole { interface, collected } => {
                 let body = assemble(*interface, collected, text).to_string();
                 self.respond(json_response(StatusCode::OK, Bytes::from(body)));
@@ -142,7 +149,6 @@
             && let Some(outbox) = outbox.take()
         {
             push_event(&outbox, &error.to_json());
-            outbox.abort();
         }
     }
 
--- a/src/core/plain_call.rs
+++ b/src/core/plain_call.rs
@@ -357,9 +357,8 @@
     tx.push(held);
     compio::runtime::spawn(async move {
         if feed(&entry, &tx, body).await {
+            tx.finish();
             entry.connections.put(addr, connection);
-        } else {
-            tx.abort();
         }
     })
     .detach();
--- a/src/util/outbox.rs
+++ b/src/util/outbox.rs
@@ -21,14 +21,21 @@
 #[derive(Debug, Default)]
 struct Queue {
     bytes: BytesMut,
-    closed: bool,
-    aborted: bool,
+    ended: Option<End>,
     reader_gone: bool,
     reader: Option<Waker>,
     writer: Option<Waker>,
 }
 
-/// The writing end.
+/// How the writer left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Whole,
+    CutOff,
+}
+
+/// The writing end. Dropped without [`Outbox::finish`], it leaves a body that the reader sees cut
+/// off, so that no path that forgets an answer can pass a part of it off as whole.
 #[derive(Debug)]
 pub struct Outbox {
     queue: Rc<RefCell<Queue>>,
@@ -91,16 +98,16 @@
         Poll::Pending
     }
 
-    /// Ends the body so that the reader sees that it is not whole.
-    pub fn abort(self) {
-        self.queue.borrow_mut().aborted = true;
+    /// Ends the body as whole.
+    pub fn finish(self) {
+        self.queue.borrow_mut().ended = Some(End::Whole);
     }
 }
 
 impl Drop for Outbox {
     fn drop(&mut self) {
         let mut queue = self.queue.borrow_mut();
-        queue.closed = true;
+        queue.ended.get_or_insert(End::CutOff);
         wake(&mut queue.reader);
     }
 }
@@ -127,14 +134,14 @@
             wake(&mut queue.writer);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        if queue.aborted {
-            return Poll::Ready(Some(Err(CutOff)));
+        match queue.ended {
+            Some(End::Whole) => Poll::Ready(None),
+            Some(End::CutOff) => Poll::Ready(Some(Err(CutOff))),
+            None => {
+                remember(&mut queue.reader, cx);
+                Poll::Pending
+            }
         }
-        if queue.closed {
-            return Poll::Ready(None);
-        }
-        remember(&mut queue.reader, cx);
-        Poll::Pending
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,8 @@
 //! conditions, never on time, and assert nothing about time.
 
 mod path;
+mod plain;
 mod schema;
+mod stop;
+mod streams;
 mod support;
--- /dev/null
+++ b/tests/testsuite/streams.rs
@@ -0,0 +1,344 @@
+//! Streams survive what happens to their endpoints: the caller sees one whole answer, chunk for
+//! chunk what an undisturbed run gives.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use vaneway_test_support::Caller;
+use vaneway_test_support::CloudPlatform;
+use vaneway_test_support::Engine;
+use vaneway_test_support::EngineOptions;
+use vaneway_test_support::Proxy;
+use vaneway_test_support::Replica;
+use vaneway_test_support::caller::WholeAnswer;
+use vaneway_test_support::deployment::MODEL;
+use vaneway_test_support::deployment::until;
+
+use crate::support::block_on;
+use crate::support::deployment;
+use crate::support::engine;
+use crate::support::replicas;
+use crate::support::vanectl_json;
+
+const PROMPT: &str = "Gloss every word of this tape, side A, recorded in the western parishes.";
+
+/// Tokens of an answer, enough to be disturbed in the middle.
+const TOKENS: u32 = 300;
+
+/// Notice that leaves no time to finish.
+const SHORT_NOTICE: Duration = Duration::from_millis(150);
+
+/// The chunks of an answer without what differs between requests; the id and the creation time
+/// must be the same in all chunks of one answer.
+fn chunks(answer: &WholeAnswer) -> Vec<Value> {
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    assert!(answer.whole, "cut off: {}", String::from_utf8_lossy(&answer.body));
+    let body = String::from_utf8(answer.body.to_vec()).unwrap();
+    let data: Vec<_> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(data.last(), Some(&"[DONE]"));
+    let mut chunks: Vec<Value> =
+        data[..data.len() - 1].iter().map(|data| serde_json::from_str(data).unwrap()).collect();
+    let first = (chunks[0]["id"].clone(), chunks[0]["created"].clone());
+    for chunk in &mut chunks {
+        assert_eq!((chunk["id"].take(), chunk["created"].take()), first);
+    }
+    chunks
+}
+
+async fn undisturbed(caller: &Caller) -> Vec<Value> {
+    chunks(&caller.stream(MODEL, PROMPT, TOKENS).await.finish().await)
+}
+
+/// Position of the one engine that holds a stream.
+fn busy(engines: &[&Engine]) -> usize {
+    engines.iter().position(|engine| engine.stats().open > 0).expect("an engine has the stream")
+}
+
+fn platform_with(names: &[&str]) -> CloudPlatform {
+    let platform = CloudPlatform::spawn(Duration::from_millis(300));
+    for name in names {
+        platform.start_box(&format!("box-{name}"));
+    }
+    platform
+}
+
+#[test]
+fn notice_in_the_middle_moves_the_stream_with_its_state() {
+    let (a, b) = (engine(), engine());
+    let platform = platform_with(&["a", "b"]);
+    let deployment = deployment().engines(&replicas(&[&a, &b])).platform(platform.address());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        stream.events(10).await;
+        let from = busy(&[&a, &b]);
+        platform.reclaim(["box-a", "box-b"][from], SHORT_NOTICE);
+        let answer = stream.finish().await;
+
+        assert_eq!(chunks(&answer), expected);
+        let target = [&b, &a][from];
+        assert_eq!((target.stats().imported, target.stats().resumed), (1, 1));
+        assert_eq!(a.stats().continued + b.stats().continued, 0);
+        until(|| a.stats().open + b.stats().open == 0).await;
+    });
+}
+
+#[test]
+fn notice_with_time_to_finish_moves_nothing() {
+    let (a, b) = (engine(), engine());
+    let platform = platform_with(&["a", "b"]);
+    let deployment = deployment().engines(&replicas(&[&a, &b])).platform(platform.address());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        stream.events(10).await;
+        platform.reclaim(["box-a", "box-b"][busy(&[&a, &b])], Duration::from_mins(1));
+        let answer = stream.finish().await;
+
+        assert_eq!(chunks(&answer), expected);
+        assert_eq!(a.stats().resumed + b.stats().resumed, 0);
+        assert_eq!(a.stats().continued + b.stats().continued, 0);
+    });
+}
+
+#[test]
+fn death_in_the_middle_is_continued_elsewhere() {
+    let (a, b) = (engine(), engine());
+    let deployment = deployment().engines(&replicas(&[&a, &b]));
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        stream.events(10).await;
+        let survivor = if busy(&[&a, &b]) == 0 {
+            a.kill();
+            b
+        } else {
+            b.kill();
+            a
+        };
+        let answer = stream.finish().await;
+
+        assert_eq!(chunks(&answer), expected);
+        assert_eq!(survivor.stats().continued, 1);
+    });
+}
+
+#[test]
+fn whole_answers_survive_death_too() {
+    let (a, b) = (engine(), engine());
+    let deployment = deployment().engines(&replicas(&[&a, &b]));
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = caller.chat(MODEL, PROMPT, TOKENS).await.json()["choices"].take();
+        let calling = caller.chat(MODEL, PROMPT, TOKENS);
+        let killing = async {
+            until(|| {
+                a.stats().open + b.stats().open > 0
+                    && a.stats().generated + b.stats().generated > 80
+            })
+            .await;
+            if busy(&[&a, &b]) == 0 {
+                a.kill();
+                b
+            } else {
+                b.kill();
+                a
+            }
+        };
+        let (answer, survivor) = futures_util::join!(calling, killing);
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.json()["choices"], expected);
+        assert_eq!(survivor.stats().continued, 1);
+    });
+}
+
+#[test]
+fn reclaim_of_the_target_moves_the_stream_again() {
+    let (a, b, c) = (engine(), engine(), engine());
+    let engines = [&a, &b, &c];
+    let platform = platform_with(&["a", "b", "c"]);
+    let deployment = deployment().engines(&replicas(&engines)).platform(platform.address());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        stream.events(10).await;
+        let boxes = ["box-a", "box-b", "box-c"];
+        let first = busy(&engines);
+        platform.reclaim(boxes[first], SHORT_NOTICE);
+        until(|| engines.iter().any(|engine| engine.stats().resumed == 1)).await;
+        let second = engines.iter().position(|engine| engine.stats().resumed == 1).unwrap();
+        platform.reclaim(boxes[second], SHORT_NOTICE);
+        let answer = stream.finish().await;
+
+        assert_eq!(chunks(&answer), expected);
+        let third = 3 - first - second;
+        assert_eq!(engines[third].stats().resumed, 1);
+    });
+}
+
+#[test]
+fn reclaim_of_an_availability_zone_moves_every_stream_out() {
+    let engines: Vec<_> = (0..4).map(|_| engine()).collect();
+    let names = ["n1", "n2", "m1", "s1"];
+    let zones = ["north", "north", "middle", "south"];
+    let placed: Vec<_> =
+        (0..4).map(|i| Replica::new(names[i], engines[i].address()).in_zone(zones[i])).collect();
+    let platform = platform_with(&names);
+    let deployment = deployment().engines(&placed).platform(platform.address());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut streams = Vec::new();
+        for _ in 0..20 {
+            streams.push(caller.stream(MODEL, PROMPT, TOKENS).await);
+        }
+        for stream in &mut streams {
+            stream.events(3).await;
+        }
+        assert_eq!(engines[0].stats().fresh + engines[1].stats().fresh, 21);
+        platform.reclaim("box-n1", SHORT_NOTICE);
+        platform.reclaim("box-n2", SHORT_NOTICE);
+        for stream in streams {
+            assert_eq!(chunks(&stream.finish().await), expected);
+        }
+        assert!(engines[2].stats().resumed + engines[3].stats().resumed > 0);
+    });
+}
+
+#[test]
+fn stream_waits_for_a_replacement_when_nothing_is_left() {
+    let a = engine();
+    let platform = platform_with(&["a"]);
+    let deployment = deployment().engines(&replicas(&[&a])).platform(platform.address());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        stream.events(10).await;
+        platform.reclaim("box-a", SHORT_NOTICE);
+        until(|| vanectl_json(&entry, &["endpoints"])[0]["state"] == "gone").await;
+        platform.start_box("box-a");
+
+        assert_eq!(chunks(&stream.finish().await), expected);
+    });
+}
+
+#[test]
+fn silent_endpoint_is_left_for_another() {
+    let (a, b) = (engine(), engine());
+    let proxies = [Proxy::tcp(a.address()), Proxy::tcp(b.address())];
+    let placed = [Replica::new("a", proxies[0].address()), Replica::new("b", proxies[1].address())];
+    let deployment = deployment().engines(&placed).set("/services/0/stall_ms", 1_000.into());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        stream.events(10).await;
+        let from = busy(&[&a, &b]);
+        // Half-open: the connection stays, nothing passes.
+        proxies[from].freeze(true);
+
+        assert_eq!(chunks(&stream.finish().await), expected);
+        assert_eq!([&b, &a][from].stats().continued, 1);
+    });
+}
+
+#[test]
+fn endpoint_that_breaks_off_again_and_again_is_resumed_each_time() {
+    let a = engine();
+    let proxy = Proxy::tcp(a.address());
+    let deployment = deployment().engines(&[Replica::new("a", proxy.address())]);
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let expected = undisturbed(&caller).await;
+        let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+        for broken in 0..3 {
+            stream.events(5 + 10 * broken).await;
+            proxy.cut_answer_after(700);
+            let resumed = broken as u64;
+            until(|| a.stats().resumed > resumed).await;
+        }
+
+        assert_eq!(chunks(&stream.finish().await), expected);
+        assert_eq!((a.stats().resumed, a.stats().continued), (3, 0));
+    });
+}
+
+#[test]
+fn caller_that_goes_away_frees_the_engine() {
+    let slow = EngineOptions { linger: Duration::from_hours(1), ..EngineOptions::default() };
+    let a = Engine::spawn(slow);
+    let deployment = deployment().engines(&replicas(&[&a]));
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let mut stream = caller.stream(MODEL, PROMPT, 100_000).await;
+        stream.events(5).await;
+        drop(stream);
+        // The engine would keep the state for an hour if it were not told.
+        until(|| a.stats().cancelled == 1 && a.stats().open == 0).await;
+        until(|| vanectl_json(&entry, &["status"])["open_requests"] == 0).await;
+    });
+}
+
+#[test]
+fn caller_that_reads_too_slowly_is_given_up() {
+    let fast = EngineOptions { step: Duration::from_micros(200), ..EngineOptions::default() };
+    let a = Engine::spawn(fast);
+    let limits = serde_json::json!({ "stream_bytes": 4_096, "caller_stall_ms": 300 });
+    let deployment = deployment().engines(&replicas(&[&a])).set("/limits", limits);
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    block_on(async {
+        let mut stream = caller.stream(MODEL, PROMPT, 1_000_000).await;
+        stream.events(1).await;
+        // Nothing is read from here on, so the answer backs up to the engine.
+        until(|| a.stats().cancelled == 1).await;
+        assert!(!stream.finish().await.whole);
+    });
+}
+
+#[test]
+fn engine_that_refuses_is_replaced_by_another() {
+    let (a, b) = (engine(), engine());
+    let deployment = deployment().engines(&replicas(&[&a, &b]));
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+    a.refuse(true);
+
+    block_on(async {
+        for _ in 0..6 {
+            undisturbed(&caller).await;
+        }
+        assert_eq!((a.stats().fresh, b.stats().fresh), (0, 6));
+        b.refuse(true);
+        let refused = caller.chat(MODEL, PROMPT, TOKENS).await;
+        assert_eq!((refused.status, refused.run.as_deref()), (502, Some("not_run")));
+        assert_eq!(refused.code(), "attempts_exhausted");
+    });
+}
