--- a/crates/vaneway-test-support/src/caller.rs
+++ b/crates/vaneway-test-support/src/caller.rs
@@ -142,7 +142,8 @@
     }
 }
 
-fn chat(model: &str, prompt: &str, tokens: u32, stream: bool) -> String {
+/// The body of a chat request.
+pub fn chat(model: &str, prompt: &str, tokens: u32, stream: bool) -> String {
     json!({
         "model": model,
         "messages": [{ "role": "user", "content": prompt }],
@@ -158,6 +159,11 @@
         self.response.status().as_u16()
     }
 
+    /// The body, to be read by other means than this type's.
+    pub fn body_mut(&mut self) -> &mut Incoming {
+        self.response.body_mut()
+    }
+
     /// Reads until `count` events of the stream have arrived, or all of it.
     pub async fn events(&mut self, count: usize) {
         while self.whole.is_none() && self.event_count() < count {
--- a/crates/vaneway-test-support/src/process.rs
+++ b/crates/vaneway-test-support/src/process.rs
@@ -66,13 +66,22 @@
     ///
     /// If the process can't be started or ends before it listens; its log is printed.
     pub fn spawn(program: &Path, folder: &Path, settings: &Value) -> Self {
+        Self::spawn_with_log(program, folder, settings, "debug,hyper=warn,compio=warn")
+    }
+
+    /// Like [`Process::spawn`], with a log level of its own; `info` must be among what is logged.
+    ///
+    /// # Panics
+    ///
+    /// As [`Process::spawn`].
+    pub fn spawn_with_log(program: &Path, folder: &Path, settings: &Value, level: &str) -> Self {
         let name = settings["name"].as_str().expect("settings have a name");
         let file = folder.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).expect("the settings can be written");
         let mut child = Command::new(program)
             .arg("run")
             .arg(&file)
-            .env("VANEWAY_LOG", "debug,hyper=warn,compio=warn")
+            .env("VANEWAY_LOG", level)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the process starts");
@@ -145,6 +154,35 @@
         self.child.wait().expect("the process can be waited for").code()
     }
 
+    fn proc_file(&self, name: &str) -> String {
+        let path = format!("/proc/{}/{name}", self.id());
+        std::fs::read_to_string(path).expect("the process runs")
+    }
+
+    /// Bytes of memory that the process has resident.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    pub fn resident_bytes(&self) -> u64 {
+        let status = self.proc_file("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.trim().parse::<u64>().ok()).expect("a size in kB") * 1_024
+    }
+
+    /// Seconds of processor time that the process has used, at the kernel's 100 ticks a second.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    pub fn cpu_seconds(&self) -> f64 {
+        let stat = self.proc_file("stat");
+        let fields = stat.rsplit(')').next().expect("a line of fields");
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        ticks.map(|ticks| ticks.parse::<f64>().expect("a number of ticks")).sum::<f64>() / 100.0
+    }
+
     fn end(&mut self) {
         // It may have ended by itself.
         let _ended = self.child.kill();
