--- a/src/util/socket.rs
+++ b/src/util/socket.rs
@@ -20,7 +20,12 @@
 
 /// A connected socket that hyper reads and writes.
 #[derive(Debug)]
-pub struct HttpStream(PollFd<Socket>);
+pub struct HttpStream {
+    fd: PollFd<Socket>,
+    /// The last read found nothing, so the next one waits for readiness before it asks the
+    /// kernel: hyper polls for reads each time it writes.
+    drained: bool,
+}
 
 /// Binds a listening socket.
 ///
@@ -51,26 +56,34 @@
         stream.set_nodelay(true)?;
         let stream = stream.into_poll_fd()?;
         stream.set_nonblocking(true)?;
-        Ok(Self(stream))
-    }
-
-    fn socket(&self) -> &Socket {
-        &self.0
+        Ok(Self { fd: stream, drained: false })
     }
 }
 
 impl hyper::rt::Read for HttpStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         // SAFETY: `recv` only writes initialized bytes into the slice.
         let free = unsafe { buf.as_mut() };
-        let count = std::task::ready!(self.0.poll_read_with(cx, |socket| socket.recv(free)))?;
-        // SAFETY: `recv` has initialized the first `count` bytes.
-        unsafe { buf.advance(count) };
-        Poll::Ready(Ok(()))
+        loop {
+            if self.drained {
+                std::task::ready!(self.fd.poll_read_ready(cx))?;
+                self.drained = false;
+            }
+            match self.fd.recv(free) {
+                Ok(count) => {
+                    // SAFETY: `recv` has initialized the first `count` bytes.
+                    unsafe { buf.advance(count) };
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.drained = true,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
@@ -80,7 +93,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.poll_write_with(cx, |socket| socket.send(buf))
+        self.fd.poll_write_with(cx, |socket| socket.send(buf))
     }
 
     fn poll_write_vectored(
@@ -88,7 +101,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.0.poll_write_with(cx, |socket| socket.send_vectored(bufs))
+        self.fd.poll_write_with(cx, |socket| socket.send_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -100,6 +113,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.socket().shutdown(Shutdown::Write))
+        Poll::Ready(self.fd.shutdown(Shutdown::Write))
     }
 }
