--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod call_events;
 pub mod entry;
 pub mod front;
+pub mod link;
 pub mod metrics;
 pub mod model_call;
 pub mod open_requests;
--- a/src/core/plain_call.rs
+++ b/src/core/plain_call.rs
@@ -14,14 +14,12 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::FutureExt as _;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
@@ -55,11 +53,11 @@
 use crate::core::body::CallerBody;
 use crate::core::call_events::CallEvents;
 use crate::core::entry::Entry;
+use crate::core::link::EndpointRequest;
+use crate::core::link::LinkBody;
 use crate::core::settings::Organisation;
 use crate::core::settings::Service;
 use crate::core::upstream::Answered;
-use crate::core::upstream::Connection;
-use crate::core::upstream::EndpointRequest;
 use crate::core::upstream::SendError;
 use crate::util::logline::Line;
 use crate::util::outbox::Outbox;
@@ -310,32 +308,25 @@
 
 /// Reads an answer whole, or up to the limit and passes the rest on as it comes.
 async fn read_answer(entry: Rc<Entry>, addr: std::net::SocketAddr, answered: Answered) -> Ended {
-    let Answered { response, connection, mut attempt } = answered;
+    let Answered { response, mut attempt } = answered;
     let (mut head, mut body) = response.into_parts();
-    let limit = entry.settings.limits.answer_bytes;
     let mut held = BytesMut::new();
-    loop {
-        match body.frame().await {
-            None => break,
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    held.extend_from_slice(data);
-                }
-                if held.len() > limit {
-                    clean(&mut head.headers);
-                    let body = pass_on(entry, addr, connection, &held, body);
-                    return Ended::Answer(Response::from_parts(head, body));
-                }
-            }
-            Some(Err(error)) => {
-                let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
-                return Ended::Lost(SendError { outcome, cause: error.to_string() });
-            }
+    match body.read_into(&mut held, entry.settings.limits.answer_bytes).await {
+        Ok(whole) => {
+            clean(&mut head.headers);
+            let body = if whole {
+                entry.connections.put(addr, body);
+                CallerBody::full(held.freeze())
+            } else {
+                pass_on(entry, addr, &held, body)
+            };
+            Ended::Answer(Response::from_parts(head, body))
+        }
+        Err(error) => {
+            let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
+            Ended::Lost(SendError { outcome, cause: error.to_string() })
         }
     }
-    entry.connections.put(addr, connection);
-    clean(&mut head.headers);
-    Ended::Answer(Response::from_parts(head, CallerBody::full(held.freeze())))
 }
 
 fn clean(headers: &mut HeaderMap) {
@@ -349,16 +340,15 @@
 fn pass_on(
     entry: Rc<Entry>,
     addr: std::net::SocketAddr,
-    connection: Connection,
     held: &[u8],
-    body: Incoming,
+    mut body: LinkBody,
 ) -> CallerBody {
     let (tx, rx) = outbox(entry.settings.limits.stream_bytes);
     tx.push(held);
     compio::runtime::spawn(async move {
-        if feed(&entry, &tx, body).await {
+        if feed(&entry, &tx, &mut body).await {
             tx.finish();
-            entry.connections.put(addr, connection);
+            entry.connections.put(addr, body);
         }
     })
     .detach();
@@ -366,7 +356,7 @@
 }
 
 /// Moves a body into an outbox; true if all of it arrived.
-async fn feed(entry: &Entry, tx: &Outbox, mut body: Incoming) -> bool {
+async fn feed(entry: &Entry, tx: &Outbox, body: &mut LinkBody) -> bool {
     loop {
         let until = Instant::now() + entry.settings.limits.caller_stall;
         let room = poll_fn(|cx| match tx.poll_gone(cx) {
@@ -376,12 +366,8 @@
         if entry.timers.until(until, room).await != Some(true) {
             return false;
         }
-        match entry.timers.until(until, body.frame()).await {
-            Some(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    tx.push(data);
-                }
-            }
+        match entry.timers.until(until, body.data()).await {
+            Some(Some(Ok(data))) => tx.push(&data),
             Some(None) => return true,
             Some(Some(Err(_))) | None => return false,
         }
--- a/src/core/platform.rs
+++ b/src/core/platform.rs
@@ -10,9 +10,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
+use bytes::BytesMut;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -166,8 +165,9 @@
     let req = Request::builder().uri(path).body(Full::default()).expect("the path is valid");
     let sent = entry.connections.send(&entry.timers, addr, req, false, until).await;
     let answered = sent.ok().filter(|answered| answered.response.status().is_success())?;
-    let body = Limited::new(answered.response.into_body(), ANSWER_BYTES_MOST).collect().await;
-    let body = body.ok()?.to_bytes();
-    entry.connections.put(addr, answered.connection);
-    Some(body)
+    let mut body = answered.response.into_body();
+    let mut held = BytesMut::new();
+    let whole = body.read_into(&mut held, ANSWER_BYTES_MOST).await.ok()?;
+    entry.connections.put(addr, body);
+    whole.then(|| held.freeze())
 }
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -13,39 +13,35 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use eventsource_stream::EventStream;
 use eventsource_stream::Eventsource as _;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
 use futures_util::stream::unfold;
-use http_body_util::BodyDataStream;
-use http_body_util::BodyExt as _;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use vaneway_relay::Attempt;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
 
+use crate::core::link::EndpointRequest;
+use crate::core::link::Link;
+use crate::core::link::LinkBody;
+use crate::core::link::SharedBody;
 use crate::util::socket;
 use crate::util::timers::Timers;
 
-/// A request as endpoints get it.
-pub type EndpointRequest = Request<Full<Bytes>>;
-
-/// A connection over which a request may be sent.
-pub type Connection = http1::SendRequest<Full<Bytes>>;
-
 /// Longest wait for a connection to open: far more than a crossing of availability zones takes.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 
 /// Most idle connections kept for one endpoint.
 const IDLE_MOST: usize = 64;
 
+/// Longest wait for the end of a body after its last event; a connection that takes longer is
+/// not kept.
+const END_WITHIN: Duration = Duration::from_millis(10);
+
 /// Most bytes of an engine's error that are passed on.
 const ERROR_BYTES_MOST: usize = 64 << 10;
 
@@ -69,10 +65,9 @@
 /// An answer that has begun.
 #[derive(Debug)]
 pub struct Answered {
-    /// The answer.
-    pub response: Response<Incoming>,
-    /// Its connection, to be given back with [`Connections::put`] once the body was read.
-    pub connection: Connection,
+    /// The answer. Once its body was read to the end, [`Connections::put`] takes the connection
+    /// back.
+    pub response: Response<LinkBody>,
     /// Where the attempt stands.
     pub attempt: Attempt,
 }
@@ -80,7 +75,7 @@
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Connections {
-    idle: RefCell<BTreeMap<SocketAddr, Vec<Connection>>>,
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Link>>>,
 }
 
 impl Connections {
@@ -107,16 +102,16 @@
             let mut attempt = Attempt::new();
             let idle = if fresh { None } else { self.take(addr) };
             let reused = idle.is_some();
-            let mut connection = match idle {
-                Some(connection) => connection,
+            let link = match idle {
+                Some(link) => link,
                 None => self.open(timers, addr, &mut attempt).await?,
             };
             attempt.handle(AttemptEvent::Written);
-            let sent = timers.until(head_by, connection.try_send_request(req)).await;
+            let sent = timers.until(head_by, link.send(req)).await;
             match sent {
                 Some(Ok(response)) => {
                     attempt.handle(AttemptEvent::Head);
-                    return Ok(Answered { response, connection, attempt });
+                    return Ok(Answered { response, attempt });
                 }
                 Some(Err(mut error)) => match error.take_message() {
                     // The endpoint closed an idle connection: try once more on a new one.
@@ -145,7 +140,7 @@
         timers: &Timers,
         addr: SocketAddr,
         attempt: &mut Attempt,
-    ) -> Result<Connection, SendError> {
+    ) -> Result<Link, SendError> {
         let within = Instant::now() + CONNECT_WITHIN;
         let stream = match timers.until(within, socket::connect(addr)).await {
             Some(Ok(stream)) => stream,
@@ -154,40 +149,27 @@
                 return Err(ended(attempt, AttemptEvent::Returned, "connecting took too long"));
             }
         };
-        match http1::handshake(stream).await {
-            Ok((connection, driver)) => {
-                compio::runtime::spawn(async move {
-                    if let Err(error) = driver.await {
-                        log::debug!("event=connection_closed addr={addr} error={error:?}");
-                    }
-                })
-                .detach();
-                Ok(connection)
-            }
-            Err(error) => Err(ended(attempt, AttemptEvent::Returned, error)),
-        }
+        Link::open(stream).await.map_err(|error| ended(attempt, AttemptEvent::Returned, error))
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<Connection> {
+    fn take(&self, addr: SocketAddr) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&addr)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_ready() {
-                return Some(connection);
+        let links = idle.get_mut(&addr)?;
+        while let Some(mut link) = links.pop() {
+            if link.is_ready() {
+                return Some(link);
             }
         }
         None
     }
 
-    /// Gives a connection back after its answer was read to the end.
-    pub fn put(&self, addr: SocketAddr, connection: Connection) {
-        if connection.is_closed() {
-            return;
-        }
+    /// Takes a connection back after its answer was read to the end.
+    pub fn put(&self, addr: SocketAddr, body: LinkBody) {
+        let link = body.into_link();
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(addr).or_default();
-        if connections.len() < IDLE_MOST {
-            connections.push(connection);
+        let links = idle.entry(addr).or_default();
+        if links.len() < IDLE_MOST {
+            links.push(link);
         }
     }
 
@@ -254,7 +236,7 @@
     pub head_by: Instant,
 }
 
-type Events = EventStream<BodyDataStream<Incoming>>;
+type Events = EventStream<SharedBody>;
 
 enum Stage<C> {
     Sending(Box<ModelAttempt<C>>),
@@ -267,7 +249,7 @@
     timers: Timers,
     addr: SocketAddr,
     stall: Duration,
-    connection: Connection,
+    body: SharedBody,
     attempt: Attempt,
     events: Events,
 }
@@ -297,20 +279,21 @@
         Ok(answered) => answered,
         Err(SendError { outcome, cause }) => return (Item::Ended { outcome, cause }, Stage::Over),
     };
-    let Answered { response, connection, mut attempt } = answered;
+    let Answered { response, mut attempt } = answered;
     let status = response.status();
+    let mut body = response.into_body();
     if status == StatusCode::OK {
-        let events = response.into_body().into_data_stream().eventsource();
-        let reading = Reading { connections, timers, addr, stall, connection, attempt, events };
+        let body = SharedBody::new(body);
+        let events = body.clone().eventsource();
+        let reading = Reading { connections, timers, addr, stall, body, attempt, events };
         return (Item::Head, Stage::Reading(Box::new(reading)));
     }
-    let until = Instant::now() + stall;
-    let body = Limited::new(response.into_body(), ERROR_BYTES_MOST).collect();
-    let body = match timers.until(until, body).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(_)) | None => Bytes::new(),
-    };
-    (engine_error(&mut attempt, status, body), Stage::Over)
+    let mut held = BytesMut::new();
+    let read = body.read_into(&mut held, ERROR_BYTES_MOST);
+    if let Some(Ok(true)) = timers.until(Instant::now() + stall, read).await {
+        connections.put(addr, body);
+    }
+    (engine_error(&mut attempt, status, held.freeze()), Stage::Over)
 }
 
 /// What an engine's error means, by the engine protocol of docs/INTERFACES.md: overload, a lost
@@ -356,11 +339,13 @@
 where
     C: std::ops::Deref<Target = Connections>,
 {
-    let Reading { connections, timers, addr, connection, mut attempt, mut events, .. } = reading;
+    let Reading { connections, timers, addr, body, mut attempt, mut events, .. } = reading;
     let outcome = attempt.handle(AttemptEvent::End).unwrap_or(Outcome::Done);
-    let soon = Instant::now() + Duration::from_millis(10);
-    if matches!(timers.until(soon, events.next()).await, Some(None)) {
-        connections.put(addr, connection);
+    let soon = Instant::now() + END_WITHIN;
+    let ended = timers.until(soon, events.next()).await;
+    drop(events);
+    if let (Some(None), Some(body)) = (ended, body.into_body()) {
+        connections.put(addr, body);
     }
     Item::Ended { outcome, cause: String::new() }
 }
