--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -15,6 +15,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -188,7 +189,7 @@
     epoch: std::cell::Cell<u64>,
 }
 
-async fn run(listener: compio::net::TcpListener, options: EngineOptions, shared: Arc<Shared>) {
+async fn run(listener: TcpListener, options: EngineOptions, shared: Arc<Shared>) {
     let local = Rc::new(Local {
         batch: RefCell::new(Batch::new(options.clone())),
         options,
--- a/crates/vaneway-test-support/src/proxy.rs
+++ b/crates/vaneway-test-support/src/proxy.rs
@@ -14,6 +14,7 @@
 use compio::io::AsyncRead as _;
 use compio::io::AsyncWrite as _;
 use compio::io::AsyncWriteExt as _;
+use compio::net::TcpListener;
 use compio::net::TcpStream;
 use compio::net::UdpSocket;
 use rand::RngExt;
@@ -49,10 +50,15 @@
 
 impl Proxy {
     /// Starts a TCP proxy to `target`.
+    ///
+    /// # Panics
+    ///
+    /// If its socket can't be used.
     pub fn tcp(target: SocketAddr) -> Self {
         let faults = Arc::new(Mutex::new(Faults::default()));
         let theirs = Arc::clone(&faults);
         let standin = Standin::spawn("proxy", move |listener| async move {
+            let listener = TcpListener::from_std(listener).expect("a listening socket");
             while let Ok((stream, _peer)) = listener.accept().await {
                 let faults = Arc::clone(&theirs);
                 compio::runtime::spawn(connect(stream, target, faults)).detach();
--- a/crates/vaneway-test-support/src/server.rs
+++ b/crates/vaneway-test-support/src/server.rs
@@ -1,10 +1,10 @@
 //! A small HTTP server for stand-ins.
 
 use std::convert::Infallible;
+use std::net::TcpListener;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use compio::net::TcpListener;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::Method;
@@ -19,18 +19,23 @@
 use vaneway::core::answer::json_response;
 use vaneway::core::body::CallerBody;
 use vaneway::util::socket;
-use vaneway::util::socket::HttpStream;
+use vaneway::util::socket::HttpListener;
 
 /// Answers every request with `handler` until dropped.
+///
+/// # Panics
+///
+/// If the socket can't be used.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<CallerBody>> + 'static,
 {
+    let listener = HttpListener::from_std(listener).expect("a listening socket");
     let handler = Rc::new(handler);
-    while let Ok((stream, _peer)) = listener.accept().await {
+    loop {
         // A caller that is gone already is part of the tests.
-        let Ok(io) = HttpStream::new(stream) else { continue };
+        let Ok(io) = listener.accept().await else { continue };
         let handler = Rc::clone(&handler);
         let service = service_fn(move |req| {
             let answer = handler(req);
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -259,7 +259,6 @@
     let entry = Rc::new(Entry::new(settings, timers));
     let listen = entry.settings.listen;
     let front = front::bind(Rc::clone(&entry))
-        .await
         .wrap_err_with(|| format!("failed to listen for callers on {listen}"))?;
     let listen = entry.settings.operators.listen;
     let operators = operators::bind(Rc::clone(&entry))
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -12,8 +12,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use compio::net::TcpListener;
-use compio::net::TcpStream;
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::FutureExt as _;
@@ -42,7 +40,7 @@
 use crate::core::plain_call;
 use crate::core::settings::Organisation;
 use crate::core::settings::ServiceKind;
-use crate::util::socket;
+use crate::util::socket::HttpListener;
 use crate::util::socket::HttpStream;
 
 /// Longest wait for a request's head on an open connection; also the life of an idle one.
@@ -69,8 +67,8 @@
 /// # Errors
 ///
 /// If the address can't be bound.
-pub async fn bind(entry: Rc<Entry>) -> io::Result<Front> {
-    let listener = socket::bind(entry.settings.listen).await?;
+pub fn bind(entry: Rc<Entry>) -> io::Result<Front> {
+    let listener = HttpListener::bind(entry.settings.listen)?;
     let address = listener.local_addr()?;
     let (finish, rx) = oneshot::channel();
     compio::runtime::spawn(accept(entry, listener, rx.shared())).detach();
@@ -90,7 +88,7 @@
     }
 }
 
-async fn accept(entry: Rc<Entry>, listener: TcpListener, finish: Finish) {
+async fn accept(entry: Rc<Entry>, listener: HttpListener, finish: Finish) {
     loop {
         let accepted = listener.accept().fuse();
         let mut finished = finish.clone();
@@ -98,7 +96,7 @@
         futures_util::select_biased! {
             _ = finished => return,
             accepted = accepted => match accepted {
-                Ok((stream, _peer)) => serve(Rc::clone(&entry), stream, finish.clone()),
+                Ok(stream) => serve(Rc::clone(&entry), stream, finish.clone()),
                 Err(error) => {
                     log::warn!("event=accept_failed error={error:?}");
                     entry.timers.sleep(ACCEPT_PAUSE).await;
@@ -123,18 +121,13 @@
     }
 }
 
-fn serve(entry: Rc<Entry>, stream: TcpStream, finish: Finish) {
+fn serve(entry: Rc<Entry>, io: HttpStream, finish: Finish) {
     compio::runtime::spawn(async move {
-        let io = match HttpStream::new(stream) {
-            Ok(io) => io,
-            Err(error) => {
-                log::debug!("event=caller_connection_lost error={error:?}");
-                return;
-            }
-        };
         let count = CallerCount::new(Rc::clone(&entry));
         let header_bytes = entry.settings.limits.header_bytes;
-        let service = service_fn(move |req| handle(Rc::clone(&entry), req));
+        // Boxed, so that its memory is free once the response has begun: hyper keeps the place of
+        // a handler for as long as the connection.
+        let service = service_fn(move |req| Box::pin(handle(Rc::clone(&entry), req)));
         let connection = http1::Builder::new()
             .timer(CompioTimer)
             .header_read_timeout(HEAD_WITHIN)
@@ -254,7 +247,9 @@
     let until = Instant::now() + limits.caller_stall;
     let body = Limited::new(body, limits.body_bytes).collect();
     match entry.timers.until(until, body).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
+        // A copy: the original is a slice of the connection's read buffer, which it would keep
+        // alive for as long as the request is open.
+        Some(Ok(body)) => Ok(Bytes::copy_from_slice(&body.to_bytes())),
         Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
         Some(Err(_)) => Err(ApiError::bad_request("the body broke off")),
         None => {
--- a/src/core/link.rs
+++ b/src/core/link.rs
@@ -33,6 +33,9 @@
 /// A request as endpoints get it.
 pub type EndpointRequest = Request<Full<Bytes>>;
 
+/// Size of a connection's read buffer: dozens of tokens, and half of what hyper takes by itself.
+const READ_BYTES: usize = 4_096;
+
 type Driver = http1::Connection<HttpStream, Full<Bytes>>;
 
 /// An open connection.
@@ -50,7 +53,8 @@
     ///
     /// If hyper can't set the connection up.
     pub async fn open(stream: HttpStream) -> hyper::Result<Self> {
-        let (sender, driver) = http1::handshake(stream).await?;
+        let (sender, driver) =
+            http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
         Ok(Self { sender, driver: Box::pin(driver), closed: false })
     }
 
--- a/src/core/operators.rs
+++ b/src/core/operators.rs
@@ -16,6 +16,7 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use compio::net::TcpListener;
 use futures_channel::mpsc;
 use futures_channel::oneshot;
 use futures_util::StreamExt as _;
@@ -30,7 +31,6 @@
 use crate::proto::v1::operators_server::Operators;
 use crate::proto::v1::operators_server::OperatorsServer;
 use crate::util::logline::Line;
-use crate::util::socket;
 
 type Question = Box<dyn FnOnce(&Entry) + Send>;
 
@@ -83,7 +83,7 @@
 ///
 /// If the address can't be bound.
 pub async fn bind(entry: Rc<Entry>) -> io::Result<SocketAddr> {
-    let listener = socket::bind(entry.settings.operators.listen).await?;
+    let listener = TcpListener::bind(entry.settings.operators.listen).await?;
     let address = listener.local_addr()?;
     let (tx, mut rx) = mpsc::unbounded::<Question>();
     let tokens = Arc::new(entry.settings.operators.tokens.clone());
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -262,7 +262,8 @@
 {
     unfold(Stage::Sending(Box::new(attempt)), |stage| async move {
         match stage {
-            Stage::Sending(attempt) => Some(start(*attempt).await),
+            // Boxed, so that its memory is free while the answer is read.
+            Stage::Sending(attempt) => Some(Box::pin(start(*attempt)).await),
             Stage::Reading(reading) => Some(next_event(reading).await),
             Stage::Over => None,
         }
--- a/src/util/socket.rs
+++ b/src/util/socket.rs
@@ -5,6 +5,7 @@
 //! [`HttpStream`] waits for readiness and then reads and writes hyper's buffers directly. The
 //! figures before and after stand in docs/EXPERIMENTS.md.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::Shutdown;
 use std::net::SocketAddr;
@@ -12,11 +13,11 @@
 use std::task::Context;
 use std::task::Poll;
 
-use compio::net::TcpListener;
-use compio::net::TcpStream;
 use compio::runtime::fd::PollFd;
 use hyper::rt::ReadBufCursor;
+use socket2::Domain;
 use socket2::Socket;
+use socket2::Type;
 
 /// A connected socket that hyper reads and writes.
 #[derive(Debug)]
@@ -27,13 +28,66 @@
     drained: bool,
 }
 
-/// Binds a listening socket.
-///
-/// # Errors
+/// Connections that wait to be accepted at most.
+const BACKLOG: i32 = 1_024;
+
+/// A listening socket.
 ///
-/// The operating system's, for example when the address is in use.
-pub async fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(addr).await
+/// The event loop's own would create and close sockets on helper threads, where one thread is to
+/// do everything; neither call can block.
+#[derive(Debug)]
+pub struct HttpListener(PollFd<Socket>);
+
+impl HttpListener {
+    /// Binds a listening socket.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's, for example when the address is in use.
+    pub fn bind(addr: SocketAddr) -> io::Result<Self> {
+        let socket = new_socket(addr)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(BACKLOG)?;
+        Self::from_std(socket.into())
+    }
+
+    /// Takes over a socket that listens already.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's.
+    pub fn from_std(listener: std::net::TcpListener) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        Ok(Self(PollFd::new(listener.into())?))
+    }
+
+    /// The bound address.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        let addr = self.0.local_addr()?;
+        addr.as_socket().ok_or_else(|| io::Error::from(io::ErrorKind::AddrNotAvailable))
+    }
+
+    /// Waits for the next connection.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's, for example when descriptors run out.
+    pub async fn accept(&self) -> io::Result<HttpStream> {
+        let accepted = poll_fn(|cx| self.0.poll_accept_with(cx, Socket::accept));
+        let (socket, _peer) = accepted.await?;
+        HttpStream::new(socket)
+    }
+}
+
+fn new_socket(addr: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
 }
 
 /// Connects to `addr`.
@@ -42,21 +96,27 @@
 ///
 /// The operating system's, for example when nothing listens there.
 pub async fn connect(addr: SocketAddr) -> io::Result<HttpStream> {
-    HttpStream::new(TcpStream::connect(addr).await?)
+    let stream = HttpStream::new(new_socket(addr)?)?;
+    match stream.fd.connect(&addr.into()) {
+        Err(error) if error.raw_os_error() == Some(libc::EINPROGRESS) => {
+            stream.fd.connect_ready().await?;
+            stream.fd.take_error()?.map_or(Ok(stream), Err)
+        }
+        connected => connected.map(|()| stream),
+    }
 }
 
 impl HttpStream {
-    /// Prepares an accepted or connected socket. Chunks are small and must leave at once, so
+    /// Prepares a socket. Chunks are small and must leave at once, so
     /// Nagle's algorithm is off.
     ///
     /// # Errors
     ///
     /// The operating system's, for example when the peer is gone already.
-    pub fn new(stream: TcpStream) -> io::Result<Self> {
-        stream.set_nodelay(true)?;
-        let stream = stream.into_poll_fd()?;
-        stream.set_nonblocking(true)?;
-        Ok(Self { fd: stream, drained: false })
+    fn new(socket: Socket) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        Ok(Self { fd: PollFd::new(socket)?, drained: false })
     }
 }
 
