--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -489,6 +489,7 @@
             return;
         }
         self.first_chunk.get_or_insert(now);
+        self.run = RunState::Ran;
         match self.splice.push(chunk) {
             Verdict::Emit(chunk) => {
                 self.fruitless = 0;
@@ -576,8 +577,8 @@
         out: &mut Vec<Action>,
     ) {
         let unknown = !matches!(outcome, Outcome::NotSent | Outcome::Refused);
-        if unknown && self.run == RunState::NotRun {
-            self.run = RunState::Unknown;
+        if unknown {
+            self.may_have_run();
         }
         if unknown && !self.plan.repeatable {
             self.failure = FailureKind::OutcomeUnknown;
@@ -696,12 +697,12 @@
                 out.push(Action::Wake { at });
             }
             RequestAction::Detach => {
-                if let Some(current) = self.current.take() {
+                if let Some(current) = self.give_up() {
                     out.push(Action::Detach { attempt: current.attempt });
                 }
             }
             RequestAction::Cancel => {
-                if let Some(Current { attempt, endpoint, .. }) = self.current.take() {
+                if let Some(Current { attempt, endpoint, .. }) = self.give_up() {
                     out.push(Action::Cancel { attempt, endpoint });
                 }
                 self.release(out);
@@ -717,6 +718,19 @@
         }
     }
 
+    /// Takes an attempt that this box gives up before its end: its endpoint may have run it.
+    fn give_up(&mut self) -> Option<Current> {
+        let current = self.current.take()?;
+        self.may_have_run();
+        Some(current)
+    }
+
+    fn may_have_run(&mut self) {
+        if self.run == RunState::NotRun {
+            self.run = RunState::Unknown;
+        }
+    }
+
     fn start(&mut self, out: &mut Vec<Action>) {
         let Some(endpoint) = self.target.take() else { return };
         let after = self.splice.sent();
--- /dev/null
+++ b/tests/testsuite/decisions.rs
@@ -0,0 +1,404 @@
+//! Properties of the decisions without I/O: charts, splice and relay.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use vaneway_chart::Chart;
+use vaneway_chart::ChartName;
+use vaneway_chart::chart_names;
+use vaneway_relay::Action;
+use vaneway_relay::Attempt;
+use vaneway_relay::AttemptEvent;
+use vaneway_relay::Chunk;
+use vaneway_relay::Event;
+use vaneway_relay::Outcome;
+use vaneway_relay::Plan;
+use vaneway_relay::Relay;
+use vaneway_relay::RequestEvent;
+use vaneway_relay::RetryBudget;
+use vaneway_relay::RunState;
+use vaneway_relay::Splice;
+use vaneway_relay::Start;
+use vaneway_relay::Verdict;
+use vaneway_relay::attempt_chart;
+use vaneway_relay::request_chart;
+use vaneway_route::EndpointEvent;
+use vaneway_route::EndpointState;
+use vaneway_route::endpoint_chart;
+
+use crate::property;
+
+/// Walks a chart by arbitrary events: a final state is never left.
+fn walk<S: ChartName, E: ChartName, A: ChartName>(name: &str, chart: &Chart<S, E, A>) {
+    property::check(name, 500, |events: Vec<u8>| {
+        let mut state = chart.initial();
+        for event in events {
+            let event = E::ALL[usize::from(event) % E::ALL.len()];
+            let step = chart.step(state, event);
+            assert!(!chart.is_final(state) || step.to == state && step.actions.is_empty());
+            state = step.to;
+        }
+    });
+}
+
+#[test]
+fn every_chart_is_whole_and_never_leaves_a_final_state() {
+    walk("request chart", request_chart());
+    walk("attempt chart", attempt_chart());
+    walk("endpoint chart", endpoint_chart());
+}
+
+#[test]
+fn endpoint_that_is_leaving_serves_again_only_as_a_new_instance() {
+    property::check("leaving endpoint", 1_000, |events: Vec<u8>| {
+        let chart = endpoint_chart();
+        let mut state = EndpointState::Leaving;
+        for event in events {
+            let event = EndpointEvent::ALL[usize::from(event) % EndpointEvent::ALL.len()];
+            state = chart.step(state, event).to;
+            if event == EndpointEvent::Replaced {
+                return;
+            }
+            assert!(matches!(state, EndpointState::Leaving | EndpointState::Gone));
+        }
+    });
+}
+
+#[test]
+fn attempt_counts_as_not_run_only_if_it_was_not_answered() {
+    property::check("attempt outcomes", 1_000, |events: Vec<u8>| {
+        let mut attempt = Attempt::new();
+        let mut seen = Vec::new();
+        for event in events {
+            let event = AttemptEvent::ALL[usize::from(event) % AttemptEvent::ALL.len()];
+            seen.push(event);
+            match attempt.handle(event) {
+                None => {}
+                Some(Outcome::NotSent) => {
+                    // Broken or cancelled after the request was written is never 'not sent'.
+                    let last = *seen.last().unwrap();
+                    let written = seen.contains(&AttemptEvent::Written);
+                    assert!(last == AttemptEvent::Returned || !written, "{seen:?}");
+                    return;
+                }
+                Some(Outcome::Refused) => {
+                    assert_eq!(seen.last(), Some(&AttemptEvent::Refusal));
+                    return;
+                }
+                Some(Outcome::Unknown | Outcome::Done) => {
+                    assert!(seen.contains(&AttemptEvent::Written), "{seen:?}");
+                    return;
+                }
+            }
+        }
+    });
+}
+
+chart_names! {
+    /// States of a chart with faults.
+    pub enum Light { Off = "off", On = "on" }
+}
+chart_names! {
+    /// Events of a chart with faults.
+    pub enum Press { Press = "press", Hold = "hold" }
+}
+chart_names! {
+    /// Actions of a chart with faults.
+    pub enum Effect { Beep = "beep" }
+}
+
+#[test]
+fn faults_of_a_chart_are_reported_at_once_with_their_places() {
+    let text = r#"{
+        "chart": "light", "initial": "dim",
+        "states": {
+            "off": { "on": { "press": { "to": "up", "do": ["ring"] } }, "ignore": ["shake"] },
+            "gone": {}
+        }
+    }"#;
+    let error = Chart::<Light, Press, Effect>::compile(text).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "the state chart has 6 findings\n\
+         $.initial: unknown state `dim`, known: off, on\n\
+         $.states.gone: unknown state `gone`, known: off, on\n\
+         $.states.off.on.press.to: unknown state `up`, known: off, on\n\
+         $.states.off.on.press.do[0]: unknown action `ring`, known: beep\n\
+         $.states.off.ignore[0]: unknown event `shake`, known: press, hold\n\
+         $.states: state `on` is missing"
+    );
+    let text = r#"{
+        "chart": "light", "initial": "off",
+        "states": { "off": { "ignore": ["press"] }, "on": { "ignore": ["press", "hold"] } }
+    }"#;
+    let error = Chart::<Light, Press, Effect>::compile(text).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "the state chart has 1 findings\n$.states.off: handle or ignore event `hold`"
+    );
+}
+
+const ANSWER: u32 = 12;
+
+fn whole_text() -> String {
+    (1..=ANSWER).map(token).collect()
+}
+
+fn token(k: u32) -> String {
+    format!("t{k} ")
+}
+
+/// The chunk with token `k`, or the last one, which ends the answer.
+fn chunk(k: u32, created: u64) -> Chunk {
+    let data = if k <= ANSWER {
+        format!(r#"{{"created":{created},"choices":[{{"delta":{{"content":"t{k} "}}}}]}}"#)
+    } else {
+        format!(r#"{{"created":{created},"choices":[{{"delta":{{}},"finish_reason":"stop"}}]}}"#)
+    };
+    Chunk::read(&k.min(ANSWER).to_string(), data).unwrap()
+}
+
+#[derive(Debug, TypeGenerator)]
+struct Part {
+    /// How many tokens before what the caller has the attempt begins.
+    back: u8,
+    /// Chunks that it delivers before it breaks off.
+    count: u8,
+    /// A token that arrives in one chunk with the next.
+    merged: Option<u8>,
+}
+
+#[test]
+fn splice_gives_every_token_once_whatever_the_attempts_repeat_or_lose() {
+    property::check("splice", 2_000, |parts: Vec<Part>| {
+        let mut splice = Splice::new();
+        let mut emitted = Vec::new();
+        let whole = Part { back: 0, count: ANSWER as u8 + 1, merged: None };
+        for (created, part) in parts.iter().chain([&whole]).enumerate() {
+            let base = splice.sent().saturating_sub(u32::from(part.back % 8));
+            splice.begin(base);
+            let end = (base + u32::from(part.count)).min(ANSWER + 1);
+            for k in base + 1..=end {
+                let merged = part.merged.map(u32::from).filter(|k| *k < ANSWER);
+                if merged == Some(k) && k < end {
+                    continue;
+                }
+                let mut chunk = chunk(k, created as u64);
+                if k > base + 1 && merged == Some(k - 1) {
+                    chunk.text = format!("t{} t{k} ", k - 1);
+                }
+                match splice.push(chunk) {
+                    Verdict::Emit(chunk) => emitted.push(chunk),
+                    Verdict::Drop => {}
+                    Verdict::Gap => break,
+                }
+            }
+        }
+        let text: String = emitted.iter().map(|chunk| chunk.text.as_str()).collect();
+        let expected = whole_text();
+        assert_eq!((text.as_str(), splice.text()), (expected.as_str(), expected.as_str()));
+        assert_eq!(emitted.iter().filter(|chunk| chunk.finishes).count(), 1);
+        let created: Vec<_> = emitted.iter().map(|chunk| chunk.created).collect();
+        assert!(created.windows(2).all(|pair| pair[0] == pair[1]));
+    });
+}
+
+#[derive(Debug, TypeGenerator)]
+enum Happening {
+    Chosen(u8),
+    Full,
+    Woken,
+    Transferred(bool),
+    Head,
+    /// The next chunk of the current attempt.
+    Chunk,
+    /// A chunk of an attempt that is over.
+    LateChunk(u8),
+    Ended(u8),
+    LateEnd(u8),
+    Leaving(u8, bool),
+    Gone(u8),
+    Expired,
+    CallerGone,
+}
+
+/// Drives a relay by arbitrary events and checks its promises at each step.
+struct Drive {
+    relay: Relay,
+    budget: RetryBudget,
+    now: Instant,
+    current: Option<(u32, u32)>,
+    next_chunk: u32,
+    text: String,
+    ended: u32,
+    /// Whether an endpoint may have run the request.
+    may_have_run: bool,
+    /// Whether an attempt that may have run ended before anything of its answer was seen.
+    lost_without_answer: bool,
+    repeatable: bool,
+}
+
+impl Drive {
+    fn new(repeatable: bool) -> Self {
+        let now = Instant::now();
+        let plan = Plan {
+            repeatable,
+            streamed: true,
+            wants_usage: false,
+            max_attempts: 5,
+            deadline: now + Duration::from_mins(1),
+            patience: Duration::from_millis(100),
+            prompt_tokens: 10,
+            max_tokens: ANSWER,
+            seed: 1,
+        };
+        Self {
+            relay: Relay::new(plan),
+            budget: RetryBudget::new(10, 10),
+            now,
+            current: None,
+            next_chunk: 1,
+            text: String::new(),
+            ended: 0,
+            may_have_run: false,
+            lost_without_answer: false,
+            repeatable,
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        request_chart().is_final(self.relay.state())
+    }
+
+    fn event(&mut self, happening: &Happening) -> Option<Event> {
+        let attempt = self.relay.moves().attempts;
+        Some(match happening {
+            Happening::Chosen(endpoint) => Event::Chosen { endpoint: u32::from(endpoint % 3) },
+            Happening::Full => Event::Unavailable { full: true, until: None },
+            Happening::Woken => Event::Woken,
+            Happening::Transferred(whole) => {
+                Event::Transferred { attempt: attempt + 1, whole: *whole }
+            }
+            Happening::Head => Event::Head { attempt: self.current?.0 },
+            Happening::Chunk => {
+                let attempt = self.current?.0;
+                let chunk = chunk(self.next_chunk, 7);
+                self.next_chunk = (self.next_chunk + 1).min(ANSWER + 1);
+                Event::Chunk { attempt, chunk }
+            }
+            Happening::LateChunk(k) => {
+                let late = attempt.checked_sub(1)?;
+                Event::Chunk { attempt: late, chunk: chunk(u32::from(*k) % ANSWER + 1, 8) }
+            }
+            Happening::Ended(outcome) => {
+                let (attempt, _) = self.current.take()?;
+                let outcomes =
+                    [Outcome::NotSent, Outcome::Refused, Outcome::Unknown, Outcome::Done];
+                let outcome = outcomes[usize::from(outcome % 4)];
+                if matches!(outcome, Outcome::Unknown | Outcome::Done) {
+                    self.may_have_run = true;
+                    self.lost_without_answer |= self.text.is_empty();
+                }
+                Event::Ended { attempt, outcome }
+            }
+            Happening::LateEnd(outcome) => {
+                let outcome = if outcome % 2 == 0 { Outcome::Done } else { Outcome::Unknown };
+                Event::Ended { attempt: attempt.checked_sub(1)?, outcome }
+            }
+            Happening::Leaving(endpoint, soon) => {
+                let left = if *soon { Duration::ZERO } else { Duration::from_secs(30) };
+                Event::Leaving { endpoint: u32::from(endpoint % 3), gone_at: self.now + left }
+            }
+            Happening::Gone(endpoint) => {
+                let endpoint = u32::from(endpoint % 3);
+                if self.current.take_if(|(_, at)| *at == endpoint).is_some() {
+                    self.may_have_run = true;
+                    self.lost_without_answer |= self.text.is_empty();
+                }
+                Event::Gone { endpoint }
+            }
+            Happening::Expired => Event::Expired,
+            Happening::CallerGone => Event::CallerGone,
+        })
+    }
+
+    fn step(&mut self, event: Event) {
+        self.now += Duration::from_millis(5);
+        if let Event::Head { attempt } | Event::Chunk { attempt, .. } = event {
+            self.may_have_run |= self.current.is_some_and(|(current, _)| current == attempt);
+        }
+        let was_over = self.is_over();
+        let mut actions = Vec::new();
+        self.relay.handle(self.now, event, &mut self.budget, &mut actions);
+        assert!(!was_over || actions.is_empty(), "a request that is over does nothing");
+        for action in actions {
+            self.apply(action);
+        }
+    }
+
+    fn apply(&mut self, action: Action) {
+        match action {
+            Action::Start { attempt, endpoint, how } => {
+                assert!(
+                    self.repeatable || !self.lost_without_answer,
+                    "a request that may not be repeated ran, and was sent again"
+                );
+                self.current = Some((attempt, endpoint));
+                self.next_chunk = match how {
+                    Start::Fresh => 1,
+                    Start::Resume { after } | Start::Continue { after } => {
+                        assert_eq!(after, self.relay.splice().sent());
+                        after + 1
+                    }
+                };
+            }
+            Action::Detach { .. } | Action::Cancel { .. } => {
+                // Its endpoint may go on with what it was sent.
+                self.may_have_run = true;
+                self.lost_without_answer |= self.text.is_empty();
+                self.current = None;
+            }
+            Action::Emit { chunk } => self.text.push_str(&chunk.text),
+            Action::Complete => {
+                self.ended += 1;
+                let expected = whole_text();
+                assert_eq!(self.text, expected, "a whole answer");
+            }
+            Action::Fail { failure } => {
+                self.ended += 1;
+                if failure.run == RunState::NotRun {
+                    assert!(!self.may_have_run, "told as not run, but it may have run");
+                }
+            }
+            Action::Choose
+            | Action::Transfer { .. }
+            | Action::Wake { .. }
+            | Action::Release { .. } => {}
+        }
+    }
+}
+
+#[test]
+fn relay_keeps_its_promises_in_every_order_of_events() {
+    property::check("relay", 20_000, |(repeatable, happenings): (bool, Vec<Happening>)| {
+        let mut drive = Drive::new(repeatable);
+        drive.step(Event::Begin);
+        for happening in &happenings {
+            if let Some(event) = drive.event(happening) {
+                drive.step(event);
+            }
+        }
+        assert!(drive.ended <= 1, "one answer");
+        let mut out = Vec::new();
+        drive.relay.handle(drive.now, Event::Expired, &mut drive.budget, &mut out);
+        assert!(drive.is_over(), "the deadline ends every request");
+    });
+}
+
+#[test]
+fn names_of_a_chart_are_those_of_its_events() {
+    for event in RequestEvent::ALL {
+        assert_eq!(RequestEvent::from_name(event.name()), Some(*event));
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,9 +4,12 @@
 //! [`Caller`](vaneway_test_support::Caller), and compares whole outputs. Tests wait on
 //! conditions, never on time, and assert nothing about time.
 
+mod decisions;
 mod path;
 mod plain;
+mod property;
 mod schema;
+mod settings;
 mod stop;
 mod streams;
 mod support;
--- a/tests/testsuite/plain.rs
+++ b/tests/testsuite/plain.rs
@@ -189,3 +189,19 @@
     assert_eq!((answer.status, answer.run.as_deref()), (503, Some("not_run")));
     assert_eq!((answer.code().as_str(), answer.retry_after.as_deref()), ("no_endpoint", Some("1")));
 }
+
+#[test]
+fn deadline_of_a_call_under_way_is_told_as_unknown() {
+    let p = PlainService::spawn();
+    let deployment = deployment()
+        .plain(&[Replica::new("p", p.address())])
+        .set("/services/0/deadline_ms", 300.into());
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+    p.pause(std::time::Duration::from_hours(1));
+
+    let answer = block_on(caller.send(Method::GET, "/services/reading-room/slow", ""));
+
+    assert_eq!((answer.status, answer.code().as_str()), (504, "deadline_exceeded"));
+    assert_eq!((answer.run.as_deref(), p.total()), (Some("unknown"), 1));
+}
