--- /dev/null
+++ b/src/core/claims.rs
@@ -0,0 +1,374 @@
+//! The durable ledger of claims of this box.
+//!
+//! Data flow: a command is queued; one task takes all that are queued, appends them to the log in
+//! one write, syncs once, applies them in order and answers everyone. Nothing is applied before
+//! it is synced, so whatever a caller was told survives a crash. If a write or sync fails, the
+//! ledger closes for good: nobody can say what reached the disk, so every later claim is refused
+//! as not run until the process is started anew and has read what is there.
+//!
+//! Files, under the data folder: `claims.lock`, held while the process runs; `claims.snapshot`, one
+//! record with a generation and a ledger; `claims.N.log`, the commands since the snapshot of
+//! generation N.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::buf::BufResult;
+use compio::io::AsyncWriteAtExt as _;
+use eyre::WrapErr as _;
+use eyre::bail;
+use futures_channel::mpsc;
+use futures_channel::oneshot;
+use futures_util::StreamExt as _;
+use vaneway_claims::Claim;
+use vaneway_claims::ClaimKey;
+use vaneway_claims::Command;
+use vaneway_claims::Digest;
+use vaneway_claims::Holder;
+use vaneway_claims::KeptAnswer;
+use vaneway_claims::Ledger;
+use vaneway_claims::Reply;
+
+use crate::util::clock;
+use crate::util::logline::Line;
+
+/// Bytes of log after which a snapshot is made.
+const SNAPSHOT_AFTER: u64 = 16 << 20;
+
+/// The ledger can't be written any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closed;
+
+impl std::fmt::Display for Closed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the ledger of claims could not be written and is closed")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+#[derive(Debug)]
+struct Proposal {
+    command: Command,
+    reply: oneshot::Sender<Reply>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    ledger: RefCell<Ledger>,
+    /// Callers that wait for a call that is under way at this box.
+    waiting: RefCell<BTreeMap<ClaimKey, Vec<oneshot::Sender<()>>>>,
+    /// Calls whose claim this box holds.
+    held: Cell<usize>,
+    closed: Cell<bool>,
+}
+
+/// The ledger, open for claims; clones share it.
+#[derive(Debug, Clone)]
+pub struct Claims {
+    shared: Rc<Shared>,
+    proposals: mpsc::UnboundedSender<Proposal>,
+    holder: Holder,
+    retention: Duration,
+}
+
+/// The log file and where the next record goes.
+#[derive(Debug)]
+struct LogFile {
+    folder: PathBuf,
+    file: compio::fs::File,
+    generation: u64,
+    end: u64,
+    /// Held for its lock, which ends with the process.
+    _lock: File,
+}
+
+fn log_path(folder: &Path, generation: u64) -> PathBuf {
+    folder.join(format!("claims.{generation}.log"))
+}
+
+fn snapshot_path(folder: &Path) -> PathBuf {
+    folder.join("claims.snapshot")
+}
+
+/// Opens the ledger under `folder`. `holder` must differ from that of every earlier process on
+/// this folder; claims that those left running end as unknown.
+///
+/// # Errors
+///
+/// If another process uses the folder, a file can't be read or written, or a record is damaged.
+pub async fn open(folder: &Path, holder: Holder, retention: Duration) -> eyre::Result<Claims> {
+    let context = || format!("failed to open the ledger of claims in `{}`", folder.display());
+    let (ledger, log) = load(folder).await.wrap_err_with(context)?;
+    let (tx, rx) = mpsc::unbounded();
+    let shared = Rc::new(Shared {
+        ledger: RefCell::new(ledger),
+        waiting: RefCell::default(),
+        held: Cell::new(0),
+        closed: Cell::new(false),
+    });
+    compio::runtime::spawn(write_forever(Rc::clone(&shared), log, rx)).detach();
+    let claims = Claims { shared, proposals: tx, holder, retention };
+    claims.propose(Command::OnlyHolder { holder }).await.wrap_err_with(context)?;
+    Ok(claims)
+}
+
+async fn load(folder: &Path) -> eyre::Result<(Ledger, LogFile)> {
+    std::fs::create_dir_all(folder)?;
+    let lock = File::create(folder.join("claims.lock"))?;
+    if lock.try_lock().is_err() {
+        bail!("another process uses this folder, give each its own `data_folder`");
+    }
+    let (generation, mut ledger) = load_snapshot(&snapshot_path(folder))?;
+    let path = log_path(folder, generation);
+    let context = || format!("failed to read `{}`", path.display());
+    let bytes = read_or_empty(&path).wrap_err_with(context)?;
+    let recovered = vaneway_log::recover(&bytes).wrap_err_with(context)?;
+    for record in &recovered.records {
+        ledger.apply(Command::decode(record).wrap_err_with(context)?);
+    }
+    if recovered.torn_bytes > 0 {
+        Line::new("log_tail_cut")
+            .with("file", path.display())
+            .with("offset", recovered.whole_bytes)
+            .with("bytes", recovered.torn_bytes)
+            .warn();
+    }
+    let end = recovered.whole_bytes as u64;
+    let file = OpenOptions::new().write(true).create(true).truncate(false).open(&path)?;
+    file.set_len(end)?;
+    file.sync_all()?;
+    sync_folder(folder)?;
+    drop(file);
+    let file = open_for_writing(&path).await?;
+    Line::new("claims_opened").with("keys", ledger.len()).with("generation", generation).info();
+    Ok((ledger, LogFile { folder: folder.to_owned(), file, generation, end, _lock: lock }))
+}
+
+fn read_or_empty(path: &Path) -> io::Result<Vec<u8>> {
+    match std::fs::read(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Vec::new()),
+        read => read,
+    }
+}
+
+/// The generation and ledger of a snapshot; those of the beginning if there is none.
+fn load_snapshot(path: &Path) -> eyre::Result<(u64, Ledger)> {
+    let context = || format!("failed to read `{}`", path.display());
+    let bytes = read_or_empty(path).wrap_err_with(context)?;
+    if bytes.is_empty() {
+        return Ok((0, Ledger::new()));
+    }
+    let recovered = vaneway_log::recover(&bytes).wrap_err_with(context)?;
+    let [generation, ledger] = recovered.records[..] else {
+        // It was synced before it got its name, so a part of it is damage and not a torn write.
+        bail!("`{}` is damaged: it holds {} records", path.display(), recovered.records.len());
+    };
+    let generation = generation.try_into().wrap_err_with(context)?;
+    Ok((u64::from_le_bytes(generation), Ledger::decode(ledger).wrap_err_with(context)?))
+}
+
+async fn open_for_writing(path: &Path) -> io::Result<compio::fs::File> {
+    compio::fs::OpenOptions::new().write(true).open(path).await
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+async fn write_forever(
+    shared: Rc<Shared>,
+    mut log: LogFile,
+    mut rx: mpsc::UnboundedReceiver<Proposal>,
+) {
+    while let Some(first) = rx.next().await {
+        let mut batch = vec![first];
+        while let Ok(more) = rx.try_recv() {
+            batch.push(more);
+        }
+        if let Err(error) = write(&mut log, &batch).await {
+            shared.closed.set(true);
+            Line::new("claims_closed").with("error", error).error();
+            return;
+        }
+        for Proposal { command, reply } in batch {
+            apply(&shared, command, reply);
+        }
+        if log.end >= SNAPSHOT_AFTER
+            && let Err(error) = compact(&shared, &mut log).await
+        {
+            Line::new("snapshot_failed").with("error", error).error();
+            shared.closed.set(true);
+            return;
+        }
+    }
+}
+
+async fn write(log: &mut LogFile, batch: &[Proposal]) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    for proposal in batch {
+        vaneway_log::append(&mut bytes, &proposal.command.encode());
+    }
+    let count = bytes.len() as u64;
+    let BufResult(written, _bytes) = log.file.write_all_at(bytes, log.end).await;
+    written?;
+    log.file.sync_data().await?;
+    log.end += count;
+    Ok(())
+}
+
+fn apply(shared: &Shared, command: Command, reply: oneshot::Sender<Reply>) {
+    let ended = match &command {
+        Command::Answer { key, .. } | Command::Unknown { key } | Command::Release { key, .. } => {
+            Some(key.clone())
+        }
+        Command::Claim(_) | Command::OnlyHolder { .. } | Command::Expire { .. } => None,
+    };
+    let applied = shared.ledger.borrow_mut().apply(command);
+    // Whoever asked may be gone.
+    let _gone = reply.send(applied);
+    if let Some(key) = ended {
+        // Dropping the senders wakes those that wait.
+        shared.waiting.borrow_mut().remove(&key);
+    }
+}
+
+/// Writes a snapshot and starts an empty log behind it. Rare and short enough to be done in
+/// place: a day of claims is a few megabytes.
+async fn compact(shared: &Shared, log: &mut LogFile) -> io::Result<()> {
+    let generation = log.generation + 1;
+    let path = log_path(&log.folder, generation);
+    File::create(&path)?.sync_all()?;
+    let mut bytes = Vec::new();
+    vaneway_log::append(&mut bytes, &generation.to_le_bytes());
+    vaneway_log::append(&mut bytes, &shared.ledger.borrow().encode());
+    let temporary = log.folder.join("claims.snapshot.new");
+    std::fs::write(&temporary, &bytes)?;
+    File::open(&temporary)?.sync_all()?;
+    std::fs::rename(&temporary, snapshot_path(&log.folder))?;
+    sync_folder(&log.folder)?;
+    let old = log_path(&log.folder, log.generation);
+    log.file = open_for_writing(&path).await?;
+    log.generation = generation;
+    log.end = 0;
+    Line::new("snapshot").with("generation", generation).with("bytes", bytes.len()).info();
+    // A log that stays behind is never read again.
+    if let Err(error) = std::fs::remove_file(&old) {
+        log::warn!("event=old_log_stays file={} error={error:?}", old.display());
+    }
+    Ok(())
+}
+
+impl Claims {
+    async fn propose(&self, command: Command) -> Result<Reply, Closed> {
+        if self.shared.closed.get() {
+            return Err(Closed);
+        }
+        let (tx, rx) = oneshot::channel();
+        let proposal = Proposal { command, reply: tx };
+        self.proposals.unbounded_send(proposal).map_err(|_writer_gone| Closed)?;
+        rx.await.map_err(|_writer_gone| Closed)
+    }
+
+    /// Claims a key, and waits while a call with it is under way at this box.
+    ///
+    /// # Errors
+    ///
+    /// If the ledger is closed: the call must not be sent.
+    pub async fn claim(&self, key: &ClaimKey, digest: Digest) -> Result<Reply, Closed> {
+        loop {
+            let known = self.shared.ledger.borrow().look(key, &digest);
+            match known {
+                Some(Reply::Running) => self.wait_for_end(key).await,
+                Some(reply) => return Ok(reply),
+                None => {
+                    let at_ms = clock::since_epoch().as_millis() as u64;
+                    let holder = self.holder;
+                    let claim = Claim { key: key.clone(), digest, holder, at_ms };
+                    let reply = self.propose(Command::Claim(claim)).await?;
+                    if reply == Reply::Granted {
+                        self.shared.held.update(|held| held + 1);
+                    }
+                    if reply != Reply::Running {
+                        return Ok(reply);
+                    }
+                }
+            }
+            if self.shared.closed.get() {
+                return Err(Closed);
+            }
+        }
+    }
+
+    async fn wait_for_end(&self, key: &ClaimKey) {
+        let (tx, rx) = oneshot::channel();
+        self.shared.waiting.borrow_mut().entry(key.clone()).or_default().push(tx);
+        // Ends by the drop of its other side.
+        let _ended = rx.await;
+    }
+
+    /// Ends a call whose claim was granted.
+    ///
+    /// # Errors
+    ///
+    /// If the ledger is closed; the call then ends as unknown at the next start.
+    pub async fn end(&self, key: ClaimKey, end: ClaimEnd) -> Result<(), Closed> {
+        let command = match end {
+            ClaimEnd::Answered(answer) => Command::Answer { key, answer },
+            ClaimEnd::Unknown => Command::Unknown { key },
+            ClaimEnd::NotRun => Command::Release { key, holder: self.holder },
+        };
+        let ended = self.propose(command).await;
+        self.shared.held.update(|held| held - 1);
+        ended.map(|_applied| ())
+    }
+
+    /// Forgets what is older than the retention.
+    ///
+    /// # Errors
+    ///
+    /// If the ledger is closed.
+    pub async fn expire(&self) -> Result<(), Closed> {
+        let now = clock::since_epoch();
+        let before_ms = now.saturating_sub(self.retention).as_millis() as u64;
+        let due = self.shared.ledger.borrow().oldest_ms().is_some_and(|at| at < before_ms);
+        if due {
+            self.propose(Command::Expire { before_ms }).await?;
+        }
+        Ok(())
+    }
+
+    /// Calls under way whose claim this box holds.
+    pub fn held(&self) -> usize {
+        self.shared.held.get()
+    }
+
+    /// Keys in the ledger.
+    pub fn keys(&self) -> usize {
+        self.shared.ledger.borrow().len()
+    }
+
+    /// Whether a failed write closed the ledger.
+    pub fn is_closed(&self) -> bool {
+        self.shared.closed.get()
+    }
+}
+
+/// How a call ended whose claim was granted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimEnd {
+    /// It ran, and this was its answer.
+    Answered(KeptAnswer),
+    /// Nobody knows whether it ran.
+    Unknown,
+    /// It was certainly not run.
+    NotRun,
+}
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -20,6 +20,8 @@
 use vaneway_route::Pool;
 use vaneway_route::Query;
 
+use crate::core::claims;
+use crate::core::claims::Claims;
 use crate::core::front;
 use crate::core::metrics::Metrics;
 use crate::core::open_requests::OpenRequests;
@@ -27,6 +29,7 @@
 use crate::core::platform;
 use crate::core::settings::Settings;
 use crate::core::upstream::Connections;
+use crate::util::clock;
 use crate::util::logline::Line;
 use crate::util::timers::Timers;
 
@@ -73,6 +76,8 @@
     pub timers: Timers,
     /// Requests that are open.
     pub open: OpenRequests,
+    /// The ledger of claims, where this deployment can keep one.
+    pub claims: Option<Claims>,
     /// Counters for operators.
     pub metrics: Metrics,
     /// Callers' connections that are open.
@@ -97,7 +102,7 @@
 }
 
 impl Entry {
-    fn new(settings: Settings, timers: Timers) -> Self {
+    fn new(settings: Settings, timers: Timers, claims: Option<Claims>, boot: u64) -> Self {
         let routing = &settings.routing;
         let pool = Pool::new(settings.replicas.clone(), routing.policy, routing.seed);
         let budget = |service: &crate::core::settings::Service| {
@@ -109,11 +114,12 @@
             connections: Connections::default(),
             timers,
             open: OpenRequests::default(),
+            claims,
             metrics: Metrics::new(),
             callers: Cell::new(0),
             phase: Cell::new(Phase::Serving),
             started: Instant::now(),
-            boot: crate::util::clock::since_epoch().as_micros() as u64,
+            boot,
             settings,
         }
     }
@@ -225,6 +231,9 @@
             "endpoints": endpoints,
             "open_requests": self.open.dump(),
             "retries_left": self.budgets.borrow().iter().map(RetryBudget::left).collect::<Vec<_>>(),
+            "claims": self.claims.as_ref().map(|claims| json!({
+                "keys": claims.keys(), "held": claims.held(), "closed": claims.is_closed(),
+            })),
             "caller_connections": self.callers.get(),
             "idle_connections": self.connections.idle(),
             "timers": self.timers.waiting(),
@@ -255,8 +264,11 @@
 ///
 /// If one of its addresses can't be bound.
 pub async fn spawn(settings: Settings) -> eyre::Result<RunningEntry> {
+    check_charts();
     let timers = Timers::spawn();
-    let entry = Rc::new(Entry::new(settings, timers));
+    let boot = clock::since_epoch().as_micros() as u64;
+    let claims = open_claims(&settings, boot).await?;
+    let entry = Rc::new(Entry::new(settings, timers, claims, boot));
     let listen = entry.settings.listen;
     let front = front::bind(Rc::clone(&entry))
         .wrap_err_with(|| format!("failed to listen for callers on {listen}"))?;
@@ -266,6 +278,7 @@
         .wrap_err_with(|| format!("failed to listen for operators on {listen}"))?;
     let background = vec![
         spawn_until_dropped(expire_leaving(Rc::clone(&entry))),
+        spawn_until_dropped(expire_claims(Rc::clone(&entry))),
         spawn_until_dropped(platform::follow_list(Rc::clone(&entry))),
         spawn_until_dropped(platform::follow_notices(Rc::clone(&entry))),
     ];
@@ -281,6 +294,37 @@
     Ok(RunningEntry { entry, listen, operators, front, background })
 }
 
+/// Compiles the charts, so that a fault in one is found at start and not at the first request.
+fn check_charts() {
+    let charts = [
+        vaneway_route::endpoint_chart().name(),
+        vaneway_relay::request_chart().name(),
+        vaneway_relay::attempt_chart().name(),
+    ];
+    log::debug!("event=charts_checked charts={}", charts.join(","));
+}
+
+/// Opens the ledger of claims. A deployment of several boxes needs claims that all of them agree
+/// on; until there are, it keeps none and refuses the calls that need them.
+async fn open_claims(settings: &Settings, boot: u64) -> eyre::Result<Option<Claims>> {
+    match &settings.data_folder {
+        Some(folder) if settings.peers.is_empty() => {
+            Ok(Some(claims::open(folder, boot, settings.claims.retention).await?))
+        }
+        _ => Ok(None),
+    }
+}
+
+/// Forgets claims that are older than the retention.
+async fn expire_claims(entry: Rc<Entry>) {
+    /// Time between two looks; the retention is hours.
+    const LOOK_EVERY: Duration = Duration::from_mins(1);
+    let Some(claims) = entry.claims.clone() else { return };
+    while claims.expire().await.is_ok() {
+        entry.timers.sleep(LOOK_EVERY).await;
+    }
+}
+
 fn spawn_until_dropped(work: impl Future<Output = ()> + 'static) -> oneshot::Sender<()> {
     let (tx, rx) = oneshot::channel::<()>();
     compio::runtime::spawn(async move {
@@ -334,7 +378,8 @@
         entry.timers.until(until, empty).await;
         let cut_off = entry.open.len();
         let until = Instant::now() + CLOSE_WITHIN;
-        while entry.callers.get() > 0 && Instant::now() < until {
+        let busy = || entry.callers.get() + entry.claims.as_ref().map_or(0, Claims::held) > 0;
+        while busy() && Instant::now() < until {
             entry.timers.sleep(Duration::from_millis(5)).await;
         }
         drop(background);
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -29,6 +29,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use serde_json::json;
+use vaneway_claims::ClaimKey;
 
 use crate::core::answer::Interface;
 use crate::core::answer::json_response;
@@ -36,6 +37,7 @@
 use crate::core::body::CallerBody;
 use crate::core::entry::Entry;
 use crate::core::entry::Phase;
+use crate::core::keyed_call;
 use crate::core::model_call;
 use crate::core::plain_call;
 use crate::core::settings::Organisation;
@@ -268,11 +270,18 @@
     admit(entry)?;
     let key = key(req.headers())?;
     let body = read_body(entry, req.into_body()).await?;
+    let digest = keyed_call::digest("POST", interface.path(), &body);
     let request = model_call::read(entry, interface, body)?;
     let service = &entry.settings.services[request.service];
     let non_repeatable = service.is_non_repeatable("POST", interface.path());
-    refuse_keyed(entry, non_repeatable, key.as_deref())?;
-    Ok(model_call::call(Rc::clone(entry), organisation, request, !non_repeatable).await)
+    let call = model_call::call(Rc::clone(entry), organisation.clone(), request, !non_repeatable);
+    match key.filter(|_| non_repeatable) {
+        Some(key) => {
+            let key = ClaimKey { organisation: organisation.name.clone(), key };
+            keyed_call::call(Rc::clone(entry), key, digest, call).await
+        }
+        None => Ok(call.await),
+    }
 }
 
 async fn plain(
@@ -288,6 +297,7 @@
         Some(at) => rest.split_at(at),
         None => (rest, "/"),
     };
+    let whole_path = whole.to_owned();
     let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
     let service = entry.settings.service_named(name);
     let service = service.filter(|id| entry.settings.services[*id].kind == ServiceKind::Plain);
@@ -298,8 +308,8 @@
     let (head, body) = req.into_parts();
     let settings = &entry.settings.services[service];
     let non_repeatable = settings.is_non_repeatable(head.method.as_str(), &path);
-    refuse_keyed(entry, non_repeatable, key.as_deref())?;
     let body = read_body(entry, body).await?;
+    let digest = keyed_call::digest(head.method.as_str(), whole_path.as_str(), &body);
     let call = plain_call::PlainRequest {
         service,
         method: head.method,
@@ -308,7 +318,14 @@
         body,
         repeatable: !non_repeatable,
     };
-    Ok(plain_call::call(Rc::clone(entry), organisation, call).await)
+    let call = plain_call::call(Rc::clone(entry), organisation.clone(), call);
+    match key.filter(|_| non_repeatable) {
+        Some(key) => {
+            let key = ClaimKey { organisation: organisation.name.clone(), key };
+            keyed_call::call(Rc::clone(entry), key, digest, call).await
+        }
+        None => Ok(call.await),
+    }
 }
 
 /// The `Idempotency-Key`, if the caller sent one.
@@ -320,14 +337,3 @@
     let message = format!("`Idempotency-Key` must be 1 to {KEY_BYTES_MOST} visible characters");
     key.map(|key| Some(key.to_owned())).ok_or_else(|| ApiError::bad_request(message))
 }
-
-/// Refuses a call that may not be repeated and carries a key: a repeat could arrive at another
-/// entry box or after a restart, which needs agreed claims that are not there yet.
-fn refuse_keyed(entry: &Entry, non_repeatable: bool, key: Option<&str>) -> Result<(), ApiError> {
-    if !non_repeatable || key.is_none() || entry.settings.peers.is_empty() {
-        return Ok(());
-    }
-    let message = "calls with `Idempotency-Key` that may not be repeated are not served by a \
-                   deployment of several entry boxes yet";
-    Err(ApiError::rejected(StatusCode::SERVICE_UNAVAILABLE, "claims_unavailable", message))
-}
--- a/src/core/model_call.rs
+++ b/src/core/model_call.rs
@@ -202,7 +202,7 @@
 /// Serves a request and returns the response once its status is known.
 pub async fn call(
     entry: Rc<Entry>,
-    organisation: &Organisation,
+    organisation: Organisation,
     request: ModelRequest,
     repeatable: bool,
 ) -> Response<CallerBody> {
--- a/src/core/plain_call.rs
+++ b/src/core/plain_call.rs
@@ -123,7 +123,7 @@
 /// Calls a plain service and returns its answer, or one error.
 pub async fn call(
     entry: Rc<Entry>,
-    organisation: &Organisation,
+    organisation: Organisation,
     request: PlainRequest,
 ) -> Response<CallerBody> {
     let service = &entry.settings.services[request.service];
@@ -142,7 +142,7 @@
     };
     let call = Call {
         id: entry.request_id(number),
-        organisation,
+        organisation: &organisation,
         service,
         events: CallEvents::new(open, &entry.timers, plan.deadline),
         relay: Relay::new(plan),
--- a/src/core/settings/mod.rs
+++ b/src/core/settings/mod.rs
@@ -48,6 +48,15 @@
     pub limits: Limits,
     /// How the process stops.
     pub stop: Stop,
+    /// The ledger of calls that may run at most once.
+    pub claims: ClaimSettings,
+}
+
+/// The ledger of calls that may run at most once.
+#[derive(Debug, Clone, Serialize)]
+pub struct ClaimSettings {
+    /// How long a key and its answer are kept.
+    pub retention: Duration,
 }
 
 /// The operators' address and who may use it.
--- a/src/core/settings/read.rs
+++ b/src/core/settings/read.rs
@@ -12,6 +12,7 @@
 use vaneway_route::EndpointSpec;
 use vaneway_route::Policy;
 
+use super::ClaimSettings;
 use super::Limits;
 use super::NonRepeatable;
 use super::OperatorToken;
@@ -29,9 +30,12 @@
 use crate::util::findings::Findings;
 use crate::util::findings::Place;
 
-/// Longest time that a setting may name: one day, in milliseconds.
+/// One day in milliseconds, the longest time that a setting may name but for the retention.
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// Retentions, up to a month.
+const RETENTION: RangeInclusive<u64> = 1_000..=31 * DAY_MS;
+
 /// Times that may be zero.
 const ANY_TIME: RangeInclusive<u64> = 0..=DAY_MS;
 
@@ -121,6 +125,7 @@
     let routing = routing(fields.optional("routing").and_then(|place| place.object()));
     let limits = limits(fields.optional("limits").and_then(|place| place.object()));
     let stop = stop(fields.optional("stop").and_then(|place| place.object()));
+    let claims = claims(fields.optional("claims").and_then(|place| place.object()));
     fields.finish();
     Settings {
         name,
@@ -137,6 +142,7 @@
         routing,
         limits,
         stop,
+        claims,
     }
 }
 
@@ -327,6 +333,14 @@
     stop
 }
 
+fn claims(fields: Option<Fields<'_>>) -> ClaimSettings {
+    let mut claims = ClaimSettings { retention: Duration::from_hours(24) };
+    let Some(mut fields) = fields else { return claims };
+    claims.retention = millis(&mut fields, "retention_ms", RETENTION, DAY_MS);
+    fields.finish();
+    claims
+}
+
 /// Names, secrets and addresses that must differ.
 fn check_names(settings: &Settings, findings: &Findings) {
     let mut unique = Unique::new(findings);
--- a/src/util/findings.rs
+++ b/src/util/findings.rs
@@ -152,7 +152,9 @@
 
     /// A field that may be missing.
     pub fn optional(&mut self, name: &'static str) -> Option<Place<'a>> {
-        self.known.push(name);
+        if !self.known.contains(&name) {
+            self.known.push(name);
+        }
         let value = self.map.get(name)?;
         let path = format!("{}.{name}", self.place.path);
         Some(Place { path, value, findings: self.place.findings.clone() })
