--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -34,11 +34,11 @@
 use vaneway::core::body::CallerBody;
 use vaneway::util::outbox::outbox;
 
+use self::batch::Batch;
+use self::batch::Sequence;
+use self::text::Prompt;
 use crate::server;
 use crate::standin::Standin;
-use batch::Batch;
-use batch::Sequence;
-use text::Prompt;
 
 /// Bytes that a stream may be ahead of its reader.
 const STREAM_BYTES: usize = 16 << 10;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,11 +6,14 @@
 
 mod claims;
 mod decisions;
+mod operators;
 mod path;
 mod plain;
 mod property;
 mod schema;
 mod settings;
+mod standins;
 mod stop;
 mod streams;
+mod style;
 mod support;
--- /dev/null
+++ b/tests/testsuite/standins.rs
@@ -0,0 +1,171 @@
+//! The stand-ins behave as docs/INTERFACES.md says: the other tests rely on it.
+
+use std::time::Duration;
+
+use compio::buf::BufResult;
+use compio::net::UdpSocket;
+use hyper::Method;
+use serde_json::Value;
+use vaneway_test_support::Caller;
+use vaneway_test_support::CloudPlatform;
+use vaneway_test_support::Engine;
+use vaneway_test_support::EngineOptions;
+use vaneway_test_support::Proxy;
+use vaneway_test_support::WeightStore;
+use vaneway_test_support::caller::chat;
+use vaneway_test_support::deployment::until;
+
+use crate::support::block_on;
+use crate::support::engine;
+
+async fn get(address: std::net::SocketAddr, path: &str) -> Value {
+    Caller::new(address, "").send(Method::GET, path, "").await.json()
+}
+
+async fn post(address: std::net::SocketAddr, path: &str, body: &str) -> u16 {
+    Caller::new(address, "").send(Method::POST, path, body).await.status
+}
+
+async fn complete(engine: &Engine, id: &str, prompt: &str, priority: &str, tokens: u32) -> Value {
+    let headers = [("x-request-id", id), ("x-priority", priority)];
+    let body = chat("m", prompt, tokens, true);
+    let caller = Caller::new(engine.address(), "");
+    let answer = caller.send_with(Method::POST, "/v1/chat/completions", &headers, &body).await;
+    assert!(answer.whole);
+    answer.streamed_text().into()
+}
+
+#[test]
+fn orders_of_an_old_epoch_are_refused_where_the_fence_is_checked() {
+    let checking = engine();
+    let trusting = Engine::spawn(EngineOptions { checks_fence: false, ..EngineOptions::default() });
+    let order = |epoch| format!(r#"{{"epoch":{epoch},"kind":"load_model","model":"m"}}"#);
+
+    block_on(async {
+        for engine in [&checking, &trusting] {
+            assert_eq!(post(engine.address(), "/v1/orders", &order(5)).await, 200);
+        }
+        assert_eq!(post(checking.address(), "/v1/orders", &order(4)).await, 412);
+        assert_eq!(post(trusting.address(), "/v1/orders", &order(4)).await, 200);
+    });
+    assert_eq!((checking.stats().orders.len(), checking.stats().orders_refused), (1, 1));
+    assert_eq!(trusting.stats().orders.len(), 2);
+}
+
+#[test]
+fn prefixes_are_cached_in_bounded_memory_and_events_have_gaps() {
+    let options = EngineOptions { cache_blocks: 20, event_gap: 3, ..EngineOptions::default() };
+    let a = Engine::spawn(options);
+    let prompt = "one tape of the western parishes ".repeat(20);
+
+    block_on(async {
+        complete(&a, "r1", &prompt, "5", 2).await;
+        let before = a.stats();
+        complete(&a, "r2", &prompt, "5", 2).await;
+        let after = a.stats();
+        assert!(after.cached > before.cached);
+        assert!(after.prefilled - before.prefilled < before.prefilled / 4);
+        complete(&a, "r3", &"another tape altogether, from the east ".repeat(20), "5", 2).await;
+        let mut events = get(a.address(), "/v1/cache/events?after=0").await;
+        while events["events"].as_array().unwrap().len() < 5 {
+            events = get(a.address(), "/v1/cache/events?after=0").await;
+        }
+        let numbers: Vec<_> =
+            events["events"].as_array().unwrap().iter().map(|e| e["number"].as_u64()).collect();
+        let whole = (1..=numbers.len() as u64).map(Some).collect::<Vec<_>>();
+        assert_ne!(numbers, whole, "events have gaps");
+    });
+}
+
+#[test]
+fn higher_priority_goes_first_when_the_batch_is_full() {
+    let options = EngineOptions { max_batch: 1, ..EngineOptions::default() };
+    let a = Engine::spawn(options);
+
+    block_on(async {
+        let caller = Caller::new(a.address(), "");
+        let body = chat("m", "first", 50, true);
+        let first = [("x-request-id", "first")];
+        let mut running = caller.open(Method::POST, "/v1/chat/completions", &first, body).await;
+        running.events(2).await;
+        let order = std::cell::RefCell::new(Vec::new());
+        let waiting = |id: &'static str, priority: &'static str| {
+            let (a, order) = (&a, &order);
+            async move {
+                complete(a, id, id, priority, 3).await;
+                order.borrow_mut().push(id);
+            }
+        };
+        let late_but_urgent = async {
+            until(|| a.stats().open == 2).await;
+            waiting("urgent", "9").await;
+        };
+        futures_util::join!(waiting("patient", "1"), late_but_urgent);
+        assert_eq!(*order.borrow(), ["urgent", "patient"]);
+    });
+}
+
+#[test]
+fn list_of_boxes_lags_and_notices_do_not() {
+    let platform = CloudPlatform::spawn(Duration::from_hours(1));
+    platform.start_box("box-a");
+    platform.reclaim("box-a", Duration::from_mins(1));
+
+    block_on(async {
+        let list = get(platform.address(), "/v1/boxes").await;
+        assert_eq!(list["boxes"].as_array().unwrap().len(), 0, "an hour ago there was no box");
+        let notices = get(platform.address(), "/v1/notices?after=0&wait_ms=1000").await;
+        assert_eq!(notices["notices"][0]["box"], "box-a");
+        platform.refuse_starts(true);
+        assert_eq!(post(platform.address(), "/v1/boxes", r#"{"box":"box-b"}"#).await, 503);
+        platform.refuse_starts(false);
+        assert_eq!(post(platform.address(), "/v1/boxes", r#"{"box":"box-b"}"#).await, 200);
+    });
+}
+
+#[test]
+fn weight_store_serves_one_after_the_other() {
+    let store = WeightStore::spawn(Duration::from_millis(20));
+
+    block_on(async {
+        let path = "/v1/weights/scribe-1";
+        let (first, second) =
+            futures_util::join!(get(store.address(), path), get(store.address(), path));
+        assert_eq!(first["weights"], "scribe-1");
+        assert_eq!(second["weights"], "scribe-1");
+    });
+}
+
+#[test]
+fn udp_proxy_loses_and_reorders_by_its_seed() {
+    let passed = |loss, reorder| {
+        block_on(async move {
+            let target = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            let proxy = Proxy::udp(target.local_addr().unwrap(), 7);
+            proxy.disturb(loss, reorder);
+            let sender = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            for i in 0..100_u8 {
+                let BufResult(sent, _) = sender.send_to(vec![i], proxy.address()).await;
+                sent.unwrap();
+                // One at a time, so that only the proxy loses or reorders.
+                compio::time::sleep(Duration::from_micros(200)).await;
+            }
+            proxy.disturb(0, 0);
+            let BufResult(sent, _) = sender.send_to(vec![100], proxy.address()).await;
+            sent.unwrap();
+            let mut seen = Vec::new();
+            while seen.last() != Some(&100) {
+                let BufResult(received, buf) = target.recv_from(Vec::with_capacity(8)).await;
+                received.unwrap();
+                seen.extend(buf);
+            }
+            seen
+        })
+    };
+
+    let untouched: Vec<u8> = (0..=100).collect();
+    assert_eq!(passed(0, 0), untouched);
+    let lossy = passed(33, 0);
+    assert!(lossy.len() < 90 && lossy.is_sorted());
+    assert!(!passed(0, 33).is_sorted());
+}
