--- /dev/null
+++ b/crates/vaneway-agreement/src/node.rs
@@ -0,0 +1,825 @@
+//! One node: its roles and their rules.
+//!
+//! Overview: [`Node::handle`] takes an event. A follower that hears from no leader asks for
+//! pre-votes; with a quorum of them it begins a term and asks for votes; with a quorum of those it
+//! leads, appends an entry of its own term, and sends every member what it misses. An entry is
+//! committed once a quorum has it durably and it is of the leader's own term.
+//!
+//! Durability: what a node promises (a vote, an accepted entry) is sent only after
+//! [`Event::Persisted`] has covered it, and a leader counts its own copy of an entry from then on.
+//!
+//! Lease: an answered heartbeat proves that a quorum heard the leader after it was sent. No member
+//! of that quorum votes for another within [`Config::election`] of hearing it, so until then, less
+//! the clocks' drift, there is no other leader.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::Entry;
+use crate::Index;
+use crate::Log;
+use crate::Members;
+use crate::Message;
+use crate::NodeId;
+use crate::Payload;
+use crate::Term;
+use crate::Ticket;
+
+/// Entries in one message at most.
+const ENTRIES_MOST: usize = 256;
+
+/// Entries that a learner may lack when it becomes a voter: what one message brings.
+const CAUGHT_UP_WITHIN: Index = ENTRIES_MOST as Index;
+
+/// Heartbeats whose sending time is remembered.
+const ROUNDS_MOST: usize = 64;
+
+/// How a node behaves.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// The node's id.
+    pub id: NodeId,
+    /// Time between a leader's heartbeats.
+    pub heartbeat: Duration,
+    /// Shortest silence of a leader before another is sought; the longest is twice that.
+    pub election: Duration,
+    /// Largest difference in speed between two clocks, in parts of a thousand.
+    pub drift_per_mille: u32,
+    /// Seed of the timeouts' jitter.
+    pub seed: u64,
+}
+
+/// Rules that tests switch off, one at a time, to see that their check bites.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Rule {
+    VoteChecksLog,
+    OneVoteATerm,
+    CommitOwnTermOnly,
+    PersistBeforeReply,
+    AppendChecksPrevious,
+}
+
+/// What a node has on its disk.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Durable {
+    /// The highest term it knows of.
+    pub term: Term,
+    /// Whom it voted for in that term.
+    pub vote: Option<NodeId>,
+    /// Its entries.
+    pub entries: Vec<Entry>,
+    /// Who counts until an entry names others.
+    pub first_members: Members,
+}
+
+impl Durable {
+    /// The disk of a node that never ran.
+    pub fn empty(first_members: Members) -> Self {
+        Self { term: 0, vote: None, entries: Vec::new(), first_members }
+    }
+
+    /// Applies what a node asked to be made durable.
+    pub fn apply(&mut self, persist: &Persist) {
+        self.term = persist.term;
+        self.vote = persist.vote;
+        if let Some(first) = persist.entries.first() {
+            self.entries.truncate(first.index as usize - 1);
+            self.entries.extend_from_slice(&persist.entries);
+        }
+    }
+}
+
+/// What must become durable, in order.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Persist {
+    /// Number to give back with [`Event::Persisted`].
+    pub number: u64,
+    /// The node's term.
+    pub term: Term,
+    /// Its vote in that term.
+    pub vote: Option<NodeId>,
+    /// Entries that replace everything from the first one's position on.
+    pub entries: Vec<Entry>,
+}
+
+/// A change of who takes part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum MemberChange {
+    /// Lets a node receive the log.
+    AddLearner(NodeId),
+    /// Lets a learner that has caught up vote.
+    Promote(NodeId),
+    /// Takes a member out.
+    Remove(NodeId),
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// [`Node::next_deadline`] has come.
+    Tick,
+    /// A message arrived.
+    Message {
+        /// Who sent it.
+        from: NodeId,
+        /// The message.
+        message: Message,
+    },
+    /// Everything up to the [`Persist`] with this number is durable.
+    Persisted {
+        /// The number.
+        number: u64,
+    },
+    /// The owner wants a command in the log.
+    Propose {
+        /// Names the proposal.
+        ticket: Ticket,
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// The owner wants a change of the members.
+    Change {
+        /// Names the proposal.
+        ticket: Ticket,
+        /// The change.
+        change: MemberChange,
+    },
+}
+
+/// Why a proposal was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// Another node leads, or none does.
+    NotLeader {
+        /// Who leads, if known.
+        leader: Option<NodeId>,
+    },
+    /// An earlier change of the members is not committed yet, or the leader's term is too young.
+    ChangePending,
+    /// The learner has not caught up.
+    NotCaughtUp,
+    /// The change would do nothing, or leave no voter.
+    Pointless,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message.
+    Send {
+        /// To whom.
+        to: NodeId,
+        /// The message.
+        message: Message,
+    },
+    /// Make something durable, then report it with [`Event::Persisted`].
+    Persist(Persist),
+    /// The proposal is in the leader's log; it is done once it is committed at this place.
+    Proposed {
+        /// The proposal.
+        ticket: Ticket,
+        /// Its term.
+        term: Term,
+        /// Its position.
+        index: Index,
+    },
+    /// The proposal was not taken and is in no log.
+    Refused {
+        /// The proposal.
+        ticket: Ticket,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// These entries are committed, in order.
+    Commit {
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+    /// The node's role changed.
+    RoleChanged {
+        /// Its role now.
+        role: Role,
+        /// Its term.
+        term: Term,
+    },
+}
+
+/// A node's role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it would be elected.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Progress {
+    next: Index,
+    matched: Index,
+    /// When the latest answered heartbeat was sent.
+    heard: Option<Instant>,
+    /// When the leader first sent it something.
+    since: Instant,
+}
+
+/// A message that waits until something is durable.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Held {
+    number: u64,
+    to: NodeId,
+    message: Message,
+}
+
+/// One member of the agreement.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Node {
+    config: Config,
+    /// Always none in production.
+    without: Option<Rule>,
+    log: Log,
+    term: Term,
+    vote: Option<NodeId>,
+    role: Role,
+    leader: Option<NodeId>,
+    /// When a leader was last heard, or the node started: it may have answered one just before.
+    heard: Instant,
+    deadline: Instant,
+    votes: BTreeSet<NodeId>,
+    progress: BTreeMap<NodeId, Progress>,
+    round: u64,
+    rounds: VecDeque<(u64, Instant)>,
+    commit: Index,
+    persist_number: u64,
+    persisted_number: u64,
+    /// Position up to which this node's own entries are durable.
+    durable: Index,
+    /// Position that each [`Persist`] makes durable.
+    persisting: VecDeque<(u64, Index)>,
+    held: VecDeque<Held>,
+    jitter: u64,
+}
+
+impl Node {
+    /// A node that starts at `now` with what is on its disk.
+    pub fn start(config: Config, durable: Durable, now: Instant) -> Self {
+        let Durable { term, vote, entries, first_members } = durable;
+        let log = Log::new(first_members, entries);
+        let durable = log.last_index();
+        let mut node = Self {
+            without: None,
+            jitter: config.seed,
+            config,
+            log,
+            term,
+            vote,
+            role: Role::Follower,
+            leader: None,
+            heard: now,
+            deadline: now,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            commit: 0,
+            persist_number: 0,
+            persisted_number: 0,
+            durable,
+            persisting: VecDeque::new(),
+            held: VecDeque::new(),
+        };
+        node.wait_for_leader(now);
+        node
+    }
+
+    /// The same node with a rule off.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn without(mut self, rule: Option<Rule>) -> Self {
+        self.without = rule;
+        self
+    }
+
+    fn keeps(&self, rule: Rule) -> bool {
+        self.without != Some(rule)
+    }
+
+    /// The node's id.
+    pub fn id(&self) -> NodeId {
+        self.config.id
+    }
+
+    /// Its role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Its term.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Who leads, as far as it knows.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
+    /// Position up to which entries are committed.
+    pub fn committed(&self) -> Index {
+        self.commit
+    }
+
+    /// Its log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// When it wants [`Event::Tick`].
+    pub fn next_deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Until when no other node can lead; none if this node has no lease.
+    pub fn lease_until(&self) -> Option<Instant> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        let voters = &self.log.members().voters;
+        let mut heard: Vec<Option<Instant>> = voters.iter().map(|id| self.heard_by(*id)).collect();
+        heard.sort_unstable();
+        // The latest time that more than half of the voters reach.
+        let quorum = heard.len() / 2 + 1;
+        let since = heard.len().checked_sub(quorum).and_then(|i| heard[i])?;
+        let kept = 1_000_u32.saturating_sub(2 * self.config.drift_per_mille);
+        Some(since + self.config.election * kept / 1_000)
+    }
+
+    /// When the latest heartbeat was sent that `id` answered; this node answers its own at once.
+    fn heard_by(&self, id: NodeId) -> Option<Instant> {
+        if id == self.config.id {
+            return self.rounds.back().map(|(_, at)| *at);
+        }
+        self.progress.get(&id).and_then(|progress| progress.heard)
+    }
+
+    /// Whether `id` answered lately, or has not had the time to.
+    fn is_live(&self, id: NodeId, since: Option<Instant>) -> bool {
+        let Some(since) = since else { return true };
+        let begun = self.progress.get(&id).map(|progress| progress.since);
+        self.heard_by(id).max(begun).is_some_and(|heard| heard >= since)
+    }
+
+    /// Applies an event; what to do is appended to `out`.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick if now >= self.deadline => self.tick(now, out),
+            Event::Tick => {}
+            Event::Message { from, message } => self.message(now, from, message, out),
+            Event::Persisted { number } => self.persisted(now, number, out),
+            Event::Propose { ticket, command } => {
+                self.propose(now, ticket, Payload::Command(command), out);
+            }
+            Event::Change { ticket, change } => match self.changed(change) {
+                Ok(members) => self.propose(now, ticket, Payload::Members(members), out),
+                Err(refusal) => out.push(Action::Refused { ticket, refusal }),
+            },
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.role == Role::Leader {
+            let members = self.log.members();
+            let since = now.checked_sub(self.config.election * 2);
+            if members.is_quorum(|id| self.is_live(id, since)) {
+                self.heartbeat(now, out);
+            } else {
+                self.follow(now, self.term, None, out);
+            }
+            return;
+        }
+        self.wait_for_leader(now);
+        if self.log.members().voters.contains(&self.config.id) {
+            self.seek_pre_votes(now, out);
+        }
+    }
+
+    /// Sets the time at which this node seeks to be elected.
+    fn wait_for_leader(&mut self, now: Instant) {
+        self.jitter = self.jitter.wrapping_add(1);
+        let mut rng = Pcg64Mcg::seed_from_u64(self.jitter);
+        let shortest = self.config.election.as_micros() as u64;
+        let wait = rng.random_range(shortest..shortest * 2);
+        self.deadline = now + Duration::from_micros(wait);
+    }
+
+    fn others(&self) -> Vec<NodeId> {
+        self.log.members().all().filter(|id| *id != self.config.id).collect()
+    }
+
+    fn other_voters(&self) -> Vec<NodeId> {
+        let voters = self.log.members().voters.iter().copied();
+        voters.filter(|id| *id != self.config.id).collect()
+    }
+
+    fn seek_pre_votes(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.set_role(Role::PreCandidate, out);
+        self.leader = None;
+        self.votes = BTreeSet::from([self.config.id]);
+        let message = Message::PreVote {
+            term: self.term + 1,
+            last_term: self.log.last_term(),
+            last_index: self.log.last_index(),
+        };
+        for to in self.other_voters() {
+            out.push(Action::Send { to, message: message.clone() });
+        }
+        self.count_votes(now, out);
+    }
+
+    fn seek_votes(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.term += 1;
+        self.vote = Some(self.config.id);
+        self.votes.clear();
+        self.set_role(Role::Candidate, out);
+        self.wait_for_leader(now);
+        let number = self.persist(Vec::new(), out);
+        let message = Message::Vote {
+            term: self.term,
+            last_term: self.log.last_term(),
+            last_index: self.log.last_index(),
+        };
+        for to in self.other_voters() {
+            self.send_after(number, to, message.clone(), out);
+        }
+    }
+
+    fn count_votes(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if !self.log.members().is_quorum(|id| self.votes.contains(&id)) {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.seek_votes(now, out),
+            Role::Candidate => self.lead(now, out),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn lead(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.set_role(Role::Leader, out);
+        self.leader = Some(self.config.id);
+        self.rounds.clear();
+        self.progress.clear();
+        self.append(now, Payload::Noop, out);
+    }
+
+    /// Appends an entry to the leader's own log and sends it to all.
+    fn append(&mut self, now: Instant, payload: Payload, out: &mut Vec<Action>) -> Index {
+        let entry = self.log.push(self.term, payload);
+        let index = entry.index;
+        self.persist(vec![entry], out);
+        self.heartbeat(now, out);
+        index
+    }
+
+    fn heartbeat(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.round += 1;
+        self.rounds.push_back((self.round, now));
+        if self.rounds.len() > ROUNDS_MOST {
+            self.rounds.pop_front();
+        }
+        self.deadline = now + self.config.heartbeat;
+        let others = self.others();
+        self.progress.retain(|id, _| others.contains(id));
+        for to in others {
+            self.send_entries(now, to, out);
+        }
+    }
+
+    fn send_entries(&mut self, now: Instant, to: NodeId, out: &mut Vec<Action>) {
+        let last = self.log.last_index();
+        let fresh = Progress { next: last.max(1), matched: 0, heard: None, since: now };
+        let progress = self.progress.entry(to).or_insert(fresh);
+        let prev_index = progress.next - 1;
+        let message = Message::Append {
+            term: self.term,
+            prev_index,
+            prev_term: self.log.term_at(prev_index).unwrap_or_default(),
+            entries: self.log.from(progress.next, ENTRIES_MOST).to_vec(),
+            commit: self.commit,
+            round: self.round,
+        };
+        out.push(Action::Send { to, message });
+    }
+
+    fn set_role(&mut self, role: Role, out: &mut Vec<Action>) {
+        self.role = role;
+        out.push(Action::RoleChanged { role, term: self.term });
+    }
+
+    fn follow(&mut self, now: Instant, term: Term, leader: Option<NodeId>, out: &mut Vec<Action>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.persist(Vec::new(), out);
+        }
+        self.leader = leader;
+        if self.role != Role::Follower {
+            self.set_role(Role::Follower, out);
+            self.wait_for_leader(now);
+        }
+    }
+
+    /// Asks for what the node promises to be made durable; returns the request's number.
+    fn persist(&mut self, entries: Vec<Entry>, out: &mut Vec<Action>) -> u64 {
+        self.persist_number += 1;
+        let number = self.persist_number;
+        if let Some(first) = entries.first() {
+            // What is replaced is not durable any more.
+            self.durable = self.durable.min(first.index - 1);
+            for persisting in &mut self.persisting {
+                persisting.1 = persisting.1.min(first.index - 1);
+            }
+        }
+        let durable = entries.last().map_or(0, |last| last.index);
+        self.persisting.push_back((number, durable));
+        out.push(Action::Persist(Persist { number, term: self.term, vote: self.vote, entries }));
+        number
+    }
+
+    /// Sends a message once the request with `number` is durable.
+    fn send_after(&mut self, number: u64, to: NodeId, message: Message, out: &mut Vec<Action>) {
+        if number <= self.persisted_number || !self.keeps(Rule::PersistBeforeReply) {
+            out.push(Action::Send { to, message });
+        } else {
+            self.held.push_back(Held { number, to, message });
+        }
+    }
+
+    fn persisted(&mut self, now: Instant, number: u64, out: &mut Vec<Action>) {
+        self.persisted_number = self.persisted_number.max(number);
+        while let Some((_, index)) = self.persisting.pop_front_if(|(n, _)| *n <= number) {
+            self.durable = self.durable.max(index);
+        }
+        while let Some(held) = self.held.pop_front_if(|held| held.number <= number) {
+            // A promise of an earlier term is void.
+            if held.message.term() == self.term {
+                out.push(Action::Send { to: held.to, message: held.message });
+            }
+        }
+        match self.role {
+            Role::Candidate if self.persisted_number == self.persist_number => {
+                self.votes.insert(self.config.id);
+                self.count_votes(now, out);
+            }
+            Role::Leader => self.advance_commit(now, out),
+            Role::Follower | Role::PreCandidate | Role::Candidate => {}
+        }
+    }
+
+    fn message(&mut self, now: Instant, from: NodeId, message: Message, out: &mut Vec<Action>) {
+        match message {
+            Message::PreVote { term, last_term, last_index } => {
+                let granted = term > self.term
+                    && !self.hears_a_leader(now)
+                    && self.is_covered_by(last_term, last_index);
+                let term = if granted { term } else { self.term };
+                let message = Message::PreVoteReply { term, granted };
+                out.push(Action::Send { to: from, message });
+            }
+            Message::PreVoteReply { term, granted } => {
+                if granted && self.role == Role::PreCandidate && term == self.term + 1 {
+                    self.votes.insert(from);
+                    self.count_votes(now, out);
+                } else if term > self.term {
+                    self.follow(now, term, None, out);
+                }
+            }
+            Message::Vote { term, last_term, last_index } => {
+                self.asked_for_vote(now, from, term, (last_term, last_index), out);
+            }
+            Message::VoteReply { term, granted } => {
+                if term > self.term {
+                    self.follow(now, term, None, out);
+                } else if granted && term == self.term && self.role == Role::Candidate {
+                    self.votes.insert(from);
+                    self.count_votes(now, out);
+                }
+            }
+            Message::Append { term, prev_index, prev_term, entries, commit, round } => {
+                let append = Appended { term, prev_index, prev_term, entries, commit, round };
+                self.appended(now, from, append, out);
+            }
+            Message::AppendReply { term, matched, last_index, round } => {
+                self.append_replied(now, from, (term, matched, last_index, round), out);
+            }
+        }
+    }
+
+    /// Whether a leader was heard so lately that it may hold a lease.
+    fn hears_a_leader(&self, now: Instant) -> bool {
+        self.role == Role::Leader || now < self.heard + self.config.election
+    }
+
+    /// Whether a candidate's log has at least what this one has.
+    fn is_covered_by(&self, last_term: Term, last_index: Index) -> bool {
+        !self.keeps(Rule::VoteChecksLog) || self.log.is_covered_by(last_term, last_index)
+    }
+
+    fn asked_for_vote(
+        &mut self,
+        now: Instant,
+        from: NodeId,
+        term: Term,
+        (last_term, last_index): (Term, Index),
+        out: &mut Vec<Action>,
+    ) {
+        if term > self.term && self.hears_a_leader(now) {
+            // The lease of the leader that was heard forbids even to learn of the term.
+            return;
+        }
+        if term > self.term {
+            self.follow(now, term, None, out);
+        }
+        let free = self.vote.is_none_or(|vote| vote == from) || !self.keeps(Rule::OneVoteATerm);
+        let covered = self.is_covered_by(last_term, last_index);
+        let granted = term == self.term && free && covered && self.role == Role::Follower;
+        let mut number = self.persist_number;
+        if granted && self.vote != Some(from) {
+            self.vote = Some(from);
+            number = self.persist(Vec::new(), out);
+        }
+        if granted {
+            self.wait_for_leader(now);
+        }
+        let message = Message::VoteReply { term: self.term, granted };
+        self.send_after(number, from, message, out);
+    }
+
+    fn appended(&mut self, now: Instant, from: NodeId, append: Appended, out: &mut Vec<Action>) {
+        let Appended { term, prev_index, prev_term, entries, commit, round } = append;
+        if term < self.term {
+            let last_index = self.log.last_index();
+            let message =
+                Message::AppendReply { term: self.term, matched: None, last_index, round };
+            self.send_after(self.persist_number, from, message, out);
+            return;
+        }
+        self.follow(now, term, Some(from), out);
+        self.heard = now;
+        self.wait_for_leader(now);
+        let fits = self.log.term_at(prev_index) == Some(prev_term)
+            || (!self.keeps(Rule::AppendChecksPrevious) && prev_index <= self.log.last_index());
+        let mut matched = None;
+        if fits {
+            let end = prev_index + entries.len() as Index;
+            let new = self.log.merge(&entries);
+            if !new.is_empty() {
+                self.persist(new, out);
+            }
+            matched = Some(end);
+            self.commit_to(commit.min(end), out);
+        }
+        let last_index = self.log.last_index();
+        let message = Message::AppendReply { term, matched, last_index, round };
+        self.send_after(self.persist_number, from, message, out);
+    }
+
+    fn append_replied(
+        &mut self,
+        now: Instant,
+        from: NodeId,
+        (term, matched, last_index, round): (Term, Option<Index>, Index, u64),
+        out: &mut Vec<Action>,
+    ) {
+        if term > self.term {
+            self.follow(now, term, None, out);
+            return;
+        }
+        if self.role != Role::Leader || term < self.term {
+            return;
+        }
+        let sent = self.rounds.iter().find(|(number, _)| *number == round).map(|(_, at)| *at);
+        let last = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        if let Some(sent) = sent {
+            progress.heard = progress.heard.max(Some(sent));
+        }
+        match matched {
+            Some(matched) if matched > progress.matched => {
+                progress.matched = matched;
+                progress.next = matched + 1;
+            }
+            Some(_) => return,
+            None => {
+                let back = progress.next.saturating_sub(1).min(last_index + 1);
+                progress.next = back.max(progress.matched + 1);
+            }
+        }
+        if progress.next <= last {
+            self.send_entries(now, from, out);
+        }
+        self.advance_commit(now, out);
+    }
+
+    /// Commits what a quorum has durably.
+    fn advance_commit(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let has = |id: NodeId, index: Index| {
+            let matched = self.progress.get(&id).map_or(0, |progress| progress.matched);
+            let own = if self.keeps(Rule::PersistBeforeReply) {
+                self.durable
+            } else {
+                self.log.last_index()
+            };
+            if id == self.config.id { own >= index } else { matched >= index }
+        };
+        let members = self.log.members();
+        let mut index = self.log.last_index();
+        while index > self.commit && !members.is_quorum(|id| has(id, index)) {
+            index -= 1;
+        }
+        let own_term = self.log.term_at(index) == Some(self.term);
+        if index <= self.commit || (self.keeps(Rule::CommitOwnTermOnly) && !own_term) {
+            return;
+        }
+        self.commit_to(index, out);
+        if self.log.members().all().all(|id| id != self.config.id) {
+            // Its own removal is committed.
+            self.follow(now, self.term, None, out);
+        } else {
+            // The followers learn of it at once and not with the next heartbeat.
+            self.heartbeat(now, out);
+        }
+    }
+
+    fn commit_to(&mut self, index: Index, out: &mut Vec<Action>) {
+        if index > self.commit {
+            let entries = self.log.between(self.commit, index).to_vec();
+            self.commit = index;
+            out.push(Action::Commit { entries });
+        }
+    }
+
+    fn propose(&mut self, now: Instant, ticket: Ticket, payload: Payload, out: &mut Vec<Action>) {
+        if self.role != Role::Leader {
+            let refusal = Refusal::NotLeader { leader: self.leader };
+            out.push(Action::Refused { ticket, refusal });
+            return;
+        }
+        let index = self.append(now, payload, out);
+        out.push(Action::Proposed { ticket, term: self.term, index });
+    }
+
+    /// The members after a change.
+    fn changed(&self, change: MemberChange) -> Result<Members, Refusal> {
+        if self.role != Role::Leader {
+            return Err(Refusal::NotLeader { leader: self.leader });
+        }
+        let settled = self.log.members_index() <= self.commit
+            && self.log.term_at(self.commit) == Some(self.term);
+        if !settled {
+            return Err(Refusal::ChangePending);
+        }
+        let mut members = self.log.members().clone();
+        let changed = match change {
+            MemberChange::AddLearner(id) => {
+                !members.voters.contains(&id) && members.learners.insert(id)
+            }
+            MemberChange::Promote(id) => {
+                let matched = self.progress.get(&id).map_or(0, |progress| progress.matched);
+                if members.learners.contains(&id)
+                    && matched + CAUGHT_UP_WITHIN < self.log.last_index()
+                {
+                    return Err(Refusal::NotCaughtUp);
+                }
+                members.learners.remove(&id) && members.voters.insert(id)
+            }
+            MemberChange::Remove(id) => members.voters.remove(&id) || members.learners.remove(&id),
+        };
+        if !changed || members.voters.is_empty() {
+            return Err(Refusal::Pointless);
+        }
+        Ok(members)
+    }
+}
+
+/// The fields of a [`Message::Append`].
+struct Appended {
+    term: Term,
+    prev_index: Index,
+    prev_term: Term,
+    entries: Vec<Entry>,
+    commit: Index,
+    round: u64,
+}
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod engine;
+pub mod explorer;
 pub mod plain_service;
 pub mod platform;
 pub mod process;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 //! [`Caller`](vaneway_test_support::Caller), and compares whole outputs. Tests wait on
 //! conditions, never on time, and assert nothing about time.
 
+mod agreement;
 mod claims;
 mod decisions;
 mod operators;
