--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -21,6 +21,7 @@
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_test_support::Caller;
+use vaneway_test_support::CloudPlatform;
 use vaneway_test_support::Deployment;
 use vaneway_test_support::Engine;
 use vaneway_test_support::EngineOptions;
@@ -72,6 +73,9 @@
         if wanted("organisations") {
             organisations().await;
         }
+        if wanted("list") {
+            list().await;
+        }
         if wanted("choice") {
             choice(scale);
         }
@@ -310,6 +314,21 @@
     print("memory", "organisations", "bytes", &memory);
 }
 
+/// Bytes of the platform's list of boxes, which an entry fetches again and again.
+async fn list() {
+    let mut points = Vec::new();
+    for count in [100_usize, 500, 1_000, 2_100] {
+        let platform = CloudPlatform::spawn(Duration::ZERO);
+        for i in 0..count {
+            platform.start_box(&spec(i).box_name);
+        }
+        let caller = Caller::new(platform.address(), "");
+        let answer = caller.send(Method::GET, "/v1/boxes", "").await;
+        points.push((count as f64, answer.body.len() as f64));
+    }
+    print("list", "boxes", "bytes", &points);
+}
+
 /// Time of one choice against endpoints of the service.
 fn choice(scale: Scale) {
     let now = Instant::now();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 //! conditions, never on time, and assert nothing about time.
 
 mod agreement;
+mod capacity;
 mod claims;
 mod decisions;
 mod operators;
