--- a/crates/vaneway-test-support/src/deployment.rs
+++ b/crates/vaneway-test-support/src/deployment.rs
@@ -15,6 +15,9 @@
 /// The token of the organisation that [`Deployment::caller`] belongs to.
 pub const TOKEN: &str = "token-of-teachers";
 
+/// The key that the boxes of a deployment share.
+pub const CLUSTER_KEY: &str = "a key between boxes";
+
 /// The model that the deployment's engines serve.
 pub const MODEL: &str = "scribe-1";
 
@@ -141,6 +144,18 @@
         self.set("/platform", json!({ "address": address, "list_every_ms": 50 }))
     }
 
+    /// Names this box and its peers, each with the address where its datagrams go.
+    #[must_use]
+    pub fn cluster(self, name: &str, peers: &[(String, SocketAddr)]) -> Self {
+        let peers: Vec<_> = peers
+            .iter()
+            .map(|(name, address)| json!({ "name": name, "address": address }))
+            .collect();
+        self.set("/name", name.into())
+            .set("/cluster", json!({ "listen": "127.0.0.1:0", "key": CLUSTER_KEY }))
+            .set("/peers", peers.into())
+    }
+
     /// The settings.
     pub fn settings(&self) -> &Value {
         &self.settings
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod process;
 pub mod proxy;
 pub mod server;
+pub mod several;
 pub mod standin;
 pub mod weight_store;
 
@@ -26,4 +27,5 @@
 pub use platform::CloudPlatform;
 pub use process::Process;
 pub use proxy::Proxy;
+pub use several::Several;
 pub use weight_store::WeightStore;
--- a/crates/vaneway-test-support/src/process.rs
+++ b/crates/vaneway-test-support/src/process.rs
@@ -110,6 +110,15 @@
         self.operators
     }
 
+    /// Where the process takes datagrams of its peers.
+    ///
+    /// # Panics
+    ///
+    /// If its settings name no cluster.
+    pub fn cluster(&self) -> SocketAddr {
+        address_in(&self.wait_for_log(&["event=cluster"]), " address=")
+    }
+
     /// The process's id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/vaneway-test-support/src/proxy.rs
+++ b/crates/vaneway-test-support/src/proxy.rs
@@ -28,6 +28,8 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Faults {
+    /// Where datagrams go; those before it is known are lost.
+    target: Option<SocketAddr>,
     delay: Duration,
     cut: bool,
     frozen: bool,
@@ -68,13 +70,13 @@
         Self { address: standin.address(), _standin: standin, faults }
     }
 
-    /// Starts a UDP proxy to `target`: datagrams from anyone go there, and its answers go back to
-    /// whoever sent last.
+    /// Starts a UDP proxy: datagrams from anyone go to the target that
+    /// [`Proxy::set_target`] names.
     ///
     /// # Panics
     ///
     /// If the UDP port can't be bound.
-    pub fn udp(target: SocketAddr, seed: u64) -> Self {
+    pub fn udp(seed: u64) -> Self {
         let faults = Arc::new(Mutex::new(Faults::default()));
         let theirs = Arc::clone(&faults);
         // Bound before the thread starts, so that no datagram comes too early.
@@ -82,7 +84,7 @@
         let address = socket.local_addr().expect("a bound socket");
         let standin = Standin::spawn("udp-proxy", move |_listener| async move {
             let socket = UdpSocket::from_std(socket).expect("a bound socket");
-            forward_datagrams(socket, target, theirs, seed).await;
+            forward_datagrams(socket, theirs, seed).await;
         });
         Self { address, _standin: standin, faults }
     }
@@ -113,6 +115,11 @@
         lock(&self.faults).answer_left = Some(bytes);
     }
 
+    /// Names the target of a UDP proxy.
+    pub fn set_target(&self, target: SocketAddr) {
+        lock(&self.faults).target = Some(target);
+    }
+
     /// Loses and reorders datagrams.
     pub fn disturb(&self, loss_percent: u32, reorder_percent: u32) {
         let mut faults = lock(&self.faults);
@@ -176,28 +183,13 @@
     }
 }
 
-async fn forward_datagrams(
-    socket: UdpSocket,
-    target: SocketAddr,
-    faults: Arc<Mutex<Faults>>,
-    seed: u64,
-) {
+async fn forward_datagrams(socket: UdpSocket, faults: Arc<Mutex<Faults>>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut last_sender = None;
-    let mut held: Option<(Vec<u8>, SocketAddr)> = None;
+    let mut held: Option<Vec<u8>> = None;
     loop {
-        let BufResult(received, mut datagram) =
-            socket.recv_from(Vec::with_capacity(64 << 10)).await;
-        let Ok((count, sender)) = received else { continue };
-        datagram.truncate(count);
-        let to = if sender == target {
-            last_sender
-        } else {
-            last_sender = Some(sender);
-            Some(target)
-        };
-        let Some(to) = to else { continue };
+        let BufResult(received, datagram) = socket.recv_from(Vec::with_capacity(64 << 10)).await;
         let now = *lock(&faults);
+        let (Ok(_), Some(target)) = (received, now.target) else { continue };
         if now.cut || now.frozen || rng.random_range(0..100) < now.loss_percent {
             continue;
         }
@@ -205,12 +197,12 @@
             compio::time::sleep(now.delay).await;
         }
         if held.is_none() && rng.random_range(0..100) < now.reorder_percent {
-            held = Some((datagram, to));
+            held = Some(datagram);
             continue;
         }
-        for (datagram, to) in std::iter::once((datagram, to)).chain(held.take()) {
+        for datagram in std::iter::once(datagram).chain(held.take()) {
             // A datagram that can't be sent is a lost one.
-            let BufResult(_lost, _datagram) = socket.send_to(datagram, to).await;
+            let BufResult(_lost, _datagram) = socket.send_to(datagram, target).await;
         }
     }
 }
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -11,6 +11,7 @@
 use futures_channel::oneshot;
 use serde_json::Value;
 use serde_json::json;
+use vaneway_marks::Instance;
 use vaneway_relay::Event;
 use vaneway_relay::RetryBudget;
 use vaneway_route::Choice;
@@ -22,6 +23,8 @@
 
 use crate::core::claims;
 use crate::core::claims::Claims;
+use crate::core::cluster;
+use crate::core::cluster::Cluster;
 use crate::core::front;
 use crate::core::metrics::Metrics;
 use crate::core::open_requests::OpenRequests;
@@ -78,6 +81,8 @@
     pub open: OpenRequests,
     /// The ledger of claims, where this deployment can keep one.
     pub claims: Option<Claims>,
+    /// The way to the other entry boxes, if there are any.
+    pub cluster: Option<Cluster>,
     /// Counters for operators.
     pub metrics: Metrics,
     /// Callers' connections that are open.
@@ -87,6 +92,13 @@
     boot: u64,
 }
 
+/// What an entry is made of besides its settings.
+struct Parts {
+    claims: Option<Claims>,
+    cluster: Option<Cluster>,
+    boot: u64,
+}
+
 /// Counts an attempt at an endpoint until it is dropped.
 #[derive(Debug)]
 pub struct Occupancy {
@@ -102,7 +114,8 @@
 }
 
 impl Entry {
-    fn new(settings: Settings, timers: Timers, claims: Option<Claims>, boot: u64) -> Self {
+    fn new(settings: Settings, timers: Timers, parts: Parts) -> Self {
+        let Parts { claims, cluster, boot } = parts;
         let routing = &settings.routing;
         let pool = Pool::new(settings.replicas.clone(), routing.policy, routing.seed);
         let budget = |service: &crate::core::settings::Service| {
@@ -115,6 +128,7 @@
             timers,
             open: OpenRequests::default(),
             claims,
+            cluster,
             metrics: Metrics::new(),
             callers: Cell::new(0),
             phase: Cell::new(Phase::Serving),
@@ -176,6 +190,25 @@
         done
     }
 
+    /// Endpoints that run on a box.
+    pub fn endpoints_on(&self, box_name: &str) -> Vec<EndpointId> {
+        let pool = self.pool.borrow();
+        let all = pool.endpoints().iter().enumerate();
+        let there = all.filter(|(_, endpoint)| endpoint.spec.box_name == box_name);
+        there.map(|(id, _)| id as EndpointId).collect()
+    }
+
+    /// Marks an instance of a box as leaving.
+    pub fn mark(&self, instance: &Instance, gone_at: Instant) {
+        for endpoint in self.endpoints_on(&instance.box_name) {
+            self.change(|pool, now, out| {
+                if pool.listed(now, endpoint, &instance.instance, out) {
+                    pool.notice(now, endpoint, gone_at, out);
+                }
+            });
+        }
+    }
+
     fn apply(&self, effect: Effect) {
         match effect {
             Effect::MoveWork { endpoint, gone_at } => {
@@ -234,6 +267,7 @@
             "claims": self.claims.as_ref().map(|claims| json!({
                 "keys": claims.keys(), "held": claims.held(), "closed": claims.is_closed(),
             })),
+            "marks": self.cluster.as_ref().map(Cluster::marks),
             "caller_connections": self.callers.get(),
             "idle_connections": self.connections.idle(),
             "timers": self.timers.waiting(),
@@ -268,7 +302,10 @@
     let timers = Timers::spawn();
     let boot = clock::since_epoch().as_micros() as u64;
     let claims = open_claims(&settings, boot).await?;
-    let entry = Rc::new(Entry::new(settings, timers, claims, boot));
+    let cluster = bind_cluster(&settings, boot).await?;
+    let entry = Rc::new(Entry::new(settings, timers, Parts { claims, cluster, boot }));
+    let receiving = spawn_until_dropped(cluster::receive(Rc::clone(&entry)));
+    cluster::catch_up(&entry).await;
     let listen = entry.settings.listen;
     let front = front::bind(Rc::clone(&entry))
         .wrap_err_with(|| format!("failed to listen for callers on {listen}"))?;
@@ -277,6 +314,8 @@
         .await
         .wrap_err_with(|| format!("failed to listen for operators on {listen}"))?;
     let background = vec![
+        receiving,
+        spawn_until_dropped(cluster::compare(Rc::clone(&entry))),
         spawn_until_dropped(expire_leaving(Rc::clone(&entry))),
         spawn_until_dropped(expire_claims(Rc::clone(&entry))),
         spawn_until_dropped(platform::follow_list(Rc::clone(&entry))),
@@ -315,6 +354,17 @@
     }
 }
 
+/// Binds the socket to the other entry boxes.
+async fn bind_cluster(settings: &Settings, seed: u64) -> eyre::Result<Option<Cluster>> {
+    let Some(cluster) = &settings.cluster else { return Ok(None) };
+    let context = || format!("failed to listen for peers on {}", cluster.listen);
+    let bound = Cluster::bind(cluster, settings.peers.len(), seed).await;
+    let bound = bound.wrap_err_with(context)?;
+    let address = bound.local_addr().wrap_err_with(context)?;
+    Line::new("cluster").with("address", address).with("peers", settings.peers.len()).info();
+    Ok(Some(bound))
+}
+
 /// Forgets claims that are older than the retention.
 async fn expire_claims(entry: Rc<Entry>) {
     /// Time between two looks; the retention is hours.
--- a/src/core/metrics.rs
+++ b/src/core/metrics.rs
@@ -36,6 +36,8 @@
     pub refused: IntCounterVec,
     /// Reclaim notices seen.
     pub notices: IntCounter,
+    /// Datagrams dropped because their tag, form or sender was wrong.
+    pub datagrams_dropped: IntCounter,
     /// Requests open now.
     pub open: IntGauge,
     /// Seconds from a request's arrival to its first chunk.
@@ -63,6 +65,7 @@
             tokens: counter(&registry, "tokens", "Tokens sent to callers"),
             refused: vec(&registry, "refused", "Requests refused at the door", &["code"]),
             notices: counter(&registry, "notices", "Reclaim notices seen"),
+            datagrams_dropped: counter(&registry, "datagrams_dropped", "Datagrams dropped"),
             open: register(
                 &registry,
                 IntGauge::new("vaneway_open_requests", "Requests open now").expect("valid metric"),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod call_events;
 pub mod claims;
+pub mod cluster;
 pub mod entry;
 pub mod front;
 pub mod keyed_call;
--- a/src/core/platform.rs
+++ b/src/core/platform.rs
@@ -15,9 +15,11 @@
 use hyper::Request;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use vaneway_marks::Instance;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 
+use crate::core::cluster;
 use crate::core::entry::Entry;
 use crate::core::settings::Platform;
 use crate::util::logline::Line;
@@ -96,13 +98,7 @@
     }
 }
 
-fn endpoints_on(entry: &Entry, name: &str) -> Vec<EndpointId> {
-    let pool = entry.pool.borrow();
-    let all = pool.endpoints().iter().enumerate();
-    all.filter(|(_, e)| e.spec.box_name == name).map(|(id, _)| id as EndpointId).collect()
-}
-
-fn apply_notices(entry: &Entry, notices: &[Notice]) {
+fn apply_notices(entry: &Rc<Entry>, notices: &[Notice]) {
     for notice in notices {
         Line::new("notice")
             .with("box", &notice.name)
@@ -110,19 +106,16 @@
             .with("gone_in_ms", notice.gone_in_ms)
             .info();
         let gone_at = Instant::now() + Duration::from_millis(notice.gone_in_ms);
-        for endpoint in endpoints_on(entry, &notice.name) {
-            entry.change(|pool, now, out| {
-                if pool.listed(now, endpoint, &notice.instance, out) {
-                    pool.notice(now, endpoint, gone_at, out);
-                }
-            });
-        }
+        let instance =
+            Instance { box_name: notice.name.clone(), instance: notice.instance.clone() };
+        entry.mark(&instance, gone_at);
+        cluster::learn(entry, instance, gone_at);
     }
 }
 
 fn apply_list(entry: &Entry, list: &BoxList) {
     for listed in &list.boxes {
-        for endpoint in endpoints_on(entry, &listed.name) {
+        for endpoint in entry.endpoints_on(&listed.name) {
             apply_listed(entry, listed, endpoint);
         }
     }
--- a/src/core/settings/mod.rs
+++ b/src/core/settings/mod.rs
@@ -32,6 +32,8 @@
     pub operators: Operators,
     /// The cloud platform's interface, if any.
     pub platform: Option<Platform>,
+    /// How this box talks to the other entry boxes.
+    pub cluster: Option<Cluster>,
     /// The other entry boxes.
     pub peers: Vec<Peer>,
     /// Where durable state is kept.
@@ -89,12 +91,22 @@
     pub notice_wait: Duration,
 }
 
+/// How this box talks to the other entry boxes.
+#[derive(Debug, Clone, Serialize)]
+pub struct Cluster {
+    /// Where it takes datagrams.
+    pub listen: SocketAddr,
+    /// The secret that all boxes of the deployment share.
+    #[serde(skip)]
+    pub key: String,
+}
+
 /// Another entry box.
 #[derive(Debug, Clone, Serialize)]
 pub struct Peer {
     /// Its name.
     pub name: String,
-    /// Its operators' address.
+    /// Its address for datagrams.
     pub address: SocketAddr,
 }
 
--- a/src/core/settings/read.rs
+++ b/src/core/settings/read.rs
@@ -13,6 +13,7 @@
 use vaneway_route::Policy;
 
 use super::ClaimSettings;
+use super::Cluster;
 use super::Limits;
 use super::NonRepeatable;
 use super::OperatorToken;
@@ -45,6 +46,9 @@
 /// Sizes in bytes, up to one gibibyte.
 const BYTES: RangeInclusive<u64> = 1..=1 << 30;
 
+/// Shortest key between boxes.
+const KEY_BYTES_LEAST: usize = 16;
+
 /// Smallest read buffer that hyper accepts, so the least limit for a request's head.
 const HEADER_BYTES_LEAST: u64 = 8_192;
 
@@ -109,6 +113,7 @@
     let operators =
         operators.unwrap_or_else(|| Operators { listen: address(None), tokens: Vec::new() });
     let platform = fields.optional("platform").and_then(|place| place.object()).map(platform);
+    let cluster = fields.optional("cluster").and_then(|place| place.object()).map(cluster);
     let peers = fields.items("peers").iter().filter_map(Place::object).map(peer).collect();
     let data_folder = fields.optional("data_folder").and_then(|place| place.text());
     let organisations = fields.items("organisations");
@@ -134,6 +139,7 @@
         listen,
         operators,
         platform,
+        cluster,
         peers,
         data_folder: data_folder.map(Into::into),
         organisations,
@@ -196,6 +202,16 @@
     platform
 }
 
+fn cluster(mut fields: Fields<'_>) -> Cluster {
+    let cluster = Cluster { listen: address(fields.required("listen")), key: fields.text("key") };
+    if cluster.key.len() < KEY_BYTES_LEAST {
+        let message = format!("`key` must have at least {KEY_BYTES_LEAST} characters");
+        fields.place().report(message);
+    }
+    fields.finish();
+    cluster
+}
+
 fn peer(mut fields: Fields<'_>) -> Peer {
     let peer = Peer { name: fields.text("name"), address: address(fields.required("address")) };
     fields.finish();
@@ -370,6 +386,10 @@
         }
         unique.add("peer", format!("$.peers[{i}].name"), &peer.name);
     }
+    if settings.cluster.is_none() && !settings.peers.is_empty() {
+        let message = "peers need `$.cluster` with `listen` and `key`, add it";
+        findings.report("$.peers", message);
+    }
     if settings.listen == settings.operators.listen && settings.listen.port() != 0 {
         let message = "same address as `$.listen`, operators need one of their own";
         findings.report("$.operators.listen", message);
--- a/tests/testsuite/capacity.rs
+++ b/tests/testsuite/capacity.rs
@@ -5,6 +5,11 @@
 use std::path::PathBuf;
 
 use serde_json::Value;
+use vaneway::core::cluster::Envelope;
+use vaneway::core::cluster::seal;
+use vaneway_marks::DIGEST_TO;
+use vaneway_marks::Message;
+use vaneway_marks::TICK;
 
 /// Set to write the tables instead of comparing them.
 const BLESS: &str = "VANEWAY_BLESS";
@@ -165,6 +170,16 @@
         + &row("processor for calls", &call_sum, calls * call, "core", None)
 }
 
+/// Bytes of IP and UDP headers before a datagram.
+const DATAGRAM_HEADERS: f64 = 28.0;
+
+/// Bytes of a digest between two boxes, as it is sent.
+fn digest_bytes() -> f64 {
+    let message = Message::Digest { digest: u64::MAX, answers: false };
+    let envelope = Envelope { from: "entry-gaillimh-hall-1".to_owned(), message };
+    seal("any key", &envelope).len() as f64
+}
+
 fn control_rows(slopes: &Slopes) -> String {
     let replica = slopes.per_one("memory", "replicas");
     let organisation = slopes.per_one("memory", "organisations");
@@ -194,9 +209,13 @@
     let whole_sum = format!("{replicas} × {}/s", shown(list, "B"));
     let zone_sum = format!("{zone:.0} × {} / 30 s", shown(list, "B"));
     let bytes = Some(target::BYTES);
+    let digest = digest_bytes() + DATAGRAM_HEADERS;
+    let digests = 2.0 * DIGEST_TO as f64 / TICK.as_secs_f64();
+    let marks_sum = format!("{digests:.0}/s in and out × {}", shown(digest, "B"));
     row("control: memory of the configuration", &memory_sum, memory, "B", Some(target::MEMORY))
         + &row("control: processor", &cores_sum, cores, "core", Some(target::CORES))
         + &row("control: every box, each second", &whole_sum, replicas * list, "B/s", bytes)
+        + &row("control: comparing marks", &marks_sum, digests * digest, "B/s", bytes)
         + &row("control: the zone's boxes, every 30 s", &zone_sum, zone * list / 30.0, "B/s", bytes)
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod claims;
 mod decisions;
+mod marks;
 mod operators;
 mod path;
 mod plain;
