--- a/crates/vaneway-agreement/src/lib.rs
+++ b/crates/vaneway-agreement/src/lib.rs
@@ -11,29 +11,31 @@
 //! durability is held inside the node until [`Event::Persisted`] says so; the owner may sync when
 //! it likes and in batches, but must persist in order.
 //!
+//! - `event`: what happens and what to do;
 //! - `log`: the entries and the members that they name;
 //! - `message`: what nodes send each other;
 //! - `node`: the roles and their rules.
 
+mod event;
 mod log;
 mod message;
 mod node;
 
+pub use event::Action;
+pub use event::Config;
+pub use event::Durable;
+pub use event::Event;
+pub use event::MemberChange;
+pub use event::Persist;
+pub use event::Refusal;
+pub use event::Role;
+pub use event::Rule;
 pub use log::Entry;
 pub use log::Log;
 pub use log::Members;
 pub use log::Payload;
 pub use message::Message;
-pub use node::Action;
-pub use node::Config;
-pub use node::Durable;
-pub use node::Event;
-pub use node::MemberChange;
 pub use node::Node;
-pub use node::Persist;
-pub use node::Refusal;
-pub use node::Role;
-pub use node::Rule;
 
 /// Names a node; a node that lost its disk comes back under another id.
 pub type NodeId = u64;
--- a/crates/vaneway-agreement/src/node.rs
+++ b/crates/vaneway-agreement/src/node.rs
@@ -22,13 +22,22 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::Action;
+use crate::Config;
+use crate::Durable;
 use crate::Entry;
+use crate::Event;
 use crate::Index;
 use crate::Log;
+use crate::MemberChange;
 use crate::Members;
 use crate::Message;
 use crate::NodeId;
 use crate::Payload;
+use crate::Persist;
+use crate::Refusal;
+use crate::Role;
+use crate::Rule;
 use crate::Term;
 use crate::Ticket;
 
@@ -41,190 +50,6 @@
 /// Heartbeats whose sending time is remembered.
 const ROUNDS_MOST: usize = 64;
 
-/// How a node behaves.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Config {
-    /// The node's id.
-    pub id: NodeId,
-    /// Time between a leader's heartbeats.
-    pub heartbeat: Duration,
-    /// Shortest silence of a leader before another is sought; the longest is twice that.
-    pub election: Duration,
-    /// Largest difference in speed between two clocks, in parts of a thousand.
-    pub drift_per_mille: u32,
-    /// Seed of the timeouts' jitter.
-    pub seed: u64,
-}
-
-/// Rules that tests switch off, one at a time, to see that their check bites.
-#[doc(hidden)]
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Rule {
-    VoteChecksLog,
-    OneVoteATerm,
-    CommitOwnTermOnly,
-    PersistBeforeReply,
-    AppendChecksPrevious,
-}
-
-/// What a node has on its disk.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Durable {
-    /// The highest term it knows of.
-    pub term: Term,
-    /// Whom it voted for in that term.
-    pub vote: Option<NodeId>,
-    /// Its entries.
-    pub entries: Vec<Entry>,
-    /// Who counts until an entry names others.
-    pub first_members: Members,
-}
-
-impl Durable {
-    /// The disk of a node that never ran.
-    pub fn empty(first_members: Members) -> Self {
-        Self { term: 0, vote: None, entries: Vec::new(), first_members }
-    }
-
-    /// Applies what a node asked to be made durable.
-    pub fn apply(&mut self, persist: &Persist) {
-        self.term = persist.term;
-        self.vote = persist.vote;
-        if let Some(first) = persist.entries.first() {
-            self.entries.truncate(first.index as usize - 1);
-            self.entries.extend_from_slice(&persist.entries);
-        }
-    }
-}
-
-/// What must become durable, in order.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Persist {
-    /// Number to give back with [`Event::Persisted`].
-    pub number: u64,
-    /// The node's term.
-    pub term: Term,
-    /// Its vote in that term.
-    pub vote: Option<NodeId>,
-    /// Entries that replace everything from the first one's position on.
-    pub entries: Vec<Entry>,
-}
-
-/// A change of who takes part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum MemberChange {
-    /// Lets a node receive the log.
-    AddLearner(NodeId),
-    /// Lets a learner that has caught up vote.
-    Promote(NodeId),
-    /// Takes a member out.
-    Remove(NodeId),
-}
-
-/// What happened.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event {
-    /// [`Node::next_deadline`] has come.
-    Tick,
-    /// A message arrived.
-    Message {
-        /// Who sent it.
-        from: NodeId,
-        /// The message.
-        message: Message,
-    },
-    /// Everything up to the [`Persist`] with this number is durable.
-    Persisted {
-        /// The number.
-        number: u64,
-    },
-    /// The owner wants a command in the log.
-    Propose {
-        /// Names the proposal.
-        ticket: Ticket,
-        /// The command.
-        command: Vec<u8>,
-    },
-    /// The owner wants a change of the members.
-    Change {
-        /// Names the proposal.
-        ticket: Ticket,
-        /// The change.
-        change: MemberChange,
-    },
-}
-
-/// Why a proposal was not taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Refusal {
-    /// Another node leads, or none does.
-    NotLeader {
-        /// Who leads, if known.
-        leader: Option<NodeId>,
-    },
-    /// An earlier change of the members is not committed yet, or the leader's term is too young.
-    ChangePending,
-    /// The learner has not caught up.
-    NotCaughtUp,
-    /// The change would do nothing, or leave no voter.
-    Pointless,
-}
-
-/// What to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Send a message.
-    Send {
-        /// To whom.
-        to: NodeId,
-        /// The message.
-        message: Message,
-    },
-    /// Make something durable, then report it with [`Event::Persisted`].
-    Persist(Persist),
-    /// The proposal is in the leader's log; it is done once it is committed at this place.
-    Proposed {
-        /// The proposal.
-        ticket: Ticket,
-        /// Its term.
-        term: Term,
-        /// Its position.
-        index: Index,
-    },
-    /// The proposal was not taken and is in no log.
-    Refused {
-        /// The proposal.
-        ticket: Ticket,
-        /// Why.
-        refusal: Refusal,
-    },
-    /// These entries are committed, in order.
-    Commit {
-        /// The entries.
-        entries: Vec<Entry>,
-    },
-    /// The node's role changed.
-    RoleChanged {
-        /// Its role now.
-        role: Role,
-        /// Its term.
-        term: Term,
-    },
-}
-
-/// A node's role.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Role {
-    /// Follows a leader, or waits for one.
-    Follower,
-    /// Asks whether it would be elected.
-    PreCandidate,
-    /// Asks for votes.
-    Candidate,
-    /// Leads.
-    Leader,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Progress {
     next: Index,
--- /dev/null
+++ b/crates/vaneway-relay/src/plan.rs
@@ -0,0 +1,46 @@
+//! What may be done for a request, and what was done.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+
+/// What may be done for a request.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether its answer is a stream of tokens that can go on elsewhere.
+    pub streamed: bool,
+    /// Whether the caller asked for usage figures at the end of the stream.
+    pub wants_usage: bool,
+    /// Most attempts before the answer begins.
+    pub max_attempts: u32,
+    /// When the caller is given up.
+    pub deadline: Instant,
+    /// How long to wait for an endpoint before the answer begins.
+    pub patience: Duration,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+/// How often and at what cost a request moved.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Moves {
+    /// Attempts made.
+    pub attempts: u32,
+    /// Attempts that were retries before the answer began.
+    pub retries: u32,
+    /// Attempts that resumed at an engine that held the state.
+    pub resumed: u32,
+    /// Attempts that resumed after a KV transfer.
+    pub transferred: u32,
+    /// Attempts that computed the state again.
+    pub recomputed: u32,
+    /// Tokens that these attempts computed again, by this box's estimate.
+    pub recomputed_tokens: u64,
+}
--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -18,25 +18,27 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use serde::Serialize;
 
+use crate::Action;
+use crate::AttemptId;
 use crate::Chunk;
+use crate::EndpointId;
+use crate::Event;
+use crate::Failure;
+use crate::FailureKind;
+use crate::Moves;
 use crate::Outcome;
+use crate::Plan;
 use crate::RequestEvent;
 use crate::RequestState;
 use crate::RetryBudget;
+use crate::RunState;
 use crate::Splice;
-use crate::TokenOffset;
+use crate::Start;
 use crate::Verdict;
 use crate::request::RequestAction;
 use crate::request_chart;
 
-/// Number of an attempt within its request, from 1.
-pub type AttemptId = u32;
-
-/// Position of an endpoint in the pool.
-pub type EndpointId = u32;
-
 /// Most attempts in a row that reach an engine and bring no new token, so that engines that
 /// always break off can't hold a stream until its deadline. Attempts that reach no engine don't
 /// count: they cost nothing, and a replacement may come up before the deadline.
@@ -51,255 +53,6 @@
 /// Longest pause between retries.
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
 
-/// What may be done for a request.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// Whether its answer is a stream of tokens that can go on elsewhere.
-    pub streamed: bool,
-    /// Whether the caller asked for usage figures at the end of the stream.
-    pub wants_usage: bool,
-    /// Most attempts before the answer begins.
-    pub max_attempts: u32,
-    /// When the caller is given up.
-    pub deadline: Instant,
-    /// How long to wait for an endpoint before the answer begins.
-    pub patience: Duration,
-    /// Estimated tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Most tokens of the answer.
-    pub max_tokens: u32,
-    /// Seed of the jitter.
-    pub seed: u64,
-}
-
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// The request was accepted.
-    Begin,
-    /// Answer to [`Action::Choose`].
-    Chosen {
-        /// The endpoint chosen.
-        endpoint: EndpointId,
-    },
-    /// Answer to [`Action::Choose`]: none can take work now.
-    Unavailable {
-        /// Whether endpoints exist but are full.
-        full: bool,
-        /// When one may be available, if known.
-        until: Option<Instant>,
-    },
-    /// Answer to [`Action::Wake`].
-    Woken,
-    /// Answer to [`Action::Transfer`].
-    Transferred {
-        /// The attempt number given with the action.
-        attempt: AttemptId,
-        /// Whether the target now holds the stream's whole state.
-        whole: bool,
-    },
-    /// The endpoint accepted the attempt and its answer began.
-    Head {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// A chunk of the answer arrived.
-    Chunk {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The chunk.
-        chunk: Chunk,
-    },
-    /// An attempt ended.
-    Ended {
-        /// The attempt.
-        attempt: AttemptId,
-        /// What is known of it.
-        outcome: Outcome,
-    },
-    /// The endpoint gave a final answer that is not a stream, such as a refusal of the request's
-    /// content.
-    Answered {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// An endpoint is going to be taken back.
-    Leaving {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// When it is gone.
-        gone_at: Instant,
-    },
-    /// An endpoint is gone.
-    Gone {
-        /// The endpoint.
-        endpoint: EndpointId,
-    },
-    /// The deadline passed.
-    Expired,
-    /// The caller closed its connection.
-    CallerGone,
-}
-
-/// How an attempt begins.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Start {
-    /// From the beginning.
-    Fresh,
-    /// The engine holds the state: go on after this many tokens.
-    Resume {
-        /// Tokens that the caller has.
-        after: TokenOffset,
-    },
-    /// The engine does not hold the state: compute it again from the prompt and the text sent.
-    Continue {
-        /// Tokens that the caller has.
-        after: TokenOffset,
-    },
-}
-
-/// What to do next.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Choose an endpoint; answer with [`Event::Chosen`] or [`Event::Unavailable`].
-    Choose,
-    /// Start an attempt.
-    Start {
-        /// Its number.
-        attempt: AttemptId,
-        /// Where.
-        endpoint: EndpointId,
-        /// How it begins.
-        how: Start,
-    },
-    /// Let `to` fetch the stream's state from `from`; answer with [`Event::Transferred`].
-    Transfer {
-        /// The attempt that will follow.
-        attempt: AttemptId,
-        /// Where the state is.
-        from: EndpointId,
-        /// Where it should be.
-        to: EndpointId,
-        /// Tokens that the caller has.
-        tokens: TokenOffset,
-    },
-    /// Deliver [`Event::Woken`] at this time.
-    Wake {
-        /// When.
-        at: Instant,
-    },
-    /// Close the connection of an attempt; the engine keeps the state for a while.
-    Detach {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// Close the connection of an attempt and tell the engine to free what it holds.
-    Cancel {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Where it ran.
-        endpoint: EndpointId,
-    },
-    /// Free the state that a moved stream left behind.
-    Release {
-        /// Where it ran.
-        endpoint: EndpointId,
-    },
-    /// Send a chunk to the caller.
-    Emit {
-        /// The chunk.
-        chunk: Chunk,
-    },
-    /// The answer is whole.
-    Complete,
-    /// Tell the caller that the request failed.
-    Fail {
-        /// What to tell.
-        failure: Failure,
-    },
-}
-
-/// Whether a request that failed was run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RunState {
-    /// It was certainly not run.
-    NotRun,
-    /// It was run, at least in part.
-    Ran,
-    /// It may have been run.
-    Unknown,
-}
-
-impl RunState {
-    /// The word that callers see.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::NotRun => "not_run",
-            Self::Ran => "ran",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// Why a request failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum FailureKind {
-    /// No endpoint of the service takes work.
-    NoEndpoint,
-    /// Every endpoint of the service is full.
-    Overloaded,
-    /// The deadline passed.
-    DeadlineExceeded,
-    /// Attempts failed and no more are allowed.
-    AttemptsExhausted,
-    /// An attempt ended without an answer and may not be repeated.
-    OutcomeUnknown,
-}
-
-impl FailureKind {
-    /// The stable code that callers see.
-    pub fn code(self) -> &'static str {
-        match self {
-            Self::NoEndpoint => "no_endpoint",
-            Self::Overloaded => "overloaded",
-            Self::DeadlineExceeded => "deadline_exceeded",
-            Self::AttemptsExhausted => "attempts_exhausted",
-            Self::OutcomeUnknown => "outcome_unknown",
-        }
-    }
-}
-
-/// What a caller is told of a request that failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-pub struct Failure {
-    /// Why it failed.
-    pub kind: FailureKind,
-    /// Whether it was run.
-    pub run: RunState,
-}
-
-/// How often and at what cost a request moved.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub struct Moves {
-    /// Attempts made.
-    pub attempts: u32,
-    /// Attempts that were retries before the answer began.
-    pub retries: u32,
-    /// Attempts that resumed at an engine that held the state.
-    pub resumed: u32,
-    /// Attempts that resumed after a KV transfer.
-    pub transferred: u32,
-    /// Attempts that computed the state again.
-    pub recomputed: u32,
-    /// Tokens that these attempts computed again, by this box's estimate.
-    pub recomputed_tokens: u64,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Current {
     attempt: AttemptId,
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use eyre::ensure;
-use vaneway::core::entry;
+use vaneway::core::running;
 use vaneway::core::settings;
 use vaneway_test_support::Caller;
 use vaneway_test_support::CloudPlatform;
@@ -50,7 +50,7 @@
         .engines(&[Replica::new("a", a.address()), Replica::new("b", b.address())])
         .plain(&[Replica::new("p", service.address())])
         .platform(platform.address());
-    let entry = entry::spawn(settings::read(&deployment.settings().to_string())?).await?;
+    let entry = running::spawn(settings::read(&deployment.settings().to_string())?).await?;
     println!("entry on http://{}, operators on {}", entry.listen(), entry.operators());
 
     let caller = Caller::new(entry.listen(), TOKEN);
--- a/src/core/call_events.rs
+++ b/src/core/call_events.rs
@@ -8,8 +8,10 @@
 
 use futures_util::FutureExt as _;
 use vaneway_relay::Event;
+use vaneway_relay::Failure;
 
 use crate::core::open_requests::OpenGuard;
+use crate::util::logline::Line;
 use crate::util::timers::Sleep;
 use crate::util::timers::Timers;
 
@@ -46,6 +48,19 @@
         self.wake = Some(self.timers.sleep_until(at));
     }
 
+    /// Logs what the caller is told of a request that failed.
+    pub fn log_failure(&self, id: &str, failure: Failure, attempts: u32) {
+        let open = self.open.request();
+        Line::new("request_failed")
+            .with("request", id)
+            .with("organisation", &open.organisation)
+            .with("service", &open.service)
+            .with("code", failure.kind.code())
+            .with("run", failure.run.name())
+            .with("attempts", attempts)
+            .warn();
+    }
+
     /// The next event.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
         if let Some(event) = self.todo.pop_front() {
--- a/src/core/plain_call.rs
+++ b/src/core/plain_call.rs
@@ -44,7 +44,6 @@
 use vaneway_relay::Relay;
 use vaneway_relay::RunState;
 use vaneway_relay::request_chart;
-use vaneway_route::Choice;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 
@@ -265,12 +264,8 @@
     fn perform(&mut self, action: &Action) {
         match action {
             Action::Choose => {
-                let choice = self.entry.choose(self.request.service, self.relay.tried(), 0);
-                self.events.push(match choice {
-                    Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
-                    Choice::Full => Event::Unavailable { full: true, until: None },
-                    Choice::Unavailable { until } => Event::Unavailable { full: false, until },
-                });
+                let event = self.entry.choose(self.request.service, self.relay.tried(), 0);
+                self.events.push(event);
             }
             Action::Wake { at } => self.events.wake_at(*at),
             Action::Fail { failure } => self.failure = Some(*failure),
@@ -294,14 +289,7 @@
         let failure = self
             .failure
             .unwrap_or(Failure { kind: FailureKind::OutcomeUnknown, run: RunState::Unknown });
-        Line::new("request_failed")
-            .with("request", &self.id)
-            .with("organisation", &self.organisation.name)
-            .with("service", &self.service.name)
-            .with("code", failure.kind.code())
-            .with("run", failure.run.name())
-            .with("attempts", self.relay.moves().attempts)
-            .warn();
+        self.events.log_failure(&self.id, failure, self.relay.moves().attempts);
         ApiError::failed(failure).into_response()
     }
 }
--- a/src/ops/run.rs
+++ b/src/ops/run.rs
@@ -7,8 +7,8 @@
 use eyre::WrapErr as _;
 use eyre::bail;
 
-use crate::core::entry;
 use crate::core::entry::Entry;
+use crate::core::running;
 use crate::core::settings;
 use crate::util::logline::Line;
 
@@ -33,10 +33,10 @@
     let runtime = compio::runtime::Runtime::new().wrap_err("failed to start the event loop")?;
     Line::new("loop").with("driver", format!("{:?}", runtime.driver_type())).info();
     runtime.block_on(async {
-        let running = entry::spawn(settings).await?;
-        compio::runtime::spawn(dump_on_hangup(Rc::clone(running.entry()))).detach();
+        let entry = running::spawn(settings).await?;
+        compio::runtime::spawn(dump_on_hangup(Rc::clone(entry.entry()))).detach();
         wait_for_stop().await?;
-        match running.stop().await {
+        match entry.stop().await {
             0 => Ok(()),
             cut_off => bail!("the stop cut off {cut_off} requests; raise `$.stop.finish_ms`"),
         }
--- a/tests/testsuite/capacity.rs
+++ b/tests/testsuite/capacity.rs
@@ -5,8 +5,8 @@
 use std::path::PathBuf;
 
 use serde_json::Value;
-use vaneway::core::cluster::Envelope;
-use vaneway::core::cluster::seal;
+use vaneway::core::datagram::Envelope;
+use vaneway::core::datagram::seal;
 use vaneway_marks::DIGEST_TO;
 use vaneway_marks::Message;
 use vaneway_marks::TICK;
--- a/tests/testsuite/marks.rs
+++ b/tests/testsuite/marks.rs
@@ -8,9 +8,9 @@
 
 use bolero::TypeGenerator;
 use hyper::Method;
-use vaneway::core::cluster::Envelope;
-use vaneway::core::cluster::seal;
-use vaneway::core::cluster::unseal;
+use vaneway::core::datagram::Envelope;
+use vaneway::core::datagram::seal;
+use vaneway::core::datagram::unseal;
 use vaneway_marks::Action;
 use vaneway_marks::Instance;
 use vaneway_marks::Marks;
