--- a/crates/vaneway-agreement/src/event.rs
+++ b/crates/vaneway-agreement/src/event.rs
@@ -25,7 +25,7 @@
     pub seed: u64,
 }
 
-/// Rules that tests switch off, one at a time, to see that their check bites.
+/// Rules that tests switch off, one at a time, to see that the explorer then finds a fault.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Rule {
--- a/crates/vaneway-test-support/src/deployment.rs
+++ b/crates/vaneway-test-support/src/deployment.rs
@@ -1,4 +1,4 @@
-//! A short language for the scene of a test: replicas, services, and processes over them.
+//! A short language for the setup of a test: replicas, services, and processes over them.
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Every stand-in runs in a thread of its own with its own event loop, speaks HTTP on an
 //! ephemeral loopback port as docs/INTERFACES.md describes, and is deterministic by its seed.
-//! [`Deployment`] is the short language in which tests set the scene: stand-ins, a settings file
+//! [`Deployment`] is the short language in which tests describe their setup: stand-ins, a settings file
 //! and real `vaneway` processes.
 
 pub mod caller;
--- a/src/core/link.rs
+++ b/src/core/link.rs
@@ -36,13 +36,13 @@
 /// Size of a connection's read buffer: dozens of tokens, and half of what hyper takes by itself.
 const READ_BYTES: usize = 4_096;
 
-type Driver = http1::Connection<HttpStream, Full<Bytes>>;
+type HttpConnection = http1::Connection<HttpStream, Full<Bytes>>;
 
 /// An open connection.
 #[derive(Debug)]
 pub struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: Pin<Box<Driver>>,
+    driver: Pin<Box<HttpConnection>>,
     closed: bool,
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,6 @@
 //! Integration tests: real processes, stand-in endpoints and a fault-injecting proxy.
 //!
-//! A test sets the scene with [`Deployment`](vaneway_test_support::Deployment), acts as a
+//! A test sets up with [`Deployment`](vaneway_test_support::Deployment), acts as a
 //! [`Caller`](vaneway_test_support::Caller), and compares whole outputs. Tests wait on
 //! conditions, never on time, and assert nothing about time.
 
