--- a/crates/vaneway-test-support/src/engine/batch.rs
+++ b/crates/vaneway-test-support/src/engine/batch.rs
@@ -123,6 +123,16 @@
     }
 }
 
+/// Steps whose load is remembered at most; with a longer lag, later steps wait for room.
+const LOADS_MOST: usize = 10_000;
+
+/// How busy the engine was at one step.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    running: usize,
+    waiting: usize,
+}
+
 /// All requests of an engine.
 #[derive(Debug)]
 pub struct Batch {
@@ -131,7 +141,7 @@
     waiting: VecDeque<String>,
     /// The prefix cache.
     pub cache: PrefixCache,
-    loads: VecDeque<(Instant, Value)>,
+    loads: VecDeque<(Instant, Load)>,
 }
 
 impl Batch {
@@ -229,6 +239,7 @@
         for id in ended {
             self.sequences.remove(&id);
         }
+        self.note_load();
         stats.open = self.sequences.len() as u64;
     }
 
@@ -250,19 +261,24 @@
         stats.expired += (before - self.sequences.len()) as u64;
     }
 
-    /// The load as it was some time ago.
-    pub fn lagged_load(&mut self) -> Value {
-        let now = Instant::now();
+    /// The load as it was a lag ago; nothing while the engine is younger than that.
+    pub fn lagged_load(&self) -> Value {
+        let old = self.loads.iter().rev().find(|(at, _)| at.elapsed() >= self.options.load_lag);
+        let (age, load) = old
+            .map_or((self.options.load_lag, Load::default()), |(at, load)| (at.elapsed(), *load));
+        let Load { running, waiting } = load;
+        json!({ "running": running, "waiting": waiting, "age_ms": age.as_millis() as u64 })
+    }
+
+    /// Notes the load of this step, and forgets what is older than anyone will be told.
+    fn note_load(&mut self) {
         let running = self.sequences.values().filter(|sequence| sequence.running).count();
-        let load = json!({ "running": running, "waiting": self.waiting.len() });
-        self.loads.push_back((now, load));
+        let load = Load { running, waiting: self.waiting.len() };
+        self.loads.push_back((Instant::now(), load));
         let lag = self.options.load_lag;
-        while self.loads.len() > 1 && self.loads[1].0 + lag <= now {
+        while self.loads.get(1).is_some_and(|(at, _)| at.elapsed() >= lag) {
             self.loads.pop_front();
         }
-        let (at, load) = &self.loads[0];
-        let mut load = load.clone();
-        load["age_ms"] = (at.elapsed().as_millis() as u64).into();
-        load
+        self.loads.truncate(LOADS_MOST);
     }
 }
--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -227,7 +227,7 @@
         (&Method::POST, ["v1", "kv", "import"]) => import(&local, req).await,
         (&Method::GET, ["v1", "kv", id]) => export(&local, id),
         (&Method::GET, ["v1", "load"]) => {
-            server::json(StatusCode::OK, &local.batch.borrow_mut().lagged_load())
+            server::json(StatusCode::OK, &local.batch.borrow().lagged_load())
         }
         (&Method::GET, ["v1", "cache", "events"]) => {
             let after = server::parameter(&req, "after").unwrap_or_default();
--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -37,12 +37,10 @@
 use vaneway_claims::Ledger;
 use vaneway_claims::Reply;
 
+use crate::core::settings::ClaimSettings;
 use crate::util::clock;
 use crate::util::logline::Line;
 
-/// Bytes of log after which a snapshot is made.
-const SNAPSHOT_AFTER: u64 = 16 << 20;
-
 /// The ledger can't be written any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Closed;
@@ -105,7 +103,7 @@
 /// # Errors
 ///
 /// If another process uses the folder, a file can't be read or written, or a record is damaged.
-pub async fn open(folder: &Path, holder: Holder, retention: Duration) -> eyre::Result<Claims> {
+pub async fn open(folder: &Path, holder: Holder, settings: &ClaimSettings) -> eyre::Result<Claims> {
     let context = || format!("failed to open the ledger of claims in `{}`", folder.display());
     let (ledger, log) = load(folder).await.wrap_err_with(context)?;
     let (tx, rx) = mpsc::unbounded();
@@ -115,7 +113,9 @@
         held: Cell::new(0),
         closed: Cell::new(false),
     });
-    compio::runtime::spawn(write_forever(Rc::clone(&shared), log, rx)).detach();
+    compio::runtime::spawn(write_forever(Rc::clone(&shared), log, settings.snapshot_bytes, rx))
+        .detach();
+    let retention = settings.retention;
     let claims = Claims { shared, proposals: tx, holder, retention };
     claims.propose(Command::OnlyHolder { holder }).await.wrap_err_with(context)?;
     Ok(claims)
@@ -187,6 +187,7 @@
 async fn write_forever(
     shared: Rc<Shared>,
     mut log: LogFile,
+    snapshot_bytes: u64,
     mut rx: mpsc::UnboundedReceiver<Proposal>,
 ) {
     while let Some(first) = rx.next().await {
@@ -202,7 +203,7 @@
         for Proposal { command, reply } in batch {
             apply(&shared, command, reply);
         }
-        if log.end >= SNAPSHOT_AFTER
+        if log.end >= snapshot_bytes
             && let Err(error) = compact(&shared, &mut log).await
         {
             Line::new("snapshot_failed").with("error", error).error();
--- a/src/core/running.rs
+++ b/src/core/running.rs
@@ -94,7 +94,7 @@
 async fn open_claims(settings: &Settings, boot: u64) -> eyre::Result<Option<Claims>> {
     match &settings.data_folder {
         Some(folder) if settings.peers.is_empty() => {
-            Ok(Some(claims::open(folder, boot, settings.claims.retention).await?))
+            Ok(Some(claims::open(folder, boot, &settings.claims).await?))
         }
         _ => Ok(None),
     }
--- a/src/core/settings/mod.rs
+++ b/src/core/settings/mod.rs
@@ -59,6 +59,8 @@
 pub struct ClaimSettings {
     /// How long a key and its answer are kept.
     pub retention: Duration,
+    /// Bytes of log after which a snapshot is made.
+    pub snapshot_bytes: u64,
 }
 
 /// The operators' address and who may use it.
--- a/src/core/settings/read.rs
+++ b/src/core/settings/read.rs
@@ -350,9 +350,11 @@
 }
 
 fn claims(fields: Option<Fields<'_>>) -> ClaimSettings {
-    let mut claims = ClaimSettings { retention: Duration::from_hours(24) };
+    let mut claims =
+        ClaimSettings { retention: Duration::from_hours(24), snapshot_bytes: 16 << 20 };
     let Some(mut fields) = fields else { return claims };
     claims.retention = millis(&mut fields, "retention_ms", RETENTION, DAY_MS);
+    claims.snapshot_bytes = fields.number("snapshot_bytes", BYTES, 16 << 20);
     fields.finish();
     claims
 }
--- a/tests/testsuite/standins.rs
+++ b/tests/testsuite/standins.rs
@@ -105,6 +105,28 @@
     });
 }
 
+#[test]
+fn reported_load_lags_behind_the_real_one() {
+    let late = Engine::spawn(EngineOptions {
+        load_lag: Duration::from_hours(1),
+        ..EngineOptions::default()
+    });
+    let prompt =
+        Engine::spawn(EngineOptions { load_lag: Duration::ZERO, ..EngineOptions::default() });
+
+    block_on(async {
+        for engine in [&late, &prompt] {
+            let body = chat("m", "long", 100_000, true);
+            let caller = Caller::new(engine.address(), "");
+            let mut open = caller.open(Method::POST, "/v1/chat/completions", &[], body).await;
+            open.events(3).await;
+            let load = get(engine.address(), "/v1/load").await;
+            let expected = u64::from(std::ptr::eq(engine, &raw const prompt));
+            assert_eq!(load["running"], expected);
+        }
+    });
+}
+
 #[test]
 fn list_of_boxes_lags_and_notices_do_not() {
     let platform = CloudPlatform::spawn(Duration::from_hours(1));
