--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -6,6 +6,7 @@
 //! and real `vaneway` processes.
 
 pub mod caller;
+pub mod closed_port;
 pub mod deployment;
 pub mod engine;
 pub mod explorer;
@@ -19,6 +20,7 @@
 pub mod weight_store;
 
 pub use caller::Caller;
+pub use closed_port::ClosedPort;
 pub use deployment::Deployment;
 pub use deployment::Replica;
 pub use engine::Engine;
