--- a/benches/common/mod.rs
+++ b/benches/common/mod.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 
 use vaneway_test_support::Deployment;
+use vaneway_test_support::Engine;
 use vaneway_test_support::Process;
+use vaneway_test_support::Replica;
 
 /// The `vaneway` binary of this build.
 pub fn program() -> &'static Path {
@@ -35,6 +37,12 @@
     }
 }
 
+/// Replicas named `e0`, `e1`, … at the engines.
+pub fn numbered(engines: &[Engine]) -> Vec<Replica> {
+    let named = |(i, engine): (usize, &Engine)| Replica::new(&format!("e{i}"), engine.address());
+    engines.iter().enumerate().map(named).collect()
+}
+
 /// Starts the entry with a log that does not disturb the measurement.
 pub fn start(deployment: &Deployment) -> Process {
     let level = "info,hyper=warn,compio=warn";
--- a/crates/vaneway-agreement/src/lib.rs
+++ b/crates/vaneway-agreement/src/lib.rs
@@ -34,6 +34,8 @@
 pub use log::Log;
 pub use log::Members;
 pub use log::Payload;
+pub use message::Append;
+pub use message::AppendReply;
 pub use message::Message;
 pub use node::Node;
 
--- a/crates/vaneway-agreement/src/log.rs
+++ b/crates/vaneway-agreement/src/log.rs
@@ -10,7 +10,7 @@
 use crate::Term;
 
 /// Who takes part.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Members {
     /// Nodes whose votes count.
     pub voters: BTreeSet<NodeId>,
@@ -37,7 +37,7 @@
 }
 
 /// What an entry says.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Payload {
     /// Nothing: a new leader's first entry, by which it may commit the ones before.
     Noop,
@@ -48,7 +48,7 @@
 }
 
 /// One entry.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Entry {
     /// The term of the leader that made it.
     pub term: Term,
--- a/crates/vaneway-agreement/src/message.rs
+++ b/crates/vaneway-agreement/src/message.rs
@@ -43,48 +43,39 @@
         granted: bool,
     },
     /// Entries, and a heartbeat.
-    Append {
-        /// The leader's term.
-        term: Term,
-        /// Position of the entry before the first of `entries`.
-        prev_index: Index,
-        /// Its term.
-        prev_term: Term,
-        /// Entries to append.
-        entries: Vec<Entry>,
-        /// Position up to which entries are committed.
-        commit: Index,
-        /// Number of the leader's heartbeat, for its lease.
-        round: u64,
-    },
+    Append(Append),
     /// Answer to [`Message::Append`]; sent once the entries are durable.
-    AppendReply {
-        /// The receiver's term.
-        term: Term,
-        /// Position up to which the receiver's log is the leader's, if it accepted.
-        matched: Option<Index>,
-        /// Position of the receiver's last entry, for a leader that must go back.
-        last_index: Index,
-        /// The heartbeat answered.
-        round: u64,
-    },
+    AppendReply(AppendReply),
 }
 
-// Entries have no order of their own; messages are ordered so that sets of them are.
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
+/// A leader's entries, and its heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Append {
+    /// The leader's term.
+    pub term: Term,
+    /// Position of the entry before the first of `entries`.
+    pub prev_index: Index,
+    /// Its term.
+    pub prev_term: Term,
+    /// Entries to append.
+    pub entries: Vec<Entry>,
+    /// Position up to which entries are committed.
+    pub commit: Index,
+    /// Number of the leader's heartbeat, for its lease.
+    pub round: u64,
 }
 
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        let key = |entry: &Self| (entry.index, entry.term);
-        key(self).cmp(&key(other)).then_with(|| {
-            // Of one index and term there is one entry, unless a rule is broken on purpose.
-            format!("{:?}", self.payload).cmp(&format!("{:?}", other.payload))
-        })
-    }
+/// What became of an [`Append`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AppendReply {
+    /// The receiver's term.
+    pub term: Term,
+    /// Position up to which the receiver's log is the leader's, if it accepted.
+    pub matched: Option<Index>,
+    /// Position of the receiver's last entry, for a leader that must go back.
+    pub last_index: Index,
+    /// The heartbeat answered.
+    pub round: u64,
 }
 
 impl Message {
@@ -94,9 +85,9 @@
             Self::PreVote { term, .. }
             | Self::PreVoteReply { term, .. }
             | Self::Vote { term, .. }
-            | Self::VoteReply { term, .. }
-            | Self::Append { term, .. }
-            | Self::AppendReply { term, .. } => *term,
+            | Self::VoteReply { term, .. } => *term,
+            Self::Append(append) => append.term,
+            Self::AppendReply(reply) => reply.term,
         }
     }
 }
--- a/crates/vaneway-agreement/src/node.rs
+++ b/crates/vaneway-agreement/src/node.rs
@@ -23,6 +23,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::Action;
+use crate::Append;
+use crate::AppendReply;
 use crate::Config;
 use crate::Durable;
 use crate::Entry;
@@ -337,14 +339,14 @@
         let fresh = Progress { next: last.max(1), matched: 0, heard: None, since: now };
         let progress = self.progress.entry(to).or_insert(fresh);
         let prev_index = progress.next - 1;
-        let message = Message::Append {
+        let message = Message::Append(Append {
             term: self.term,
             prev_index,
             prev_term: self.log.term_at(prev_index).unwrap_or_default(),
             entries: self.log.from(progress.next, ENTRIES_MOST).to_vec(),
             commit: self.commit,
             round: self.round,
-        };
+        });
         out.push(Action::Send { to, message });
     }
 
@@ -442,13 +444,8 @@
                     self.count_votes(now, out);
                 }
             }
-            Message::Append { term, prev_index, prev_term, entries, commit, round } => {
-                let append = Appended { term, prev_index, prev_term, entries, commit, round };
-                self.appended(now, from, append, out);
-            }
-            Message::AppendReply { term, matched, last_index, round } => {
-                self.append_replied(now, from, (term, matched, last_index, round), out);
-            }
+            Message::Append(append) => self.appended(now, from, append, out),
+            Message::AppendReply(reply) => self.append_replied(now, from, reply, out),
         }
     }
 
@@ -492,12 +489,16 @@
         self.send_after(number, from, message, out);
     }
 
-    fn appended(&mut self, now: Instant, from: NodeId, append: Appended, out: &mut Vec<Action>) {
-        let Appended { term, prev_index, prev_term, entries, commit, round } = append;
+    fn appended(&mut self, now: Instant, from: NodeId, append: Append, out: &mut Vec<Action>) {
+        let Append { term, prev_index, prev_term, entries, commit, round } = append;
         if term < self.term {
             let last_index = self.log.last_index();
-            let message =
-                Message::AppendReply { term: self.term, matched: None, last_index, round };
+            let message = Message::AppendReply(AppendReply {
+                term: self.term,
+                matched: None,
+                last_index,
+                round,
+            });
             self.send_after(self.persist_number, from, message, out);
             return;
         }
@@ -517,7 +518,7 @@
             self.commit_to(commit.min(end), out);
         }
         let last_index = self.log.last_index();
-        let message = Message::AppendReply { term, matched, last_index, round };
+        let message = Message::AppendReply(AppendReply { term, matched, last_index, round });
         self.send_after(self.persist_number, from, message, out);
     }
 
@@ -525,9 +526,10 @@
         &mut self,
         now: Instant,
         from: NodeId,
-        (term, matched, last_index, round): (Term, Option<Index>, Index, u64),
+        reply: AppendReply,
         out: &mut Vec<Action>,
     ) {
+        let AppendReply { term, matched, last_index, round } = reply;
         if term > self.term {
             self.follow(now, term, None, out);
             return;
@@ -638,13 +640,3 @@
         Ok(members)
     }
 }
-
-/// The fields of a [`Message::Append`].
-struct Appended {
-    term: Term,
-    prev_index: Index,
-    prev_term: Term,
-    entries: Vec<Entry>,
-    commit: Index,
-    round: u64,
-}
--- a/crates/vaneway-marks/src/lib.rs
+++ b/crates/vaneway-marks/src/lib.rs
@@ -92,7 +92,7 @@
         /// The message.
         message: Message,
     },
-    /// Apply a mark that is new here, or whose time came forward.
+    /// Apply a mark that a peer told and that is new here, or whose time came forward.
     Apply {
         /// What is marked.
         instance: Instance,
@@ -130,22 +130,23 @@
         out.extend((0..self.peers).map(|to| Action::Send { to, message: Message::Hello }));
     }
 
-    /// Learns of a mark at this box, for example from the platform.
+    /// Learns of a mark that this box has applied itself, for example from the platform; true if
+    /// it is news, which is pushed on.
     pub fn learn(
         &mut self,
         now: Instant,
-        instance: Instance,
+        instance: &Instance,
         gone_at: Instant,
         out: &mut Vec<Action>,
-    ) {
-        if !self.add(&instance, gone_at) {
-            return;
+    ) -> bool {
+        if !self.add(instance, gone_at) {
+            return false;
         }
         let mark = Mark { instance: instance.clone(), gone_in_ms: millis_until(now, gone_at) };
-        out.push(Action::Apply { instance, gone_at });
         for to in self.some_peers(PUSH_TO) {
             out.push(Action::Send { to, message: Message::Push { marks: vec![mark.clone()] } });
         }
+        true
     }
 
     /// Applies a message.
@@ -155,7 +156,9 @@
             Message::Push { marks } => {
                 for mark in marks {
                     let gone_at = now + Duration::from_millis(mark.gone_in_ms);
-                    self.learn(now, mark.instance, gone_at, out);
+                    if self.learn(now, &mark.instance, gone_at, out) {
+                        out.push(Action::Apply { instance: mark.instance, gone_at });
+                    }
                 }
             }
             Message::Digest { digest, answers } => {
--- a/src/core/answer.rs
+++ b/src/core/answer.rs
@@ -121,9 +121,7 @@
         match &mut self.form {
             Form::Stream { .. } => {
                 self.send_event("[DONE]");
-                if let Form::Stream { outbox, .. } = &mut self.form
-                    && let Some(outbox) = outbox.take()
-                {
+                if let Some(outbox) = self.take_outbox() {
                     outbox.finish();
                 }
             }
@@ -145,13 +143,19 @@
             self.respond(error.into_response());
             return;
         }
-        if let Form::Stream { outbox, .. } = &mut self.form
-            && let Some(outbox) = outbox.take()
-        {
+        // Dropped unfinished, which cuts the body off.
+        if let Some(outbox) = self.take_outbox() {
             push_event(&outbox, &error.to_json());
         }
     }
 
+    fn take_outbox(&mut self) -> Option<Outbox> {
+        match &mut self.form {
+            Form::Stream { outbox, .. } => outbox.take(),
+            Form::Whole { .. } => None,
+        }
+    }
+
     fn respond(&mut self, response: Response<CallerBody>) {
         if let Some(reply) = self.reply.take() {
             // A caller that is gone needs no response.
--- a/src/core/cluster.rs
+++ b/src/core/cluster.rs
@@ -41,7 +41,7 @@
 }
 
 /// Tells the peers of a mark that this box learned of.
-pub fn learn(entry: &Rc<Entry>, instance: Instance, gone_at: Instant) {
+pub fn learn(entry: &Rc<Entry>, instance: &Instance, gone_at: Instant) {
     let Some(cluster) = &entry.cluster else { return };
     let mut actions = Vec::new();
     cluster.marks.borrow_mut().learn(Instant::now(), instance, gone_at, &mut actions);
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -62,6 +63,8 @@
     pub settings: Settings,
     /// The endpoints.
     pub pool: RefCell<Pool>,
+    /// The endpoints of each box. The platform names boxes, thousands at a time.
+    boxes: BTreeMap<String, Vec<EndpointId>>,
     /// The retry budget of each service.
     pub budgets: RefCell<Vec<RetryBudget>>,
     /// Connections to endpoints.
@@ -116,8 +119,13 @@
         let budget = |service: &crate::core::settings::Service| {
             RetryBudget::new(service.retry_percent, RETRY_RESERVE)
         };
+        let mut boxes = BTreeMap::<String, Vec<EndpointId>>::new();
+        for (id, endpoint) in pool.endpoints().iter().enumerate() {
+            boxes.entry(endpoint.spec.box_name.clone()).or_default().push(id as EndpointId);
+        }
         Self {
             pool: RefCell::new(pool),
+            boxes,
             budgets: RefCell::new(settings.services.iter().map(budget).collect()),
             connections: Connections::default(),
             timers,
@@ -190,19 +198,16 @@
     }
 
     /// Endpoints that run on a box.
-    pub fn endpoints_on(&self, box_name: &str) -> Vec<EndpointId> {
-        let pool = self.pool.borrow();
-        let all = pool.endpoints().iter().enumerate();
-        let there = all.filter(|(_, endpoint)| endpoint.spec.box_name == box_name);
-        there.map(|(id, _)| id as EndpointId).collect()
+    pub fn endpoints_on(&self, box_name: &str) -> &[EndpointId] {
+        self.boxes.get(box_name).map_or(&[], Vec::as_slice)
     }
 
     /// Marks an instance of a box as leaving.
     pub fn mark(&self, instance: &Instance, gone_at: Instant) {
         for endpoint in self.endpoints_on(&instance.box_name) {
             self.change(|pool, now, out| {
-                if pool.listed(now, endpoint, &instance.instance, out) {
-                    pool.notice(now, endpoint, gone_at, out);
+                if pool.listed(now, *endpoint, &instance.instance, out) {
+                    pool.notice(now, *endpoint, gone_at, out);
                 }
             });
         }
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -30,6 +30,7 @@
 use hyper::service::service_fn;
 use serde_json::json;
 use vaneway_claims::ClaimKey;
+use vaneway_claims::Digest;
 
 use crate::core::answer::Interface;
 use crate::core::answer::json_response;
@@ -270,18 +271,17 @@
     admit(entry)?;
     let key = key(req.headers())?;
     let body = read_body(entry, req.into_body()).await?;
-    let digest = keyed_call::digest("POST", interface.path(), &body);
-    let request = model_call::read(entry, interface, body)?;
+    let request = model_call::read(entry, interface, body.clone())?;
     let service = &entry.settings.services[request.service];
     let non_repeatable = service.is_non_repeatable("POST", interface.path());
+    let claim = key.filter(|_| non_repeatable).map(|key| {
+        let digest = keyed_call::digest("POST", interface.path(), &body);
+        (ClaimKey { organisation: organisation.name.clone(), key }, digest)
+    });
+    // The request holds what engines get of it; the caller's form is needed no longer.
+    drop(body);
     let call = model_call::call(Rc::clone(entry), organisation.clone(), request, !non_repeatable);
-    match key.filter(|_| non_repeatable) {
-        Some(key) => {
-            let key = ClaimKey { organisation: organisation.name.clone(), key };
-            keyed_call::call(Rc::clone(entry), key, digest, call).await
-        }
-        None => Ok(call.await),
-    }
+    at_most_once(entry, claim, call).await
 }
 
 async fn plain(
@@ -309,7 +309,10 @@
     let settings = &entry.settings.services[service];
     let non_repeatable = settings.is_non_repeatable(head.method.as_str(), &path);
     let body = read_body(entry, body).await?;
-    let digest = keyed_call::digest(head.method.as_str(), whole_path.as_str(), &body);
+    let claim = key.filter(|_| non_repeatable).map(|key| {
+        let digest = keyed_call::digest(head.method.as_str(), &whole_path, &body);
+        (ClaimKey { organisation: organisation.name.clone(), key }, digest)
+    });
     let call = plain_call::PlainRequest {
         service,
         method: head.method,
@@ -319,11 +322,17 @@
         repeatable: !non_repeatable,
     };
     let call = plain_call::call(Rc::clone(entry), organisation.clone(), call);
-    match key.filter(|_| non_repeatable) {
-        Some(key) => {
-            let key = ClaimKey { organisation: organisation.name.clone(), key };
-            keyed_call::call(Rc::clone(entry), key, digest, call).await
-        }
+    at_most_once(entry, claim, call).await
+}
+
+/// Runs a call, under a claim if it needs one.
+async fn at_most_once(
+    entry: &Rc<Entry>,
+    claim: Option<(ClaimKey, Digest)>,
+    call: impl Future<Output = Response<CallerBody>> + 'static,
+) -> Result<Response<CallerBody>, ApiError> {
+    match claim {
+        Some((key, digest)) => keyed_call::call(Rc::clone(entry), key, digest, call).await,
         None => Ok(call.await),
     }
 }
--- a/src/core/platform.rs
+++ b/src/core/platform.rs
@@ -4,13 +4,10 @@
 //! confirms what notices said, and shows new instances; since it lags, it can never bring an
 //! instance back that a notice marked as leaving.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::Full;
 use hyper::Request;
 use serde::Deserialize;
@@ -109,14 +106,14 @@
         let instance =
             Instance { box_name: notice.name.clone(), instance: notice.instance.clone() };
         entry.mark(&instance, gone_at);
-        cluster::learn(entry, instance, gone_at);
+        cluster::learn(entry, &instance, gone_at);
     }
 }
 
 fn apply_list(entry: &Entry, list: &BoxList) {
     for listed in &list.boxes {
         for endpoint in entry.endpoints_on(&listed.name) {
-            apply_listed(entry, listed, endpoint);
+            apply_listed(entry, listed, *endpoint);
         }
     }
 }
@@ -143,8 +140,9 @@
     within: Duration,
 ) -> Option<T> {
     let until = Instant::now() + within;
-    let work = fetch_bytes(entry, platform.address, path, until);
-    let body = entry.timers.until(until, work).await??;
+    let req = Request::builder().uri(path).body(Full::default()).expect("the path is valid");
+    let (connections, limit) = (&entry.connections, ANSWER_BYTES_MOST);
+    let body = connections.exchange(&entry.timers, platform.address, req, limit, until).await?;
     match serde_json::from_slice(&body) {
         Ok(answer) => Some(answer),
         Err(error) => {
@@ -153,14 +151,3 @@
         }
     }
 }
-
-async fn fetch_bytes(entry: &Entry, addr: SocketAddr, path: &str, until: Instant) -> Option<Bytes> {
-    let req = Request::builder().uri(path).body(Full::default()).expect("the path is valid");
-    let sent = entry.connections.send(&entry.timers, addr, req, false, until).await;
-    let answered = sent.ok().filter(|answered| answered.response.status().is_success())?;
-    let mut body = answered.response.into_body();
-    let mut held = BytesMut::new();
-    let whole = body.read_into(&mut held, ANSWER_BYTES_MOST).await.ok()?;
-    entry.connections.put(addr, body);
-    whole.then(|| held.freeze())
-}
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -135,6 +135,28 @@
         }
     }
 
+    /// Sends a small request that may be repeated and reads its whole answer, of at most `limit`
+    /// bytes, until `until`; none if that did not succeed.
+    pub async fn exchange(
+        &self,
+        timers: &Timers,
+        addr: SocketAddr,
+        req: EndpointRequest,
+        limit: usize,
+        until: Instant,
+    ) -> Option<Bytes> {
+        let answered = self.send(timers, addr, req, false, until).await.ok()?;
+        let success = answered.response.status().is_success();
+        let mut body = answered.response.into_body();
+        let mut held = BytesMut::new();
+        let read = timers.until(until, body.read_into(&mut held, limit)).await;
+        if !matches!(read, Some(Ok(true))) {
+            return None;
+        }
+        self.put(addr, body);
+        success.then(|| held.freeze())
+    }
+
     async fn open(
         &self,
         timers: &Timers,
--- a/src/util/findings.rs
+++ b/src/util/findings.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::rc::Rc;
+use std::sync::LazyLock;
 
 use serde_json::Map;
 use serde_json::Value;
@@ -160,6 +161,24 @@
         Some(Place { path, value, findings: self.place.findings.clone() })
     }
 
+    /// An object that may be missing; then it reads as an empty one, so that each field's default
+    /// stands in one place.
+    ///
+    /// # Panics
+    ///
+    /// Never: the empty value is an object.
+    #[must_use]
+    pub fn section(&mut self, name: &'static str) -> Fields<'a> {
+        static EMPTY: LazyLock<Value> = LazyLock::new(|| Value::Object(Map::new()));
+        let given = self.optional(name).and_then(|place| place.object());
+        given.unwrap_or_else(|| {
+            let path = format!("{}.{name}", self.place.path);
+            let findings = self.place.findings.clone();
+            let place = Place { path, value: &EMPTY, findings };
+            place.object().expect("the empty value is an object")
+        })
+    }
+
     /// A field that must be there.
     pub fn required(&mut self, name: &'static str) -> Option<Place<'a>> {
         let place = self.optional(name);
