--- a/benches/serving.rs
+++ b/benches/serving.rs
@@ -23,7 +23,7 @@
 use hyper::client::conn::http1;
 use serde_json::Value;
 use serde_json::json;
-use vaneway::util::socket;
+use vaneway_server::util::socket;
 use vaneway_test_support::Caller;
 use vaneway_test_support::Deployment;
 use vaneway_test_support::Engine;
--- a/crates/vaneway-agreement/src/node.rs
+++ b/crates/vaneway-agreement/src/node.rs
@@ -173,6 +173,20 @@
         &self.log
     }
 
+    /// Position up to which `id` has this leader's log.
+    pub fn matched(&self, id: NodeId) -> Index {
+        self.progress.get(&id).map_or(0, |progress| progress.matched)
+    }
+
+    /// Time since `id` last answered this leader, or since this leader first sent it something.
+    pub fn silence(&self, id: NodeId, now: Instant) -> Duration {
+        if id == self.config.id {
+            return Duration::ZERO;
+        }
+        let since = self.progress.get(&id).map(|p| p.heard.map_or(p.since, |h| h.max(p.since)));
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// When it wants [`Event::Tick`].
     pub fn next_deadline(&self) -> Instant {
         self.deadline
--- /dev/null
+++ b/crates/vaneway-registry/src/lib.rs
@@ -0,0 +1,220 @@
+//! Endpoints that register themselves by heartbeats, merged between boxes, without I/O.
+//!
+//! Why: nobody but the system keeps a list of endpoints. A heartbeat reaches one control box and
+//! must be known at every box; boxes restart, are cut off and hear old heartbeats late. So what is
+//! known of an endpoint is a value that only grows: reports may be lost, repeated and reordered,
+//! and every box that has seen the same reports knows the same.
+//!
+//! Rules: an endpoint's standing goes from ready over draining to gone and never back, whatever a
+//! later heartbeat says; within one standing the report with the higher sequence number wins; the
+//! earliest announced end wins. An id names one incarnation, so a mark can't hurt the next one,
+//! and ids that are gone are remembered for long enough that a late heartbeat can't revive them.
+//!
+//! Times travel as ages and remaining times, since the boxes' clocks may differ.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Names one incarnation of an endpoint.
+pub type InstanceId = String;
+
+/// How long an endpoint that is gone is remembered: far longer than a heartbeat can be late.
+const GONE_KEPT: Duration = Duration::from_mins(10);
+
+/// How long an endpoint that nobody hears of is remembered.
+const SILENT_KEPT: Duration = Duration::from_mins(2);
+
+/// Where an endpoint stands in its life.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub enum Standing {
+    /// Takes work.
+    #[default]
+    Ready,
+    /// Finishes what it has.
+    Draining,
+    /// Has said that it ends.
+    Gone,
+}
+
+impl Standing {
+    /// The standing's name in logs and dumps.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Details {
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it takes requests, as `IP:PORT`.
+    pub address: std::net::SocketAddr,
+    /// The availability zone that it stands in.
+    pub availability_zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether the cloud may take its box back.
+    pub reclaimable: bool,
+}
+
+/// One report about an endpoint, as it travels.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Which endpoint.
+    pub instance: InstanceId,
+    /// Number of the heartbeat, which rises; 0 for a report that came with no number.
+    pub sequence: u64,
+    /// Where it stands.
+    pub standing: Standing,
+    /// Milliseconds until it ends, if it told.
+    pub ends_in_ms: Option<u64>,
+    /// Milliseconds since a box heard of it directly.
+    pub age_ms: u64,
+    /// What it says of itself; none if only its end is known.
+    pub details: Option<Details>,
+}
+
+/// What one box knows of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Known {
+    /// Number of the newest heartbeat.
+    pub sequence: u64,
+    /// Where it stands.
+    pub standing: Standing,
+    /// When it ends, if it told.
+    pub ends_at: Option<Instant>,
+    /// When some box last heard of it directly.
+    pub heard: Instant,
+    /// What it says of itself.
+    pub details: Option<Details>,
+}
+
+/// What a report brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing new.
+    Nothing,
+    /// It was heard of again.
+    Refreshed,
+    /// Something that others must know at once.
+    News,
+}
+
+/// What one box knows of all endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    known: BTreeMap<InstanceId, Known>,
+}
+
+impl Registry {
+    /// Applies a report.
+    pub fn merge(&mut self, now: Instant, report: &Report) -> Change {
+        let heard = now.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(now);
+        let ends_at = report.ends_in_ms.map(|left| now + Duration::from_millis(left));
+        let Some(known) = self.known.get_mut(&report.instance) else {
+            let known = Known {
+                sequence: report.sequence,
+                standing: report.standing,
+                ends_at,
+                heard,
+                details: report.details.clone(),
+            };
+            self.known.insert(report.instance.clone(), known);
+            return Change::News;
+        };
+        known.merge(report, heard, ends_at)
+    }
+
+    /// Everything that is known.
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Known)> {
+        self.known.iter()
+    }
+
+    /// What is known of one endpoint.
+    pub fn get(&self, instance: &str) -> Option<&Known> {
+        self.known.get(instance)
+    }
+
+    /// How many endpoints are known, gone ones included.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// A report that tells another box what is known of `instance`.
+    pub fn report(&self, now: Instant, instance: &str) -> Option<Report> {
+        self.known.get(instance).map(|known| known.report(now, instance))
+    }
+
+    /// Reports of everything, for a box that knows nothing yet.
+    pub fn reports(&self, now: Instant) -> Vec<Report> {
+        self.known.iter().map(|(instance, known)| known.report(now, instance)).collect()
+    }
+
+    /// Forgets what can matter no more.
+    pub fn expire(&mut self, now: Instant) {
+        self.known.retain(|_, known| {
+            let kept = if known.standing == Standing::Gone { GONE_KEPT } else { SILENT_KEPT };
+            now.saturating_duration_since(known.heard) < kept
+        });
+    }
+}
+
+impl Known {
+    fn merge(&mut self, report: &Report, heard: Instant, ends_at: Option<Instant>) -> Change {
+        let refreshed = heard > self.heard;
+        self.heard = self.heard.max(heard);
+        let mut news = false;
+        if report.standing > self.standing {
+            self.standing = report.standing;
+            news = true;
+        }
+        if let Some(at) = ends_at
+            && self.ends_at.is_none_or(|known| at + ENDS_TOLERANCE < known)
+        {
+            self.ends_at = Some(at);
+            news = true;
+        }
+        let newer = report.sequence > self.sequence || self.details.is_none();
+        self.sequence = self.sequence.max(report.sequence);
+        if newer && report.details.is_some() && report.details != self.details {
+            self.details.clone_from(&report.details);
+            news = true;
+        }
+        match (news, refreshed) {
+            (true, _) => Change::News,
+            (false, true) => Change::Refreshed,
+            (false, false) => Change::Nothing,
+        }
+    }
+
+    fn report(&self, now: Instant, instance: &str) -> Report {
+        let left = self.ends_at.map(|at| at.saturating_duration_since(now).as_millis() as u64);
+        Report {
+            instance: instance.to_owned(),
+            sequence: self.sequence,
+            standing: self.standing,
+            ends_in_ms: left,
+            age_ms: now.saturating_duration_since(self.heard).as_millis() as u64,
+            details: self.details.clone(),
+        }
+    }
+}
+
+/// Difference of two announced ends that the way of the reports can explain.
+const ENDS_TOLERANCE: Duration = Duration::from_millis(300);
--- a/crates/vaneway-relay/src/chunk.rs
+++ b/crates/vaneway-relay/src/chunk.rs
@@ -25,6 +25,9 @@
     pub usage_only: bool,
 }
 
+/// Stands for the text of an event whose content means nothing here.
+const EVENT_TEXT: &str = ".";
+
 /// A chunk that is not in the OpenAI form.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChunkError(String);
@@ -58,6 +61,19 @@
 }
 
 impl Chunk {
+    /// A numbered event whose content means nothing here. It stands for one token, since it must
+    /// reach the caller once like a token.
+    pub fn event(number: Option<TokenOffset>, data: String) -> Self {
+        Self {
+            offset: number,
+            data,
+            text: EVENT_TEXT.to_owned(),
+            created: None,
+            finishes: false,
+            usage_only: false,
+        }
+    }
+
     /// Reads the `data` of one server-sent event; `id` is the event's id, the token offset.
     ///
     /// # Errors
--- a/crates/vaneway-relay/src/lib.rs
+++ b/crates/vaneway-relay/src/lib.rs
@@ -37,6 +37,7 @@
 pub use failure::Failure;
 pub use failure::FailureKind;
 pub use failure::RunState;
+pub use plan::AnswerForm;
 pub use plan::Moves;
 pub use plan::Plan;
 pub use relay::Relay;
--- a/crates/vaneway-relay/src/plan.rs
+++ b/crates/vaneway-relay/src/plan.rs
@@ -5,16 +5,33 @@
 
 use serde::Serialize;
 
+/// What an answer looks like, and so how it can survive its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// In one piece: only a whole one is of use.
+    Whole,
+    /// A stream of tokens whose state can be moved, or computed again from the text so far, so
+    /// that going on elsewhere is the same run.
+    Tokens,
+    /// A stream of numbered events. Going on elsewhere is another run, for which the caller's
+    /// request is sent again with the number of the last event.
+    Events {
+        /// Whether that is allowed.
+        resumable: bool,
+    },
+}
+
 /// What may be done for a request.
 #[derive(Debug, Clone)]
 pub struct Plan {
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// Whether its answer is a stream of tokens that can go on elsewhere.
-    pub streamed: bool,
+    /// What its answer looks like.
+    pub form: AnswerForm,
     /// Whether the caller asked for usage figures at the end of the stream.
     pub wants_usage: bool,
-    /// Most attempts before the answer begins.
+    /// Most endpoints that the request may reach before its answer begins; for a stream of events,
+    /// over its whole life.
     pub max_attempts: u32,
     /// When the caller is given up.
     pub deadline: Instant,
--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -20,6 +20,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::Action;
+use crate::AnswerForm;
 use crate::AttemptId;
 use crate::Chunk;
 use crate::EndpointId;
@@ -44,6 +45,9 @@
 /// count: they cost nothing, and a replacement may come up before the deadline.
 const FRUITLESS_MOST: u32 = 8;
 
+/// Most attempts of one request that never reach their endpoint.
+const UNSENT_MOST: u32 = 8;
+
 /// Part of the time before a reclaim that is kept free for the move itself.
 const MOVE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -82,6 +86,8 @@
     first_chunk: Option<Instant>,
     /// Attempts in a row that brought no new token.
     fruitless: u32,
+    /// Attempts that never reached their endpoint.
+    unsent: u32,
     rng: Pcg64Mcg,
 }
 
@@ -105,6 +111,7 @@
             waiting_since: None,
             first_chunk: None,
             fruitless: 0,
+            unsent: 0,
             rng,
         }
     }
@@ -275,7 +282,7 @@
             self.step(now, RequestEvent::Finished, out);
             return;
         }
-        if self.splice.opened() {
+        if self.splice.opened() && self.plan.form == AnswerForm::Tokens {
             // Only an attempt that was running leaves state behind to fetch.
             self.source = current.accepted.then_some(current.endpoint);
             self.resumable = false;
@@ -304,7 +311,7 @@
 
     /// Whether the caller has all of the answer when an attempt ends with `outcome`.
     fn is_whole(&self, outcome: Outcome) -> bool {
-        if !self.plan.streamed {
+        if self.plan.form != AnswerForm::Tokens {
             return outcome == Outcome::Done;
         }
         let usage_missing = self.plan.wants_usage && outcome != Outcome::Done;
@@ -333,13 +340,15 @@
         if unknown {
             self.may_have_run();
         }
-        if unknown && !self.plan.repeatable {
+        if unknown && !self.may_run_again() {
             self.failure = FailureKind::OutcomeUnknown;
-            self.run = RunState::Unknown;
+            if !self.splice.opened() {
+                self.run = RunState::Unknown;
+            }
             self.step(now, RequestEvent::LostForGood, out);
             return;
         }
-        if self.moves.attempts >= self.plan.max_attempts || !budget.withdraw() {
+        if !self.may_retry(outcome, budget) {
             self.failure = FailureKind::AttemptsExhausted;
             self.step(now, RequestEvent::LostForGood, out);
             return;
@@ -349,6 +358,26 @@
         self.pause(now, pause, out);
     }
 
+    /// Whether the request may run once more.
+    fn may_run_again(&self) -> bool {
+        match self.plan.form {
+            AnswerForm::Events { resumable } if self.splice.opened() => resumable,
+            AnswerForm::Whole | AnswerForm::Tokens | AnswerForm::Events { .. } => {
+                self.plan.repeatable
+            }
+        }
+    }
+
+    /// Whether another attempt is allowed. One that never reached its endpoint cost that nothing,
+    /// so it counts neither against the budget nor as one of the endpoints that were asked.
+    fn may_retry(&mut self, outcome: Outcome, budget: &mut RetryBudget) -> bool {
+        if outcome == Outcome::NotSent {
+            self.unsent += 1;
+            return self.unsent <= UNSENT_MOST;
+        }
+        self.moves.attempts - self.unsent < self.plan.max_attempts && budget.withdraw()
+    }
+
     /// The first retry goes at once to another endpoint, later ones after a growing pause.
     fn backoff(&mut self) -> Duration {
         let Some(doublings) = self.moves.retries.checked_sub(2) else { return Duration::ZERO };
@@ -392,7 +421,7 @@
     /// Whether an attempt at a leaving endpoint is better left alone: because it may not be sent
     /// again, or because it will be over in time.
     fn should_stay(&self, now: Instant, current: Current, last_moment: Instant) -> bool {
-        if !self.plan.streamed {
+        if self.plan.form != AnswerForm::Tokens {
             return true;
         }
         if !self.splice.opened() && !current.accepted {
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Adds an endpoint.
+    pub fn add(&mut self, spec: EndpointSpec) -> EndpointId {
+        self.endpoints.push(Endpoint::new(spec));
+        self.endpoints.len() as EndpointId - 1
+    }
+
     /// Every endpoint, by id.
     pub fn endpoints(&self) -> &[Endpoint] {
         &self.endpoints
--- a/src/core/answer.rs
+++ b/crates/vaneway-server/src/core/callers/answer.rs
@@ -20,8 +20,8 @@
 use serde_json::json;
 use vaneway_relay::Chunk;
 
-use crate::core::api_error::ApiError;
-use crate::core::body::CallerBody;
+use crate::core::callers::api_error::ApiError;
+use crate::util::body::CallerBody;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::outbox;
 
--- a/src/core/api_error.rs
+++ b/crates/vaneway-server/src/core/callers/api_error.rs
@@ -12,9 +12,9 @@
 use serde_json::json;
 use vaneway_relay::Failure;
 use vaneway_relay::FailureKind;
-use vaneway_relay::RunState;
+pub use vaneway_relay::RunState;
 
-use crate::core::body::CallerBody;
+use crate::util::body::CallerBody;
 
 /// Header that says whether the request was run: `not_run`, `ran` or `unknown`.
 pub const RUN_HEADER: HeaderName = HeaderName::from_static("x-vaneway-run");
--- /dev/null
+++ b/crates/vaneway-server/src/core/callers/front.rs
@@ -0,0 +1,53 @@
+//! The callers' listening address.
+
+use std::io;
+use std::rc::Rc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::core::callers::protocol::CallerProtocol;
+use crate::core::entry::Entry;
+use crate::util::body::CallerBody;
+use crate::util::http_server;
+use crate::util::http_server::ConnectionLimits;
+use crate::util::http_server::Handler;
+use crate::util::http_server::HttpServer;
+
+/// What answers callers: the entry, in the callers' protocol.
+#[derive(Debug)]
+struct Front<C> {
+    entry: Rc<Entry>,
+    protocol: C,
+}
+
+/// Starts to listen for callers.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub fn bind<C: CallerProtocol>(entry: Rc<Entry>, protocol: C) -> io::Result<HttpServer> {
+    let timers = entry.timers.clone();
+    let listen = entry.settings.listen;
+    http_server::bind(listen, timers, Rc::new(Front { entry, protocol }))
+}
+
+impl<C: CallerProtocol> Handler for Front<C> {
+    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<CallerBody> {
+        self.protocol.serve(Rc::clone(&self.entry), req).await
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        let limits = self.entry.caller_limits();
+        ConnectionLimits {
+            header_bytes: limits.header_bytes,
+            header_within: limits.header_within,
+            idle_within: limits.idle_within,
+        }
+    }
+
+    fn connections(&self, count: usize) {
+        self.entry.callers.set(count);
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/callers/mod.rs
@@ -0,0 +1,9 @@
+//! Towards callers: protocols, routing by the configuration, errors and bodies.
+
+pub mod answer;
+pub mod api_error;
+pub mod front;
+pub mod own;
+pub mod protocol;
+pub mod ready;
+pub mod routed;
--- a/src/core/front.rs
+++ b/crates/vaneway-server/src/core/callers/own.rs
@@ -1,21 +1,12 @@
-//! The callers' interface: HTTP, paths, organisations and admission.
+//! The product's own interface for callers: paths, organisations and admission.
 //!
 //! Every path ends in one [`Response`]; every refusal is an [`ApiError`], made before anything of
 //! the request was sent to an endpoint.
 
-use std::cell::Cell;
-use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use cyper_core::CompioTimer;
-use futures_channel::oneshot;
-use futures_util::FutureExt as _;
-use futures_util::future::Shared;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::Method;
@@ -26,144 +17,46 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::HeaderMap;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use serde_json::json;
 use vaneway_claims::ClaimKey;
 use vaneway_claims::Digest;
+use vaneway_relay::AnswerForm;
 
-use crate::core::answer::Interface;
-use crate::core::answer::json_response;
-use crate::core::api_error::ApiError;
-use crate::core::body::CallerBody;
+use crate::core::callers::answer::Interface;
+use crate::core::callers::answer::json_response;
+use crate::core::callers::api_error::ApiError;
+use crate::core::callers::protocol::CallerProtocol;
+use crate::core::calls::call;
+use crate::core::calls::call::CallLimits;
+use crate::core::calls::keyed_call;
+use crate::core::calls::model_call;
+use crate::core::endpoints::protocol::CallRequest;
+use crate::core::endpoints::protocol::PlainEndpoints;
 use crate::core::entry::Entry;
 use crate::core::entry::Phase;
-use crate::core::keyed_call;
-use crate::core::model_call;
-use crate::core::plain_call;
 use crate::core::settings::Organisation;
 use crate::core::settings::ServiceKind;
-use crate::util::socket::HttpListener;
-use crate::util::socket::HttpStream;
-
-/// Longest wait for a request's head on an open connection; also the life of an idle one.
-const HEAD_WITHIN: Duration = Duration::from_secs(30);
-
-/// Pause after a failed accept, which mostly means that descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::util::body::CallerBody;
 
 /// Where paths to plain services begin.
 const SERVICES: &str = "/services/";
 
-/// The callers' listening socket and the connections accepted from it.
-#[derive(Debug)]
-pub struct Front {
-    address: SocketAddr,
-    /// Dropped to tell every connection to close after its present request.
-    finish: oneshot::Sender<Infallible>,
-}
-
-type Finish = Shared<oneshot::Receiver<Infallible>>;
-
-/// Starts to listen for callers.
-///
-/// # Errors
-///
-/// If the address can't be bound.
-pub fn bind(entry: Rc<Entry>) -> io::Result<Front> {
-    let listener = HttpListener::bind(entry.settings.listen)?;
-    let address = listener.local_addr()?;
-    let (finish, rx) = oneshot::channel();
-    compio::runtime::spawn(accept(entry, listener, rx.shared())).detach();
-    Ok(Front { address, finish })
-}
-
-impl Front {
-    /// The bound address.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Closes the listening socket, idle connections, and each other connection after its
-    /// present request.
-    pub fn finish(self) {
-        drop(self.finish);
-    }
-}
+/// The product's own interface for callers.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnCallers;
 
-async fn accept(entry: Rc<Entry>, listener: HttpListener, finish: Finish) {
-    loop {
-        let accepted = listener.accept().fuse();
-        let mut finished = finish.clone();
-        futures_util::pin_mut!(accepted);
-        futures_util::select_biased! {
-            _ = finished => return,
-            accepted = accepted => match accepted {
-                Ok(stream) => serve(Rc::clone(&entry), stream, finish.clone()),
-                Err(error) => {
-                    log::warn!("event=accept_failed error={error:?}");
-                    entry.timers.sleep(ACCEPT_PAUSE).await;
-                }
+impl CallerProtocol for OwnCallers {
+    async fn serve(&self, entry: Rc<Entry>, req: Request<Incoming>) -> Response<CallerBody> {
+        match route(&entry, req).await {
+            Ok(response) => response,
+            Err(error) => {
+                entry.metrics.refused.with_label_values(&[error.code]).inc();
+                error.into_response()
             }
         }
     }
 }
 
-struct CallerCount(Rc<Entry>);
-
-impl CallerCount {
-    fn new(entry: Rc<Entry>) -> Self {
-        entry.callers.update(|callers| callers + 1);
-        Self(entry)
-    }
-}
-
-impl Drop for CallerCount {
-    fn drop(&mut self) {
-        Cell::update(&self.0.callers, |callers| callers - 1);
-    }
-}
-
-fn serve(entry: Rc<Entry>, io: HttpStream, finish: Finish) {
-    compio::runtime::spawn(async move {
-        let count = CallerCount::new(Rc::clone(&entry));
-        let header_bytes = entry.settings.limits.header_bytes;
-        // Boxed, so that its memory is free once the response has begun: hyper keeps the place of
-        // a handler for as long as the connection.
-        let service = service_fn(move |req| Box::pin(handle(Rc::clone(&entry), req)));
-        let connection = http1::Builder::new()
-            .timer(CompioTimer)
-            .header_read_timeout(HEAD_WITHIN)
-            .max_buf_size(header_bytes)
-            .serve_connection(io, service);
-        let mut finish = finish;
-        futures_util::pin_mut!(connection);
-        let served = futures_util::select_biased! {
-            served = connection.as_mut().fuse() => served,
-            _ = finish => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
-        if let Err(error) = served {
-            log::debug!("event=caller_connection_closed error={error:?}");
-        }
-        drop(count);
-    })
-    .detach();
-}
-
-async fn handle(
-    entry: Rc<Entry>,
-    req: Request<Incoming>,
-) -> Result<Response<CallerBody>, Infallible> {
-    let response = route(&entry, req).await.unwrap_or_else(|error| {
-        entry.metrics.refused.with_label_values(&[error.code]).inc();
-        error.into_response()
-    });
-    Ok(response)
-}
-
 async fn route(
     entry: &Rc<Entry>,
     req: Request<Incoming>,
@@ -227,7 +120,7 @@
 }
 
 /// Refuses new work while the entry stops or is full.
-fn admit(entry: &Entry) -> Result<(), ApiError> {
+pub(super) fn admit(entry: &Entry) -> Result<(), ApiError> {
     if entry.phase() == Phase::Finishing {
         return Err(ApiError::not_now("stopping", "this entry box is stopping, use another"));
     }
@@ -238,17 +131,21 @@
 }
 
 /// Reads a body whole, within the limits of size and time.
-async fn read_body(entry: &Entry, body: Incoming) -> Result<Bytes, ApiError> {
+pub(super) async fn read_body(
+    entry: &Entry,
+    body: Incoming,
+    most: usize,
+) -> Result<Bytes, ApiError> {
     let limits = &entry.settings.limits;
     let too_large = || {
-        let message = format!("the body is larger than {} bytes", limits.body_bytes);
+        let message = format!("the body is larger than {most} bytes");
         ApiError::rejected(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
     };
-    if body.size_hint().lower() > limits.body_bytes as u64 {
+    if body.size_hint().lower() > most as u64 {
         return Err(too_large());
     }
     let until = Instant::now() + limits.caller_stall;
-    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = Limited::new(body, most).collect();
     match entry.timers.until(until, body).await {
         // A copy: the original is a slice of the connection's read buffer, which it would keep
         // alive for as long as the request is open.
@@ -270,7 +167,7 @@
     let organisation = organisation(entry, req.headers())?;
     admit(entry)?;
     let key = key(req.headers())?;
-    let body = read_body(entry, req.into_body()).await?;
+    let body = read_body(entry, req.into_body(), entry.settings.limits.body_bytes).await?;
     let request = model_call::read(entry, interface, body.clone())?;
     let service = &entry.settings.services[request.service];
     let non_repeatable = service.is_non_repeatable("POST", interface.path());
@@ -308,20 +205,36 @@
     let (head, body) = req.into_parts();
     let settings = &entry.settings.services[service];
     let non_repeatable = settings.is_non_repeatable(head.method.as_str(), &path);
-    let body = read_body(entry, body).await?;
+    let body = read_body(entry, body, entry.settings.limits.body_bytes).await?;
     let claim = key.filter(|_| non_repeatable).map(|key| {
         let digest = keyed_call::digest(head.method.as_str(), &whole_path, &body);
         (ClaimKey { organisation: organisation.name.clone(), key }, digest)
     });
-    let call = plain_call::PlainRequest {
-        service,
+    let limits = CallLimits {
+        max_attempts: settings.max_attempts,
+        deadline: Instant::now() + settings.deadline,
+        patience: settings.patience,
+        head_within: settings.stall,
+        pause_within: settings.stall,
+    };
+    let request = CallRequest {
+        id: entry.next_request_id(),
+        service: service as u32,
+        service_name: settings.name.clone(),
+        organisation: organisation.name.clone(),
         method: head.method,
         path,
         headers: head.headers,
         body,
+        form: AnswerForm::Whole,
         repeatable: !non_repeatable,
+        priority: None,
+        tokens: 1,
+        prefix: 0,
     };
-    let call = plain_call::call(Rc::clone(entry), organisation.clone(), call);
+    let protocol = Rc::new(PlainEndpoints { not_run_header: settings.not_run_header.clone() });
+    let call = call::call(Rc::clone(entry), protocol, request, limits);
+    let call = async { call.await.unwrap_or_else(ApiError::into_response) };
     at_most_once(entry, claim, call).await
 }
 
--- /dev/null
+++ b/crates/vaneway-server/src/core/callers/ready.rs
@@ -0,0 +1,67 @@
+//! The address where balancers ask whether this box is ready.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+use crate::core::entry::Entry;
+use crate::core::entry::Phase;
+use crate::util::body::CallerBody;
+use crate::util::http_server;
+use crate::util::http_server::ConnectionLimits;
+use crate::util::http_server::Handler;
+use crate::util::http_server::HttpServer;
+
+/// Largest head of a question.
+const HEADER_BYTES: usize = 8 << 10;
+
+/// How long a question's head may take, and how long its connection may rest.
+const HEAD_WITHIN: Duration = Duration::from_secs(5);
+const IDLE_WITHIN: Duration = Duration::from_secs(30);
+
+struct Ready(Rc<Entry>);
+
+/// Starts to answer on `listen`: 200 while the box takes requests, else 503.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub fn bind(entry: Rc<Entry>, listen: SocketAddr) -> io::Result<HttpServer> {
+    let timers = entry.timers.clone();
+    http_server::bind(listen, timers, Rc::new(Ready(entry)))
+}
+
+/// Whether the box takes requests and, where there are control boxes, knows where to send them.
+pub fn is_ready(entry: &Entry) -> bool {
+    let configured = entry.settings.follow.is_none() || entry.table().is_some();
+    configured && entry.phase() == Phase::Serving
+}
+
+impl Handler for Ready {
+    async fn handle(self: Rc<Self>, _req: Request<Incoming>) -> Response<CallerBody> {
+        let (status, text) = match is_ready(&self.0) {
+            true => (StatusCode::OK, "ready\n"),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        };
+        let mut response = Response::new(CallerBody::full(Bytes::from_static(text.as_bytes())));
+        *response.status_mut() = status;
+        response
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            header_bytes: HEADER_BYTES,
+            header_within: HEAD_WITHIN,
+            idle_within: IDLE_WITHIN,
+        }
+    }
+
+    fn connections(&self, _count: usize) {}
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -0,0 +1,213 @@
+//! Requests that are routed by the deployment's configuration.
+//!
+//! Data flow: the head gives host, path and key; the configuration in force at this box gives the
+//! route and the organisation; the body is read; the organisation's quota is charged; then the
+//! request is a [`CallRequest`] like any other. A refusal before that tells the caller that its
+//! request did not run and when to come back.
+
+use std::hash::DefaultHasher;
+use std::hash::Hasher as _;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use vaneway_relay::AnswerForm;
+use vaneway_relay::RunState;
+
+use crate::core::callers::api_error::ApiError;
+use crate::core::callers::own;
+use crate::core::callers::protocol::CallerHead;
+use crate::core::callers::protocol::CallerProtocol;
+use crate::core::callers::protocol::ModelWork;
+use crate::core::callers::protocol::RoutedProtocol;
+use crate::core::calls::call;
+use crate::core::calls::call::CallLimits;
+use crate::core::configuration::OrganisationSpec;
+use crate::core::configuration::QuotaUnit;
+use crate::core::configuration::RequestKind;
+use crate::core::configuration::Route;
+use crate::core::configuration::RouteTable;
+use crate::core::endpoints::protocol::CallRequest;
+use crate::core::entry::Entry;
+use crate::util::body::CallerBody;
+use crate::util::logline::Line;
+
+/// Part of a route's objective that a request waits for an endpoint at most. A caller that is
+/// refused by then can still be served in time by another entry box.
+const PATIENCE: f64 = 0.25;
+
+/// Longest pause between two events of a stream before its endpoint counts as lost, in multiples
+/// of the route's objective for pauses, and at least this long.
+const PAUSES_MOST: u32 = 4;
+const PAUSE_LEAST: Duration = Duration::from_millis(2_500);
+
+/// A token that is generated takes about as much of an engine's time as this many of a prompt.
+const PROMPT_TOKENS_A_TOKEN: u64 = 10;
+
+/// A callers' protocol whose requests are routed by the configuration.
+#[derive(Debug)]
+pub struct Routed<P>(pub P);
+
+impl<P: RoutedProtocol> CallerProtocol for Routed<P> {
+    async fn serve(&self, entry: Rc<Entry>, req: Request<Incoming>) -> Response<CallerBody> {
+        let (parts, body) = req.into_parts();
+        let answer = match self.0.read_head(&parts) {
+            Ok(head) => serve(&entry, &self.0, &head, Request::from_parts(parts, body)).await,
+            Err(error) => Err(refused(&entry, "", error)),
+        };
+        answer.unwrap_or_else(|error| self.0.error(&error))
+    }
+}
+
+/// Logs and counts a request that is refused before it reaches an endpoint.
+fn refused(entry: &Entry, id: &str, error: ApiError) -> ApiError {
+    entry.metrics.refused.with_label_values(&[error.code]).inc();
+    let version = entry.table().map(|table| table.configuration().version);
+    Line::new("request_refused")
+        .with("request", id)
+        .with("code", error.code)
+        .with("status", error.status.as_u16())
+        .with("configuration", version.unwrap_or_default())
+        .with("why", &error.message)
+        .info();
+    error
+}
+
+async fn serve<P: RoutedProtocol>(
+    entry: &Rc<Entry>,
+    protocol: &P,
+    head: &CallerHead,
+    req: Request<Incoming>,
+) -> Result<Response<CallerBody>, ApiError> {
+    let received = Instant::now();
+    let (request, limits) = match admit(entry, head, req, received).await {
+        Ok(admitted) => admitted,
+        Err(error) => return Err(refused(entry, &head.id, error)),
+    };
+    let organisation = request.organisation.clone();
+    let units = quota_units(entry, &organisation, head.work.as_ref());
+    let answer = call::call(Rc::clone(entry), protocol.endpoints(), request, limits).await;
+    if let Err(error) = &answer
+        && error.run == RunState::NotRun
+    {
+        entry.give_back(&organisation, units);
+    }
+    answer
+}
+
+/// Checks a request, reads its body and charges its organisation.
+async fn admit(
+    entry: &Rc<Entry>,
+    head: &CallerHead,
+    req: Request<Incoming>,
+    received: Instant,
+) -> Result<(CallRequest, CallLimits), ApiError> {
+    let table = entry.table().ok_or_else(|| {
+        ApiError::not_now("no_configuration", "this entry box has no configuration yet")
+    })?;
+    let (parts, body) = req.into_parts();
+    let route = table.route(&head.host, parts.uri.path()).ok_or_else(|| {
+        let message = format!("no route for host `{}` has a prefix of this path", head.host);
+        ApiError::rejected(StatusCode::NOT_FOUND, "no_route", message)
+    })?;
+    let organisation = organisation(&table, route, head.key.as_deref())?;
+    own::admit(entry)?;
+    let body_bytes = table.configuration().limits.body_bytes;
+    let body = own::read_body(entry, body, body_bytes).await?;
+    let name = organisation.map_or("", |organisation| organisation.name.as_str());
+    let units = quota_units(entry, name, head.work.as_ref());
+    entry.charge(name, units).map_err(|wait| over_quota(name, wait))?;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let service = route.pick(hash(&head.id)).unwrap_or_default();
+    let request = CallRequest {
+        id: head.id.clone(),
+        service: entry.service_id(service),
+        service_name: service.to_owned(),
+        organisation: name.to_owned(),
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+        form: form(route.kind),
+        repeatable: route.kind.repeatable(),
+        priority: organisation.and_then(|o| o.priority).or(Some(route.priority)),
+        tokens: head.work.as_ref().map_or(1, cost),
+        prefix: if route.affine { head.work.as_ref().map_or(0, prefix) } else { 0 },
+    };
+    Ok((request, limits(route, head.time_left, received)))
+}
+
+fn organisation<'a>(
+    table: &'a RouteTable,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a OrganisationSpec>, ApiError> {
+    let found = key.and_then(|key| table.organisation(key));
+    if found.is_some() || route.public || table.configuration().organisations.is_empty() {
+        return Ok(found);
+    }
+    let message = "send `Authorization: Bearer` with the key of a known organisation";
+    Err(ApiError::rejected(StatusCode::UNAUTHORIZED, "unauthorized", message))
+}
+
+fn over_quota(organisation: &str, wait: Duration) -> ApiError {
+    let message = format!("organisation `{organisation}` is over its quota");
+    let mut error = ApiError::rejected(StatusCode::TOO_MANY_REQUESTS, "over_quota", message);
+    error.retry_after = Some(wait);
+    error
+}
+
+/// What a request counts against its organisation's quota.
+fn quota_units(entry: &Entry, organisation: &str, work: Option<&ModelWork>) -> u64 {
+    let table = entry.table();
+    let spec = table.as_ref().and_then(|table| {
+        table.configuration().organisations.iter().find(|spec| spec.name == organisation)
+    });
+    match (spec.map(|spec| spec.unit), work) {
+        (Some(QuotaUnit::Tokens { .. }), Some(work)) => {
+            u64::from(work.prompt_tokens) + u64::from(work.max_tokens)
+        }
+        (Some(QuotaUnit::Tokens { plain }), None) => plain,
+        (Some(QuotaUnit::Requests) | None, _) => 1,
+    }
+}
+
+fn form(kind: RequestKind) -> AnswerForm {
+    match kind {
+        RequestKind::Repeatable | RequestKind::AtMostOnce => AnswerForm::Whole,
+        RequestKind::Stream { resumable } => AnswerForm::Events { resumable },
+    }
+}
+
+fn limits(route: &Route, time_left: Option<Duration>, received: Instant) -> CallLimits {
+    let held = time_left.map_or(route.timeout, |left| left.min(route.timeout));
+    let pause = route.pause_objective.unwrap_or(held) * PAUSES_MOST;
+    CallLimits {
+        max_attempts: route.max_attempts.max(1),
+        deadline: received + held,
+        patience: route.objective.mul_f64(PATIENCE),
+        head_within: held,
+        pause_within: pause.max(PAUSE_LEAST),
+    }
+}
+
+fn hash(value: impl std::hash::Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What a request costs an engine, in tokens of a prompt.
+fn cost(work: &ModelWork) -> u64 {
+    u64::from(work.prompt_tokens) + u64::from(work.max_tokens) * PROMPT_TOKENS_A_TOKEN
+}
+
+/// Hash of the last part of a prompt that other requests share.
+fn prefix(work: &ModelWork) -> u64 {
+    let shared = work.parts.len().checked_sub(2).map(|last| work.parts[last].id);
+    shared.map_or(0, |id| hash(id).max(1))
+}
--- a/src/core/call_events.rs
+++ b/crates/vaneway-server/src/core/calls/call_events.rs
@@ -10,7 +10,7 @@
 use vaneway_relay::Event;
 use vaneway_relay::Failure;
 
-use crate::core::open_requests::OpenGuard;
+use crate::core::calls::open_requests::OpenGuard;
 use crate::util::logline::Line;
 use crate::util::timers::Sleep;
 use crate::util::timers::Timers;
--- a/src/core/keyed_call.rs
+++ b/crates/vaneway-server/src/core/calls/keyed_call.rs
@@ -26,12 +26,12 @@
 use vaneway_claims::Reply;
 use vaneway_relay::RunState;
 
-use crate::core::api_error::ApiError;
-use crate::core::api_error::RUN_HEADER;
-use crate::core::body::CallerBody;
-use crate::core::claims::ClaimEnd;
-use crate::core::claims::Claims;
+use crate::core::callers::api_error::ApiError;
+use crate::core::callers::api_error::RUN_HEADER;
+use crate::core::calls::claims::ClaimEnd;
+use crate::core::calls::claims::Claims;
 use crate::core::entry::Entry;
+use crate::util::body::CallerBody;
 use crate::util::logline::Line;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::OutboxBody;
@@ -59,7 +59,7 @@
     call: impl Future<Output = Response<CallerBody>> + 'static,
 ) -> Result<Response<CallerBody>, ApiError> {
     let Some(claims) = entry.claims.clone() else { return Err(unavailable(&entry)) };
-    let closed = |closed: crate::core::claims::Closed| {
+    let closed = |closed: crate::core::calls::claims::Closed| {
         ApiError::not_now("claims_unavailable", closed.to_string())
     };
     match claims.claim(&key, digest).await.map_err(closed)? {
--- /dev/null
+++ b/crates/vaneway-server/src/core/calls/mod.rs
@@ -0,0 +1,9 @@
+//! Requests under way: decisions over each, from its acceptance to the last byte of its answer.
+
+pub mod call;
+pub mod call_events;
+pub mod claims;
+pub mod events;
+pub mod keyed_call;
+pub mod model_call;
+pub mod open_requests;
--- a/src/core/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -32,6 +32,7 @@
 use serde_json::json;
 use serde_json::value::RawValue;
 use vaneway_relay::Action;
+use vaneway_relay::AnswerForm;
 use vaneway_relay::AttemptId;
 use vaneway_relay::Chunk;
 use vaneway_relay::Event;
@@ -45,20 +46,20 @@
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 
-use crate::core::answer::Answer;
-use crate::core::answer::Interface;
-use crate::core::api_error::ApiError;
-use crate::core::body::CallerBody;
-use crate::core::call_events::CallEvents;
+use crate::core::callers::answer::Answer;
+use crate::core::callers::answer::Interface;
+use crate::core::callers::api_error::ApiError;
+use crate::core::calls::call_events::CallEvents;
+use crate::core::calls::open_requests::OpenRequest;
+use crate::core::endpoints::link::EndpointRequest;
+use crate::core::endpoints::upstream::Connections;
+use crate::core::endpoints::upstream::Item;
+use crate::core::endpoints::upstream::ModelAttempt;
+use crate::core::endpoints::upstream::model_attempt;
 use crate::core::entry::Entry;
 use crate::core::entry::Occupancy;
-use crate::core::link::EndpointRequest;
-use crate::core::open_requests::OpenRequest;
 use crate::core::settings::Organisation;
-use crate::core::upstream::Connections;
-use crate::core::upstream::Item;
-use crate::core::upstream::ModelAttempt;
-use crate::core::upstream::model_attempt;
+use crate::util::body::CallerBody;
 use crate::util::logline::Line;
 use crate::util::timers::Sleep;
 
@@ -209,7 +210,7 @@
     let number = open.request().number;
     let plan = Plan {
         repeatable,
-        streamed: true,
+        form: AnswerForm::Tokens,
         wants_usage: request.wants_usage,
         max_attempts: service.max_attempts,
         deadline: Instant::now() + service.deadline,
--- a/src/core/platform.rs
+++ b/crates/vaneway-server/src/core/cloud_notices.rs
@@ -16,7 +16,7 @@
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 
-use crate::core::cluster;
+use crate::core::cluster::marks;
 use crate::core::entry::Entry;
 use crate::core::settings::Platform;
 use crate::util::logline::Line;
@@ -106,7 +106,7 @@
         let instance =
             Instance { box_name: notice.name.clone(), instance: notice.instance.clone() };
         entry.mark(&instance, gone_at);
-        cluster::learn(entry, &instance, gone_at);
+        marks::learn(entry, &instance, gone_at);
     }
 }
 
--- /dev/null
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -0,0 +1,219 @@
+//! How an entry box follows the control boxes.
+//!
+//! Data flow: one connection to each control box that is known: the seeds of the settings at
+//! first, then whoever the control boxes name. Configuration and endpoints may come from any of
+//! them; the newest counts, so one control box that is cut off or behind takes nothing away. The
+//! use of quotas is told to all; what the others used is taken from one connection at a time, the
+//! first that works, since two control boxes may have heard different parts of it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::core::cluster::wire::CONNECT_WITHIN;
+use crate::core::cluster::wire::FromEntry;
+use crate::core::cluster::wire::PING_EVERY;
+use crate::core::cluster::wire::RECONNECT_AFTER;
+use crate::core::cluster::wire::SILENCE_MOST;
+use crate::core::cluster::wire::ToControl;
+use crate::core::cluster::wire::ToEntry;
+use crate::core::endpoints::registered;
+use crate::core::entry::Entry;
+use crate::core::settings::FollowSettings;
+use crate::core::usage::ClusterTime;
+use crate::util::frames;
+use crate::util::frames::Outgoing;
+use crate::util::logline::Line;
+use crate::util::socket;
+
+/// Time between two reports of what requests used.
+const USE_EVERY: Duration = Duration::from_millis(200);
+
+/// Largest step by which a better estimate of the cluster's time may differ without a log line.
+const CLOCK_STEP: Duration = Duration::from_millis(250);
+
+#[derive(Debug)]
+struct Follower {
+    entry: Rc<Entry>,
+    settings: FollowSettings,
+    /// Control boxes to which a connection is kept.
+    kept: RefCell<BTreeSet<SocketAddr>>,
+    /// Connections that are open.
+    open: RefCell<BTreeMap<SocketAddr, Rc<Connection>>>,
+    /// Round trip of the exchange that gave the present estimate of the cluster's time, and when.
+    clock_from: Cell<Option<(Duration, Instant)>>,
+}
+
+#[derive(Debug, Default)]
+struct Connection {
+    outgoing: Outgoing,
+    /// Units of the others as last told here; none before the first time.
+    others: RefCell<Option<BTreeMap<String, i64>>>,
+}
+
+/// How old an estimate of the cluster's time may be before a worse one replaces it.
+const CLOCK_KEPT: Duration = Duration::from_secs(20);
+
+/// Follows the control boxes until dropped.
+pub async fn follow(entry: Rc<Entry>) {
+    let Some(settings) = entry.settings.follow.clone() else { return };
+    let seeds = settings.seeds.clone();
+    let follower = Rc::new(Follower {
+        entry,
+        settings,
+        kept: RefCell::default(),
+        open: RefCell::default(),
+        clock_from: Cell::new(None),
+    });
+    follower.keep(&seeds);
+    let mut pinged = Instant::now();
+    loop {
+        follower.entry.timers.sleep(USE_EVERY).await;
+        let report = follower.entry.used.borrow().report();
+        let ping = pinged.elapsed() >= PING_EVERY;
+        if ping {
+            pinged = Instant::now();
+        }
+        for connection in follower.open.borrow().values() {
+            connection.send(FromEntry::Use(report.clone()));
+            if ping {
+                connection.send(FromEntry::Ping { sent_us: follower.steady_us() });
+            }
+        }
+    }
+}
+
+impl Connection {
+    fn send(&self, message: FromEntry) {
+        self.outgoing.send(&ToControl::Entry(message));
+    }
+}
+
+impl Follower {
+    /// Keeps a connection to each of these control boxes and to the seeds, and to no others.
+    fn keep(self: &Rc<Self>, addresses: &[SocketAddr]) {
+        let wanted: BTreeSet<SocketAddr> =
+            addresses.iter().chain(&self.settings.seeds).copied().collect();
+        let before = self.kept.replace(wanted.clone());
+        for address in wanted.difference(&before) {
+            let follower = Rc::clone(self);
+            let address = *address;
+            compio::runtime::spawn(async move { follower.keep_one(address).await }).detach();
+        }
+        for address in before.difference(&wanted) {
+            if let Some(connection) = self.open.borrow().get(address) {
+                connection.outgoing.close();
+            }
+        }
+    }
+
+    /// Opens a connection again and again while it is wanted.
+    async fn keep_one(self: Rc<Self>, address: SocketAddr) {
+        let timers = self.entry.timers.clone();
+        while self.kept.borrow().contains(&address) {
+            let until = Instant::now() + CONNECT_WITHIN;
+            match timers.until(until, socket::connect(address)).await {
+                Some(Ok(stream)) => self.run(address, stream).await,
+                Some(Err(error)) => {
+                    log::debug!("event=control_unreachable address={address} error={error:?}");
+                }
+                None => log::debug!("event=control_unreachable address={address} error=timeout"),
+            }
+            timers.sleep(RECONNECT_AFTER).await;
+        }
+    }
+
+    async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::TcpStream) {
+        if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
+            log::warn!("event=socket_option_failed error={error:?}");
+        }
+        let connection = Rc::new(Connection::default());
+        connection.send(FromEntry::Hello {
+            name: self.entry.settings.name.clone(),
+            boot: self.entry.boot(),
+        });
+        connection.send(FromEntry::Ping { sent_us: self.steady_us() });
+        self.open.borrow_mut().insert(address, Rc::clone(&connection));
+        Line::new("control_connected").with("address", address).info();
+        let on_frame = |frame: &[u8]| {
+            match frames::decode::<ToEntry>(frame) {
+                Some(message) => self.received(address, &connection, message),
+                None => self.entry.metrics.datagrams_dropped.inc(),
+            }
+            true
+        };
+        let timers = &self.entry.timers;
+        let ended =
+            frames::drive(timers, &stream, &connection.outgoing, SILENCE_MOST, on_frame).await;
+        self.open.borrow_mut().remove(&address);
+        let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
+        Line::new("control_lost").with("address", address).with("why", why).info();
+    }
+
+    fn received(self: &Rc<Self>, from: SocketAddr, connection: &Connection, message: ToEntry) {
+        match message {
+            ToEntry::Pong { sent_us, time_us } => self.learn_time(sent_us, time_us),
+            ToEntry::Configuration(configuration) => self.entry.configure(configuration),
+            ToEntry::Registry(reports) => registered::apply(&self.entry, &reports),
+            ToEntry::ControlBoxes(addresses) => {
+                if !addresses.is_empty() {
+                    self.keep(&addresses);
+                }
+            }
+            ToEntry::OthersUse { entries, units } => {
+                self.others_used(from, connection, entries, units);
+            }
+        }
+    }
+
+    /// Takes what the others used since this connection last told, if it is the one to go by.
+    fn others_used(
+        &self,
+        from: SocketAddr,
+        connection: &Connection,
+        entries: u32,
+        units: Vec<(String, i64)>,
+    ) {
+        let units: BTreeMap<String, i64> = units.into_iter().collect();
+        let first = self.open.borrow().keys().next().copied();
+        let before = connection.others.replace(Some(units.clone()));
+        let Some(before) = before.filter(|_| first == Some(from)) else { return };
+        for (organisation, units) in &units {
+            let known = before.get(organisation).copied().unwrap_or_default();
+            self.entry.others_used(organisation, (units - known) as f64, entries);
+        }
+    }
+
+    /// Microseconds of this box's steady clock, from any fixed time on.
+    fn steady_us(&self) -> u64 {
+        self.entry.up().as_micros() as u64
+    }
+
+    /// Estimates the cluster's time as in the middle of the exchange; the shortest round trip of
+    /// late gives the best estimate.
+    fn learn_time(&self, sent_us: u64, time_us: u64) {
+        let now = Instant::now();
+        let round_trip = Duration::from_micros(self.steady_us().saturating_sub(sent_us));
+        if let Some((best, at)) = self.clock_from.get()
+            && round_trip > best
+            && now.saturating_duration_since(at) < CLOCK_KEPT
+        {
+            return;
+        }
+        self.clock_from.set(Some((round_trip, now)));
+        let clock = ClusterTime::new(now, Duration::from_micros(time_us) + round_trip / 2);
+        let before = self.entry.used.borrow().clock();
+        let step = before.map_or(Duration::ZERO, |before| {
+            before.since_epoch(now).abs_diff(clock.since_epoch(now))
+        });
+        if step > CLOCK_STEP {
+            Line::new("cluster_time_stepped").with("by_ms", step.as_millis()).warn();
+        }
+        self.entry.used.borrow_mut().set_clock(clock, self.settings.window);
+    }
+}
--- a/src/core/cluster.rs
+++ b/crates/vaneway-server/src/core/cluster/marks.rs
@@ -17,9 +17,9 @@
 use vaneway_marks::Message;
 use vaneway_marks::TICK;
 
-use crate::core::datagram::Envelope;
-use crate::core::datagram::seal;
-use crate::core::datagram::unseal;
+use crate::core::cluster::datagram::Envelope;
+use crate::core::cluster::datagram::seal;
+use crate::core::cluster::datagram::unseal;
 use crate::core::entry::Entry;
 
 /// Largest datagram that is read.
--- /dev/null
+++ b/crates/vaneway-server/src/core/cluster/mod.rs
@@ -0,0 +1,10 @@
+//! What the boxes of a deployment tell each other.
+//!
+//! - [`marks`] and [`datagram`]: leaving marks between entry boxes that their settings list;
+//! - [`wire`]: the messages between entry and control boxes;
+//! - [`follow`]: how an entry box follows the control boxes.
+
+pub mod datagram;
+pub mod follow;
+pub mod marks;
+pub mod wire;
--- /dev/null
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -0,0 +1,103 @@
+//! The messages between entry and control boxes, over TCP in `postcard`.
+//!
+//! An entry box opens a connection to every control box that it knows and says who it is; so does
+//! every control box. Whatever is lost with a connection is sent whole again over the next one:
+//! configuration and registry are values of which only the newest counts, and the agreement sends
+//! again by itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use vaneway_agreement::NodeId;
+use vaneway_registry::Report;
+
+use crate::core::configuration::Configuration;
+use crate::core::usage::UseReport;
+
+/// Time between two signs of life on a connection.
+pub const PING_EVERY: Duration = Duration::from_millis(400);
+
+/// Silence after which a connection counts as broken.
+pub const SILENCE_MOST: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for a connection to open.
+pub const CONNECT_WITHIN: Duration = Duration::from_millis(600);
+
+/// Pause before a connection that broke is opened again.
+pub const RECONNECT_AFTER: Duration = Duration::from_millis(200);
+
+/// A message of an entry box to a control box.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FromEntry {
+    /// Who I am; the first message.
+    Hello {
+        /// The box's name.
+        name: String,
+        /// A number that no earlier start of this box had.
+        boot: u64,
+    },
+    /// I am there.
+    Ping {
+        /// When this was sent, in microseconds of the sender's steady clock.
+        sent_us: u64,
+    },
+    /// What my requests used.
+    Use(UseReport),
+}
+
+/// A message of a control box to an entry box.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// Answer to [`FromEntry::Ping`].
+    Pong {
+        /// The ping's own time.
+        sent_us: u64,
+        /// The cluster's time since 1970, in microseconds.
+        time_us: u64,
+    },
+    /// A configuration that is agreed on.
+    Configuration(Configuration),
+    /// News of endpoints.
+    Registry(Vec<Report>),
+    /// The control boxes, by the addresses for other boxes.
+    ControlBoxes(Vec<SocketAddr>),
+    /// Quota units that the other entry boxes have taken, as this control box knows.
+    OthersUse {
+        /// Entry boxes that are there.
+        entries: u32,
+        /// Units by organisation.
+        units: Vec<(String, i64)>,
+    },
+}
+
+/// A message between control boxes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum BetweenControl {
+    /// Who I am; the first message.
+    Hello {
+        /// The sender's node.
+        node: NodeId,
+    },
+    /// I am there, and this is my time of day.
+    Ping {
+        /// Microseconds since 1970 by the sender's clock.
+        time_us: u64,
+    },
+    /// A message of the agreement.
+    Agreement(vaneway_agreement::Message),
+    /// I have no part in the agreement, or hear no leader: let me join.
+    Join,
+    /// News of endpoints.
+    Registry(Vec<Report>),
+}
+
+/// Any first or later message that a control box gets on a connection.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToControl {
+    /// From an entry box.
+    Entry(FromEntry),
+    /// From another control box.
+    Control(BetweenControl),
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -0,0 +1,124 @@
+//! What the leader does towards the cloud: reports of what organisations used.
+//!
+//! Why a report is agreed on before it is sent: whoever leads next must send the same. The leader
+//! fixes a window's counts in the log a little after its end, and sends what is fixed until the
+//! cloud has taken it; a new leader sends the latest reports again, which the cloud takes for the
+//! same. Nothing is sent without a lease that is valid at that moment, and a new leader waits
+//! until calls of the one before must have arrived.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::core::control::group;
+use crate::core::control::machine::Command;
+use crate::core::control::protocol::CloudProtocol;
+use crate::core::control::protocol::Holder;
+use crate::core::control::state::Control;
+use crate::core::settings::CloudSettings;
+use crate::core::usage::Window;
+use crate::util::logline::Line;
+
+/// Time between two looks at what is due.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
+
+/// Time after a window's end at which its counts are fixed: entry boxes have told them by then.
+const FIX_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Time that a new leader waits, so that calls of the one before have arrived.
+const TAKE_OVER_AFTER: Duration = Duration::from_secs(1);
+
+/// How long one call may take.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+
+/// How long the fixing of a report may take.
+const FIX_WITHIN: Duration = Duration::from_secs(1);
+
+/// Windows before the present one for which a report may still be of use.
+const WINDOWS_BACK: u64 = 4;
+
+/// Largest answer of the cloud that is read.
+const ANSWER_BYTES_MOST: usize = 64 << 10;
+
+/// Does the leader's duties until dropped.
+pub async fn run<C: CloudProtocol>(control: Rc<Control>, protocol: C) {
+    let Some(cloud) = control.settings.cloud.clone() else { return };
+    let mut sent = BTreeSet::new();
+    let mut began: Option<Window> = None;
+    loop {
+        control.timers.sleep(LOOK_EVERY).await;
+        if cloud.usage_reports {
+            let window = present_window(&control);
+            let first = *began.get_or_insert(window);
+            if holds_duty(&control) {
+                fix_reports(&control, first, window).await;
+                send_reports(&control, &cloud, &protocol, &mut sent, window).await;
+            }
+        }
+    }
+}
+
+fn present_window(control: &Control) -> Window {
+    let length = control.settings.window.as_millis().max(1);
+    (control.time().as_millis() / length) as Window
+}
+
+/// Whether this box may act for the deployment now.
+fn holds_duty(control: &Control) -> bool {
+    let settled = control.leads_since.get().is_some_and(|since| since.elapsed() > TAKE_OVER_AFTER);
+    settled && control.leads_surely() && !control.stopping.get()
+}
+
+/// Fixes the counts of windows that ended and have no report yet.
+async fn fix_reports(control: &Rc<Control>, first: Window, present: Window) {
+    let length = control.settings.window;
+    for window in present.saturating_sub(WINDOWS_BACK).max(first)..present {
+        let known = control.machine.borrow().usage().contains_key(&window);
+        let end = Duration::from_millis((window + 1) * length.as_millis() as u64);
+        if known || control.time() < end + FIX_AFTER {
+            continue;
+        }
+        let counts = control.use_ledger.borrow().counts(window);
+        let command = Command::FixUsage { window, counts };
+        group::propose(control, &command, Instant::now() + FIX_WITHIN).await;
+    }
+}
+
+/// Sends the reports that the cloud has not taken from this box.
+async fn send_reports<C: CloudProtocol>(
+    control: &Rc<Control>,
+    cloud: &CloudSettings,
+    protocol: &C,
+    sent: &mut BTreeSet<Window>,
+    present: Window,
+) {
+    let from = present.saturating_sub(WINDOWS_BACK);
+    sent.retain(|window| *window >= from);
+    let due: Vec<_> = {
+        let machine = control.machine.borrow();
+        let due = machine.usage().range(from..).filter(|(window, _)| !sent.contains(window));
+        due.map(|(window, counts)| (*window, counts.clone())).collect()
+    };
+    for (window, counts) in due {
+        if !holds_duty(control) {
+            return;
+        }
+        let fence = control.node.borrow().term();
+        let holder = Holder { name: control.settings.name.clone(), fence };
+        let req = protocol.usage_report(&holder, window, &counts);
+        let until = Instant::now() + ANSWER_WITHIN;
+        let (connections, timers) = (&control.connections, &control.timers);
+        let exchange = connections.exchange(timers, cloud.address, req, ANSWER_BYTES_MOST, until);
+        let taken = exchange.await.is_some();
+        Line::new("usage_report")
+            .with("window", window)
+            .with("requests", counts.values().sum::<u64>())
+            .with("fence", fence)
+            .with("taken", taken)
+            .info();
+        if taken {
+            sent.insert(window);
+        }
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -0,0 +1,211 @@
+//! The agreement between control boxes, driven: its messages, timers, disk and proposals.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_channel::oneshot;
+use vaneway_agreement::Action;
+use vaneway_agreement::Entry;
+use vaneway_agreement::Event;
+use vaneway_agreement::NodeId;
+use vaneway_agreement::Payload;
+use vaneway_agreement::Role;
+use vaneway_agreement::Term;
+
+use crate::core::cluster::wire::BetweenControl;
+use crate::core::control::links;
+use crate::core::control::machine::Command;
+use crate::core::control::machine::Effect;
+use crate::core::control::membership;
+use crate::core::control::membership::MemberView;
+use crate::core::control::state::Control;
+use crate::core::control::state::Pending;
+use crate::core::control::state::Proposed;
+use crate::util::logline::Line;
+
+/// Time between a leader's heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_millis(150);
+
+/// Shortest silence of a leader before another is sought.
+pub const ELECTION: Duration = Duration::from_millis(900);
+
+/// Largest difference in speed between two clocks, in parts of a thousand.
+pub const DRIFT_PER_MILLE: u32 = 10;
+
+/// Longest time between two looks at the agreement's deadline, which can come forward meanwhile.
+const LOOK_EVERY: Duration = Duration::from_millis(75);
+
+/// Time between two looks at the members.
+const MAINTAIN_EVERY: Duration = Duration::from_millis(200);
+
+/// Time without a leader after which a node asks to join: it may have been taken out.
+const JOIN_AFTER: Duration = Duration::from_millis(2_500);
+
+/// How long a request to join counts.
+const JOINING_FOR: Duration = Duration::from_secs(2);
+
+/// Applies an event and carries out what it brings.
+pub fn step(control: &Rc<Control>, event: Event) {
+    let mut actions = Vec::new();
+    control.node.borrow_mut().handle(Instant::now(), event, &mut actions);
+    for action in actions {
+        perform(control, action);
+    }
+    if control.node.borrow().leader().is_some() {
+        control.led_at.set(Instant::now());
+    }
+}
+
+fn perform(control: &Rc<Control>, action: Action) {
+    match action {
+        Action::Send { to, message } => {
+            links::send_to_node(control, to, &BetweenControl::Agreement(message));
+        }
+        Action::Persist(persist) => {
+            if control.persist.unbounded_send(persist).is_err() {
+                log::error!("event=store_task_ended");
+            }
+        }
+        Action::Proposed { ticket, term, index } => {
+            if let Some(tx) = control.tickets.borrow_mut().remove(&ticket) {
+                control.pending.borrow_mut().insert(index, Pending { term, tx });
+            }
+        }
+        Action::Refused { ticket, refusal } => {
+            log::debug!("event=proposal_refused refusal={refusal:?}");
+            if let Some(tx) = control.tickets.borrow_mut().remove(&ticket) {
+                let _gone = tx.send(Proposed::NotTaken);
+            }
+        }
+        Action::Commit { entries } => {
+            for entry in entries {
+                committed(control, entry);
+            }
+        }
+        Action::RoleChanged { role, term } => role_changed(control, role, term),
+    }
+}
+
+fn committed(control: &Rc<Control>, entry: Entry) {
+    let Entry { term, index, payload } = entry;
+    match payload {
+        Payload::Noop => {}
+        Payload::Members(members) => {
+            Line::new("members")
+                .with("index", index)
+                .with("voters", list(members.voters))
+                .with("learners", list(members.learners))
+                .info();
+        }
+        Payload::Command(bytes) => match Command::decode(&bytes) {
+            Ok(command) => apply(control, command, index),
+            Err(error) => {
+                Line::new("command_unreadable").with("index", index).with("error", error).error();
+            }
+        },
+    }
+    let pending = control.pending.borrow_mut().remove(&index);
+    if let Some(pending) = pending {
+        let same = pending.term == term;
+        let became = if same { Proposed::Committed } else { Proposed::NotTaken };
+        let _gone = pending.tx.send(became);
+    }
+}
+
+fn list(nodes: impl IntoIterator<Item = NodeId>) -> String {
+    let names = nodes
+        .into_iter()
+        .map(|node| format!("{}/{}", crate::core::control::state::node_address(node), node as u32));
+    names.collect::<Vec<_>>().join(",")
+}
+
+fn apply(control: &Rc<Control>, command: Command, index: u64) {
+    let effect = control.machine.borrow_mut().apply(command);
+    match effect {
+        Effect::Nothing => {}
+        Effect::Configured => {
+            let held = control.machine.borrow().held().cloned();
+            if let Some(held) = held {
+                Line::new("configuration_agreed")
+                    .with("version", held.configuration.version)
+                    .with("index", index)
+                    .info();
+                links::spread_configuration(control, &held.configuration);
+            }
+        }
+        Effect::UsageFixed(window) => log::debug!("event=usage_fixed window={window}"),
+    }
+}
+
+fn role_changed(control: &Rc<Control>, role: Role, term: Term) {
+    Line::new("role").with("role", format!("{role:?}")).with("term", term).info();
+    let leads = role == Role::Leader;
+    control.leads_since.set(leads.then(Instant::now));
+}
+
+/// Lets time pass for the agreement until dropped.
+pub async fn run_timers(control: Rc<Control>) {
+    loop {
+        let deadline = control.node.borrow().next_deadline();
+        let look = deadline.min(Instant::now() + LOOK_EVERY);
+        control.timers.sleep_until(look).await;
+        step(&control, Event::Tick);
+    }
+}
+
+/// Keeps the members as they should be, or asks to become one, until dropped.
+pub async fn maintain(control: Rc<Control>) {
+    loop {
+        control.timers.sleep(MAINTAIN_EVERY).await;
+        if control.stopping.get() {
+            continue;
+        }
+        let leads = control.node.borrow().role() == Role::Leader;
+        if leads {
+            change_members(&control);
+        } else if control.led_at.get().elapsed() > JOIN_AFTER {
+            links::send_to_all(&control, &BetweenControl::Join);
+        }
+    }
+}
+
+fn change_members(control: &Rc<Control>) {
+    let now = Instant::now();
+    control.joining.borrow_mut().retain(|_, asked| now - *asked < JOINING_FOR);
+    let joining: Vec<NodeId> = control.joining.borrow().keys().copied().collect();
+    let change = {
+        let node = control.node.borrow();
+        let members = node.log().members();
+        let view = |id: NodeId, voter: bool| MemberView {
+            node: id,
+            voter,
+            caught_up: id == node.id() || node.matched(id) >= node.committed(),
+            silent: node.silence(id, now),
+        };
+        let voters = members.voters.iter().map(|id| view(*id, true));
+        let learners = members.learners.iter().map(|id| view(*id, false));
+        let members: Vec<MemberView> = voters.chain(learners).collect();
+        membership::next_change(node.id(), &members, &joining)
+    };
+    if let Some(change) = change {
+        log::debug!("event=member_change change={change:?}");
+        let ticket = next_ticket(control);
+        step(control, Event::Change { ticket, change });
+    }
+}
+
+fn next_ticket(control: &Control) -> u64 {
+    control.next_ticket.update(|ticket| ticket + 1);
+    control.next_ticket.get()
+}
+
+/// Proposes a command and waits until it is applied here; none if that is not known by `until`,
+/// in which case it may still be applied later.
+pub async fn propose(control: &Rc<Control>, command: &Command, until: Instant) -> Option<Proposed> {
+    let (tx, rx) = oneshot::channel();
+    let ticket = next_ticket(control);
+    control.tickets.borrow_mut().insert(ticket, tx);
+    step(control, Event::Propose { ticket, command: command.encode() });
+    control.timers.until(until, rx).await?.ok()
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -0,0 +1,370 @@
+//! Connections of a control box: those that entry boxes and other control boxes open to it, and
+//! those that it opens to other control boxes.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use vaneway_agreement::Event;
+use vaneway_agreement::NodeId;
+use vaneway_registry::Change;
+use vaneway_registry::InstanceId;
+use vaneway_registry::Report;
+
+use crate::core::cluster::wire::BetweenControl;
+use crate::core::cluster::wire::CONNECT_WITHIN;
+use crate::core::cluster::wire::FromEntry;
+use crate::core::cluster::wire::PING_EVERY;
+use crate::core::cluster::wire::RECONNECT_AFTER;
+use crate::core::cluster::wire::SILENCE_MOST;
+use crate::core::cluster::wire::ToControl;
+use crate::core::cluster::wire::ToEntry;
+use crate::core::configuration::Configuration;
+use crate::core::control::group;
+use crate::core::control::state::Control;
+use crate::core::usage::EntryStart;
+use crate::util::clock;
+use crate::util::frames;
+use crate::util::frames::Outgoing;
+use crate::util::logline::Line;
+use crate::util::socket;
+use crate::util::socket::TcpListener;
+use crate::util::socket::TcpStream;
+
+/// Time between two reports to entry boxes of what the others used.
+const USE_EVERY: Duration = Duration::from_millis(200);
+
+/// Time between two looks at which control boxes to be connected with.
+const PEERS_EVERY: Duration = Duration::from_millis(300);
+
+/// Time between two reports to other control boxes of endpoints that are merely still there.
+const REFRESH_EVERY: Duration = Duration::from_millis(500);
+
+/// A connection of an entry box.
+#[derive(Debug)]
+pub struct EntryLink {
+    /// Who it is.
+    pub start: EntryStart,
+    outgoing: Outgoing,
+}
+
+/// A connection to another control box, opened again whenever it breaks.
+#[derive(Debug, Default)]
+pub struct PeerLink {
+    outgoing: RefCell<Option<Outgoing>>,
+    /// Endpoints of which the peer has to hear again.
+    refreshed: RefCell<BTreeSet<InstanceId>>,
+}
+
+/// Sends a message to a node, if there is a connection to its box.
+pub fn send_to_node(control: &Control, node: NodeId, message: &BetweenControl) {
+    let address = control.cluster_address(node);
+    if let Some(peer) = control.peers.borrow().get(&address) {
+        peer.send(message);
+    }
+}
+
+/// Sends a message to every control box that is known.
+pub fn send_to_all(control: &Control, message: &BetweenControl) {
+    for peer in control.peers.borrow().values() {
+        peer.send(message);
+    }
+}
+
+impl PeerLink {
+    fn send(&self, message: &BetweenControl) {
+        if let Some(outgoing) = &*self.outgoing.borrow() {
+            outgoing.send(&ToControl::Control(message.clone()));
+        }
+    }
+}
+
+/// Tells every entry box of a configuration.
+pub fn spread_configuration(control: &Control, configuration: &Configuration) {
+    let message = ToEntry::Configuration(configuration.clone());
+    for entry in control.entries.borrow().values() {
+        entry.outgoing.send(&message);
+    }
+}
+
+/// Takes reports of endpoints in and spreads what is news; `direct` if an endpoint told this box.
+pub fn learn_endpoints(control: &Control, reports: &[Report], direct: bool) {
+    let now = Instant::now();
+    let mut news = Vec::new();
+    for report in reports {
+        let change = control.registry.borrow_mut().merge(now, report);
+        match change {
+            Change::News => news.extend(control.registry.borrow().report(now, &report.instance)),
+            Change::Refreshed if direct => {
+                for peer in control.peers.borrow().values() {
+                    peer.refreshed.borrow_mut().insert(report.instance.clone());
+                }
+            }
+            Change::Refreshed | Change::Nothing => {}
+        }
+    }
+    if news.is_empty() {
+        return;
+    }
+    for report in &news {
+        Line::new("endpoint")
+            .with("replica", &report.instance)
+            .with("standing", report.standing.name())
+            .with("sequence", report.sequence)
+            .with("direct", direct)
+            .info();
+    }
+    let message = ToEntry::Registry(news.clone());
+    for entry in control.entries.borrow().values() {
+        entry.outgoing.send(&message);
+    }
+    send_to_all(control, &BetweenControl::Registry(news));
+}
+
+/// Accepts connections until dropped.
+pub async fn accept(control: Rc<Control>, listener: TcpListener) {
+    /// Pause after a failed accept, which mostly means that descriptors ran out.
+    const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+    loop {
+        match listener.accept().await {
+            Ok(stream) => {
+                let control = Rc::clone(&control);
+                compio::runtime::spawn(async move { serve(control, stream).await }).detach();
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error={error:?}");
+                control.timers.sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Whom a connection belongs to, once it said so.
+#[derive(Debug)]
+enum Sender {
+    Unknown,
+    Entry { link: u64, start: EntryStart },
+    Control { node: NodeId },
+}
+
+async fn serve(control: Rc<Control>, stream: TcpStream) {
+    if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
+        log::warn!("event=socket_option_failed error={error:?}");
+    }
+    let outgoing = Outgoing::default();
+    let mut sender = Sender::Unknown;
+    let on_frame = |frame: &[u8]| match frames::decode::<ToControl>(frame) {
+        Some(message) => {
+            received(&control, &outgoing, &mut sender, message);
+            true
+        }
+        None => {
+            control.unreadable.update(|count| count + 1);
+            true
+        }
+    };
+    let ended = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
+    if let Sender::Entry { link, start } = sender {
+        control.entries.borrow_mut().remove(&link);
+        let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
+        Line::new("entry_lost").with("entry", start.0).with("why", why).info();
+    }
+}
+
+fn received(control: &Rc<Control>, outgoing: &Outgoing, sender: &mut Sender, message: ToControl) {
+    match message {
+        ToControl::Entry(FromEntry::Hello { name, boot }) => {
+            *sender = welcome(control, outgoing, (name, boot));
+        }
+        ToControl::Entry(FromEntry::Ping { sent_us }) => {
+            let time_us = control.time().as_micros() as u64;
+            outgoing.send(&ToEntry::Pong { sent_us, time_us });
+        }
+        ToControl::Entry(FromEntry::Use(report)) => {
+            if let Sender::Entry { start, .. } = sender {
+                control.use_ledger.borrow_mut().merge(start, &report);
+            }
+        }
+        ToControl::Control(message) => {
+            from_control(control, outgoing, sender, message);
+        }
+    }
+}
+
+/// Takes an entry box in and tells it all that it must know.
+fn welcome(control: &Control, outgoing: &Outgoing, start: EntryStart) -> Sender {
+    control.next_link.update(|link| link + 1);
+    let link = control.next_link.get();
+    Line::new("entry_connected").with("entry", &start.0).with("boot", start.1).info();
+    outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
+    if let Some(held) = control.machine.borrow().held() {
+        outgoing.send(&ToEntry::Configuration(held.configuration.clone()));
+    }
+    let reports = control.registry.borrow().reports(Instant::now());
+    outgoing.send(&ToEntry::Registry(reports));
+    let entry = EntryLink { start: start.clone(), outgoing: outgoing.clone() };
+    control.entries.borrow_mut().insert(link, Rc::new(entry));
+    Sender::Entry { link, start }
+}
+
+/// The control boxes that take part, by their addresses for other boxes; none while this box
+/// doesn't know.
+fn control_boxes(control: &Control) -> Vec<SocketAddr> {
+    let node = control.node.borrow();
+    let members = node.log().members();
+    let boxes: BTreeSet<_> = members.all().map(|node| control.cluster_address(node)).collect();
+    boxes.into_iter().collect()
+}
+
+fn from_control(
+    control: &Rc<Control>,
+    outgoing: &Outgoing,
+    sender: &mut Sender,
+    message: BetweenControl,
+) {
+    if let BetweenControl::Hello { node } = message {
+        *sender = Sender::Control { node };
+        // What the peer missed while there was no connection.
+        let reports = control.registry.borrow().reports(Instant::now());
+        outgoing.send(&BetweenControl::Registry(reports));
+        return;
+    }
+    let Sender::Control { node } = *sender else {
+        control.unreadable.update(|count| count + 1);
+        return;
+    };
+    match message {
+        BetweenControl::Hello { .. } => {}
+        BetweenControl::Ping { time_us } => {
+            let time = Duration::from_micros(time_us);
+            control.clock.borrow_mut().learn(Instant::now(), node, time);
+            outgoing.send(&ping());
+        }
+        BetweenControl::Agreement(message) => {
+            group::step(control, Event::Message { from: node, message });
+        }
+        BetweenControl::Join => {
+            control.joining.borrow_mut().insert(node, Instant::now());
+        }
+        BetweenControl::Registry(reports) => learn_endpoints(control, &reports, false),
+    }
+}
+
+fn ping() -> BetweenControl {
+    BetweenControl::Ping { time_us: clock::since_epoch().as_micros() as u64 }
+}
+
+/// Tells the entry boxes again and again what the others used, until dropped.
+pub async fn tell_entries(control: Rc<Control>) {
+    let mut boxes = Vec::new();
+    loop {
+        control.timers.sleep(USE_EVERY).await;
+        let now_boxes = control_boxes(&control);
+        let changed = boxes != now_boxes;
+        let links: Vec<Rc<EntryLink>> = control.entries.borrow().values().cloned().collect();
+        let count = links.len() as u32;
+        let ledger = control.use_ledger.borrow();
+        let total = ledger.units();
+        for link in &links {
+            let units = ledger.without(&total, &link.start);
+            link.outgoing.send(&ToEntry::OthersUse { entries: count, units });
+            if changed {
+                link.outgoing.send(&ToEntry::ControlBoxes(now_boxes.clone()));
+            }
+        }
+        boxes = now_boxes;
+    }
+}
+
+/// Keeps a connection to every other control box until dropped.
+pub async fn keep_peers(control: Rc<Control>) {
+    let own = control.settings.cluster_listen;
+    loop {
+        let mut wanted: BTreeSet<SocketAddr> = control.settings.seeds.iter().copied().collect();
+        wanted.extend(control_boxes(&control));
+        wanted.remove(&own);
+        for address in &wanted {
+            let known = control.peers.borrow().contains_key(address);
+            if !known {
+                control.peers.borrow_mut().insert(*address, PeerLink::default());
+                let control = Rc::clone(&control);
+                let address = *address;
+                compio::runtime::spawn(async move { keep_peer(control, address).await }).detach();
+            }
+        }
+        // Whoever is left out ends its connection by itself.
+        control.peers.borrow_mut().retain(|address, _| wanted.contains(address));
+        control.timers.sleep(PEERS_EVERY).await;
+    }
+}
+
+async fn keep_peer(control: Rc<Control>, address: SocketAddr) {
+    let wanted = || control.peers.borrow().contains_key(&address);
+    while wanted() {
+        let until = Instant::now() + CONNECT_WITHIN;
+        match control.timers.until(until, socket::connect(address)).await {
+            Some(Ok(stream)) => run_peer(&control, address, stream).await,
+            Some(Err(error)) => {
+                log::debug!("event=peer_unreachable address={address} error={error:?}");
+            }
+            None => log::debug!("event=peer_unreachable address={address} error=timeout"),
+        }
+        control.timers.sleep(RECONNECT_AFTER).await;
+    }
+}
+
+async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: TcpStream) {
+    if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
+        log::warn!("event=socket_option_failed error={error:?}");
+    }
+    let outgoing = Outgoing::default();
+    let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
+    send(BetweenControl::Hello { node: control.node.borrow().id() });
+    send(ping());
+    send(BetweenControl::Registry(control.registry.borrow().reports(Instant::now())));
+    if let Some(peer) = control.peers.borrow().get(&address) {
+        *peer.outgoing.borrow_mut() = Some(outgoing.clone());
+    }
+    Line::new("peer_connected").with("address", address).info();
+    let on_frame = |frame: &[u8]| {
+        match frames::decode::<BetweenControl>(frame) {
+            Some(BetweenControl::Registry(reports)) => learn_endpoints(control, &reports, false),
+            // The answer to a ping; the time in it comes on the peer's own connection too.
+            Some(_) => {}
+            None => control.unreadable.update(|count| count + 1),
+        }
+        true
+    };
+    let ended = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
+    if let Some(peer) = control.peers.borrow().get(&address) {
+        *peer.outgoing.borrow_mut() = None;
+    }
+    let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
+    Line::new("peer_lost").with("address", address).with("why", why).info();
+}
+
+/// Gives signs of life to the other control boxes until dropped.
+pub async fn ping_peers(control: Rc<Control>) {
+    let mut refreshed_at = Instant::now();
+    loop {
+        control.timers.sleep(PING_EVERY).await;
+        send_to_all(&control, &ping());
+        if refreshed_at.elapsed() < REFRESH_EVERY {
+            continue;
+        }
+        refreshed_at = Instant::now();
+        control.registry.borrow_mut().expire(refreshed_at);
+        for peer in control.peers.borrow().values() {
+            let refreshed = peer.refreshed.take();
+            let registry = control.registry.borrow();
+            let reports = refreshed.iter().filter_map(|id| registry.report(refreshed_at, id));
+            let reports: Vec<Report> = reports.collect();
+            if !reports.is_empty() {
+                peer.send(&BetweenControl::Registry(reports));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -0,0 +1,26 @@
+//! What a control box runs: the agreement with the other control boxes, the configuration, the
+//! endpoints' registrations, and the duties of the one that leads.
+//!
+//! - [`machine`]: the commands that are agreed on and the state that they make, without I/O;
+//! - [`store`]: the agreement's file;
+//! - [`group`]: the agreement, driven;
+//! - [`membership`]: who should take part in it, without I/O;
+//! - [`links`]: connections with entry boxes and other control boxes;
+//! - [`duties`]: what the leader does towards the cloud;
+//! - [`clock`]: the cluster's time;
+//! - [`operations`]: what operators and endpoints ask for, whatever protocol they speak;
+//! - [`protocol`]: what they speak, and [`own`], the product's own;
+//! - [`running`]: start and stop.
+
+pub mod clock;
+pub mod duties;
+pub mod group;
+pub mod links;
+pub mod machine;
+pub mod membership;
+pub mod operations;
+pub mod own;
+pub mod protocol;
+pub mod running;
+pub mod state;
+pub mod store;
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -0,0 +1,97 @@
+//! What operators and endpoints ask of a control box, whatever protocol they speak.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use vaneway_agreement::Role;
+use vaneway_registry::Report;
+
+use crate::core::configuration;
+use crate::core::control::group;
+use crate::core::control::links;
+use crate::core::control::machine::Command;
+use crate::core::control::machine::Held;
+use crate::core::control::state::Control;
+use crate::core::control::state::Proposed;
+use crate::util::findings::Finding;
+use crate::util::findings::Findings;
+use crate::util::logline::Line;
+
+/// How long an operator's change waits for its commitment: less than operators wait for an
+/// answer.
+const COMMIT_WITHIN: Duration = Duration::from_millis(850);
+
+/// Why an operation was not carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// Another control box leads.
+    NotLeader {
+        /// Where it takes calls.
+        leader: SocketAddr,
+    },
+    /// Nobody can tell now; the change may still come into force.
+    Unavailable,
+    /// The configuration has these faults.
+    Invalid(Vec<Finding>),
+}
+
+/// Puts a configuration in force everywhere. One that is not above the one in force is accepted
+/// and changes nothing.
+///
+/// # Errors
+///
+/// [`Refusal`] says why not.
+pub async fn configure(control: &Rc<Control>, held: Held) -> Result<(), Refusal> {
+    let findings = Findings::new();
+    configuration::check(&held.configuration, &findings);
+    let findings = findings.take();
+    if !findings.is_empty() {
+        return Err(Refusal::Invalid(findings));
+    }
+    require_leader(control)?;
+    let version = held.configuration.version;
+    if control.leads_surely() && control.machine.borrow().version() >= version {
+        return Ok(());
+    }
+    let until = Instant::now() + COMMIT_WITHIN;
+    let command = Command::Configure(held);
+    let proposed = group::propose(control, &command, until).await;
+    Line::new("configure").with("version", version).with("became", format!("{proposed:?}")).info();
+    match proposed {
+        Some(Proposed::Committed) => Ok(()),
+        Some(Proposed::NotTaken) | None => Err(Refusal::Unavailable),
+    }
+}
+
+/// The configuration that is surely the newest; none if there never was one.
+///
+/// # Errors
+///
+/// [`Refusal`] if this box can't be sure.
+pub fn newest_configuration(control: &Control) -> Result<Option<Rc<Held>>, Refusal> {
+    require_leader(control)?;
+    if !control.leads_surely() {
+        return Err(Refusal::Unavailable);
+    }
+    Ok(control.machine.borrow().held().cloned())
+}
+
+fn require_leader(control: &Control) -> Result<(), Refusal> {
+    let node = control.node.borrow();
+    if node.role() == Role::Leader {
+        return Ok(());
+    }
+    match node.leader() {
+        Some(leader) if leader != node.id() => {
+            Err(Refusal::NotLeader { leader: control.api_address(leader) })
+        }
+        _ => Err(Refusal::Unavailable),
+    }
+}
+
+/// Takes in what an endpoint says of itself.
+pub fn endpoint_reported(control: &Control, report: &Report) {
+    links::learn_endpoints(control, std::slice::from_ref(report), true);
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -0,0 +1,145 @@
+//! The product's own interface of a control box, over HTTP and JSON.
+//!
+//! | call | what |
+//! |---|---|
+//! | `PUT /v1/configuration` | puts a configuration in force |
+//! | `GET /v1/configuration` | the configuration that is surely the newest |
+//! | `POST /v1/endpoints` | a registration or heartbeat of an endpoint |
+//! | `GET /v1/state` | a dump of this box's state |
+//!
+//! A box that does not lead answers the first two with 307 and the leader's address.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::LOCATION;
+use serde_json::json;
+use vaneway_registry::Report;
+
+use crate::core::callers::answer::json_response;
+use crate::core::configuration::Configuration;
+use crate::core::control::machine::Held;
+use crate::core::control::operations;
+use crate::core::control::operations::Refusal;
+use crate::core::control::protocol::CloudProtocol;
+use crate::core::control::protocol::ControlProtocol;
+use crate::core::control::protocol::Holder;
+use crate::core::control::state::Control;
+use crate::core::endpoints::link::EndpointRequest;
+use crate::core::usage::Counts;
+use crate::core::usage::Window;
+use crate::util::body::CallerBody;
+
+/// Largest body of a call.
+const BODY_BYTES_MOST: usize = 16 << 20;
+
+/// Where the configuration is put and read.
+const CONFIGURATION: &str = "/v1/configuration";
+
+/// The product's own interface of a control box.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnControl;
+
+impl ControlProtocol for OwnControl {
+    async fn serve(&self, control: Rc<Control>, req: Request<Incoming>) -> Response<CallerBody> {
+        let (head, body) = req.into_parts();
+        let body = Limited::new(body, BODY_BYTES_MOST).collect().await;
+        let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
+            return failed(StatusCode::BAD_REQUEST, "the body is too long or broke off");
+        };
+        match (&head.method, head.uri.path()) {
+            (&Method::PUT, CONFIGURATION) => put(&control, &body).await,
+            (&Method::GET, CONFIGURATION) => get(&control),
+            (&Method::POST, "/v1/endpoints") => endpoint(&control, &body),
+            (&Method::GET, "/v1/state") => {
+                json_response(StatusCode::OK, Bytes::from(control.dump().to_string()))
+            }
+            (method, path) => {
+                let message = format!("there is nothing at {method} {path}");
+                failed(StatusCode::NOT_FOUND, &message)
+            }
+        }
+    }
+}
+
+fn failed(status: StatusCode, message: &str) -> Response<CallerBody> {
+    json_response(status, Bytes::from(json!({ "error": message }).to_string()))
+}
+
+fn refused(refusal: &Refusal, path: &str) -> Response<CallerBody> {
+    match refusal {
+        Refusal::NotLeader { leader } => {
+            let mut response = failed(StatusCode::TEMPORARY_REDIRECT, "another box leads");
+            if let Ok(location) = format!("http://{leader}{path}").parse() {
+                response.headers_mut().insert(LOCATION, location);
+            }
+            response
+        }
+        Refusal::Unavailable => {
+            failed(StatusCode::SERVICE_UNAVAILABLE, "no leader is known now, try again")
+        }
+        Refusal::Invalid(findings) => {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            let body = json!({ "error": "invalid configuration", "findings": findings });
+            json_response(StatusCode::UNPROCESSABLE_ENTITY, Bytes::from(body.to_string()))
+        }
+    }
+}
+
+async fn put(control: &Rc<Control>, body: &[u8]) -> Response<CallerBody> {
+    let configuration: Configuration = match serde_json::from_slice(body) {
+        Ok(configuration) => configuration,
+        Err(error) => return failed(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let version = configuration.version;
+    let document = String::from_utf8_lossy(body).into_owned();
+    match operations::configure(control, Held { configuration, document }).await {
+        Ok(()) => {
+            json_response(StatusCode::OK, Bytes::from(json!({ "accepted": version }).to_string()))
+        }
+        Err(refusal) => refused(&refusal, CONFIGURATION),
+    }
+}
+
+fn get(control: &Control) -> Response<CallerBody> {
+    match operations::newest_configuration(control) {
+        Ok(Some(held)) => json_response(StatusCode::OK, Bytes::from(held.document.clone())),
+        Ok(None) => failed(StatusCode::NOT_FOUND, "there is no configuration yet"),
+        Err(refusal) => refused(&refusal, CONFIGURATION),
+    }
+}
+
+fn endpoint(control: &Control, body: &[u8]) -> Response<CallerBody> {
+    match serde_json::from_slice::<Report>(body) {
+        Ok(report) => {
+            operations::endpoint_reported(control, &report);
+            json_response(StatusCode::OK, Bytes::from_static(b"{}"))
+        }
+        Err(error) => failed(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+/// The product's own way to call a cloud.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnCloud;
+
+impl CloudProtocol for OwnCloud {
+    fn usage_report(&self, holder: &Holder, window: Window, counts: &Counts) -> EndpointRequest {
+        let body = json!({
+            "window": window, "counts": counts, "holder": holder.name, "fence": holder.fence,
+        });
+        Request::builder()
+            .method(Method::POST)
+            .uri("/v1/usage")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("the parts of the request are valid")
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/protocol.rs
@@ -0,0 +1,39 @@
+//! What endpoints, operators and the cloud speak with a control box.
+
+use std::rc::Rc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::core::control::state::Control;
+use crate::core::endpoints::link::EndpointRequest;
+use crate::core::usage::Counts;
+use crate::core::usage::Window;
+use crate::util::body::CallerBody;
+
+/// What endpoints and operators speak.
+pub trait ControlProtocol: 'static {
+    /// Answers one request.
+    fn serve(
+        &self,
+        control: Rc<Control>,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Response<CallerBody>>;
+}
+
+/// In whose name the cloud is called: one box at a time, under a number that rises with each
+/// change, so that the cloud can tell a box that has lost the duty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Name of the box.
+    pub name: String,
+    /// Rises whenever another box takes over.
+    pub fence: u64,
+}
+
+/// What the cloud speaks.
+pub trait CloudProtocol: 'static {
+    /// A report of the requests of each organisation in a window.
+    fn usage_report(&self, holder: &Holder, window: Window, counts: &Counts) -> EndpointRequest;
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -0,0 +1,205 @@
+//! A control box as a running whole: how its parts start and how they stop.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::WrapErr as _;
+use futures_channel::mpsc;
+use futures_channel::oneshot;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use vaneway_agreement::Config;
+use vaneway_agreement::Event;
+use vaneway_agreement::Members;
+use vaneway_agreement::Node;
+use vaneway_agreement::NodeId;
+
+use crate::core::control::duties;
+use crate::core::control::group;
+use crate::core::control::links;
+use crate::core::control::protocol::CloudProtocol;
+use crate::core::control::protocol::ControlProtocol;
+use crate::core::control::state::Control;
+use crate::core::control::state::FIRST_INCARNATION;
+use crate::core::control::state::node_id;
+use crate::core::control::store;
+use crate::core::settings::ControlSettings;
+use crate::util::body::CallerBody;
+use crate::util::clock;
+use crate::util::http_server;
+use crate::util::http_server::ConnectionLimits;
+use crate::util::http_server::Handler;
+use crate::util::http_server::HttpServer;
+use crate::util::logline::Line;
+use crate::util::socket::TcpListener;
+use crate::util::task;
+use crate::util::timers::Timers;
+
+/// Largest head of a call.
+const HEADER_BYTES: usize = 16 << 10;
+
+/// How long a call's head may take, and how long its connection may rest.
+const HEAD_WITHIN: Duration = Duration::from_secs(5);
+const IDLE_WITHIN: Duration = Duration::from_secs(30);
+
+/// How long a planned stop lets calls finish.
+const FINISH_WITHIN: Duration = Duration::from_millis(1_200);
+
+/// A running control box.
+#[derive(Debug)]
+pub struct RunningControl {
+    control: Rc<Control>,
+    server: HttpServer,
+    /// Dropped to end what runs in the background.
+    background: Vec<oneshot::Sender<()>>,
+}
+
+struct Api<P> {
+    control: Rc<Control>,
+    protocol: P,
+}
+
+impl<P: ControlProtocol> Handler for Api<P> {
+    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<CallerBody> {
+        self.protocol.serve(Rc::clone(&self.control), req).await
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            header_bytes: HEADER_BYTES,
+            header_within: HEAD_WITHIN,
+            idle_within: IDLE_WITHIN,
+        }
+    }
+
+    fn connections(&self, _count: usize) {}
+}
+
+/// Starts a control box on the current loop.
+///
+/// # Errors
+///
+/// If one of its addresses can't be bound, or its disk can't be read or written.
+pub async fn spawn<P: ControlProtocol, C: CloudProtocol>(
+    settings: ControlSettings,
+    protocol: P,
+    cloud: C,
+) -> eyre::Result<RunningControl> {
+    let timers = Timers::spawn();
+    let boot = clock::since_epoch().as_micros() as u64;
+    let folder = settings.data_folder.clone();
+    let (stored, store) = store::open(&folder, || identity(&settings, boot)).await?;
+    let node = stored.node;
+    let config = Config {
+        id: node,
+        heartbeat: group::HEARTBEAT,
+        election: group::ELECTION,
+        drift_per_mille: group::DRIFT_PER_MILLE,
+        seed: boot ^ node,
+    };
+    let now = Instant::now();
+    let (persist, queue) = mpsc::unbounded();
+    let control = Rc::new(Control {
+        node: RefCell::new(Node::start(config, stored.durable, now)),
+        timers: timers.clone(),
+        persist,
+        machine: RefCell::default(),
+        tickets: RefCell::default(),
+        pending: RefCell::default(),
+        next_ticket: Cell::new(0),
+        registry: RefCell::default(),
+        entries: RefCell::default(),
+        next_link: Cell::new(0),
+        peers: RefCell::default(),
+        joining: RefCell::default(),
+        led_at: Cell::new(now),
+        leads_since: Cell::new(None),
+        use_ledger: RefCell::default(),
+        clock: RefCell::default(),
+        connections: crate::core::endpoints::upstream::Connections::default(),
+        unreadable: Cell::new(0),
+        stopping: Cell::new(false),
+        settings,
+    });
+    let persisted = Rc::clone(&control);
+    let writing = store.write_forever(timers.clone(), queue, move |number| {
+        group::step(&persisted, Event::Persisted { number });
+    });
+    compio::runtime::spawn(writing).detach();
+    let listen = control.settings.cluster_listen;
+    let listener = TcpListener::bind(listen)
+        .wrap_err_with(|| format!("failed to listen for other boxes on {listen}"))?;
+    let listen = control.settings.listen;
+    let api = Rc::new(Api { control: Rc::clone(&control), protocol });
+    let server = http_server::bind(listen, timers, api)
+        .wrap_err_with(|| format!("failed to listen for endpoints and operators on {listen}"))?;
+    let background = vec![
+        task::spawn_until_dropped(links::accept(Rc::clone(&control), listener)),
+        task::spawn_until_dropped(links::keep_peers(Rc::clone(&control))),
+        task::spawn_until_dropped(links::ping_peers(Rc::clone(&control))),
+        task::spawn_until_dropped(links::tell_entries(Rc::clone(&control))),
+        task::spawn_until_dropped(group::run_timers(Rc::clone(&control))),
+        task::spawn_until_dropped(group::maintain(Rc::clone(&control))),
+        task::spawn_until_dropped(duties::run(Rc::clone(&control), cloud)),
+    ];
+    Line::new("started")
+        .with("role", "control")
+        .with("name", &control.settings.name)
+        .with("listen", server.address())
+        .with("node", node)
+        .with("log", control.node.borrow().log().last_index())
+        .with("forms_group", control.settings.form_group)
+        .info();
+    Ok(RunningControl { control, server, background })
+}
+
+/// Who a box with an empty disk is: one of the first group, or a newcomer that joins.
+fn identity(settings: &ControlSettings, boot: u64) -> (NodeId, Members) {
+    let own = ipv4(settings.cluster_listen);
+    let seeds = settings.seeds.iter().map(|seed| ipv4(*seed));
+    if settings.form_group && settings.seeds.iter().any(|seed| ipv4(*seed) == own) {
+        let members = Members::of(seeds.map(|seed| node_id(seed, FIRST_INCARNATION)));
+        return (node_id(own, FIRST_INCARNATION), members);
+    }
+    // Any number that no earlier disk of this box had; the first ones are taken.
+    let incarnation = (boot as u32).max(FIRST_INCARNATION + 1);
+    (node_id(own, incarnation), Members::default())
+}
+
+/// The settings allow only IPv4 here.
+fn ipv4(address: SocketAddr) -> Ipv4Addr {
+    match address.ip() {
+        IpAddr::V4(address) => address,
+        IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+    }
+}
+
+impl RunningControl {
+    /// The shared state.
+    pub fn control(&self) -> &Rc<Control> {
+        &self.control
+    }
+
+    /// Where endpoints and operators connect.
+    pub fn listen(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops as planned: acts for the deployment no more, lets calls finish, then ends.
+    pub async fn stop(self) {
+        let Self { control, server, background } = self;
+        control.stopping.set(true);
+        Line::new("stopping").with("role", "control").info();
+        server.finish();
+        control.timers.sleep(FINISH_WITHIN).await;
+        drop(background);
+        Line::new("stopped").with("role", "control").info();
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -0,0 +1,166 @@
+//! The state that all tasks of a control box share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_channel::mpsc;
+use futures_channel::oneshot;
+use serde_json::Value;
+use serde_json::json;
+use vaneway_agreement::Index;
+use vaneway_agreement::Node;
+use vaneway_agreement::NodeId;
+use vaneway_agreement::Persist;
+use vaneway_agreement::Term;
+use vaneway_agreement::Ticket;
+use vaneway_registry::Registry;
+
+use crate::core::control::clock::Clock;
+use crate::core::control::links::EntryLink;
+use crate::core::control::links::PeerLink;
+use crate::core::control::machine::Machine;
+use crate::core::endpoints::upstream::Connections;
+use crate::core::settings::ControlSettings;
+use crate::core::usage::UseLedger;
+use crate::util::clock;
+use crate::util::timers::Timers;
+
+/// Incarnation of the nodes that form a group at the first start.
+pub const FIRST_INCARNATION: u32 = 1;
+
+/// The id of a node: its box's address and the incarnation of its disk. So a node can be found
+/// by its id alone, and a box whose disk was lost comes back as another node.
+pub fn node_id(address: Ipv4Addr, incarnation: u32) -> NodeId {
+    (u64::from(u32::from(address)) << u32::BITS) | u64::from(incarnation)
+}
+
+/// The address of a node's box.
+pub fn node_address(node: NodeId) -> Ipv4Addr {
+    Ipv4Addr::from((node >> u32::BITS) as u32)
+}
+
+/// What became of a proposal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proposed {
+    /// It is committed and applied.
+    Committed,
+    /// It is in no log, or another entry took its place.
+    NotTaken,
+}
+
+/// A proposal that waits for its commitment.
+#[derive(Debug)]
+pub struct Pending {
+    /// The term in which it was proposed.
+    pub term: Term,
+    /// Whoever waits for it.
+    pub tx: oneshot::Sender<Proposed>,
+}
+
+/// State that all tasks of a control box share.
+#[derive(Debug)]
+pub struct Control {
+    /// Settings of the process.
+    pub settings: ControlSettings,
+    /// The timer service.
+    pub timers: Timers,
+    /// This box's part in the agreement.
+    pub node: RefCell<Node>,
+    /// The way to the disk.
+    pub(crate) persist: mpsc::UnboundedSender<Persist>,
+    /// What was agreed on, as far as this box knows.
+    pub machine: RefCell<Machine>,
+    /// Proposals that have no place in the log yet.
+    pub(crate) tickets: RefCell<BTreeMap<Ticket, oneshot::Sender<Proposed>>>,
+    /// Proposals by their place in the log.
+    pub(crate) pending: RefCell<BTreeMap<Index, Pending>>,
+    pub(crate) next_ticket: Cell<Ticket>,
+    /// What endpoints told, here or at other control boxes.
+    pub registry: RefCell<Registry>,
+    /// Connections of entry boxes.
+    pub(crate) entries: RefCell<BTreeMap<u64, Rc<EntryLink>>>,
+    pub(crate) next_link: Cell<u64>,
+    /// Connections to other control boxes.
+    pub(crate) peers: RefCell<BTreeMap<SocketAddr, PeerLink>>,
+    /// Nodes that asked to join, and when last.
+    pub(crate) joining: RefCell<BTreeMap<NodeId, Instant>>,
+    /// When this node last knew of a leader.
+    pub(crate) led_at: Cell<Instant>,
+    /// When this node began to lead.
+    pub(crate) leads_since: Cell<Option<Instant>>,
+    /// What the entry boxes told of their requests.
+    pub use_ledger: RefCell<UseLedger>,
+    /// The cluster's time.
+    pub clock: RefCell<Clock>,
+    /// Connections to the cloud.
+    pub connections: Connections,
+    /// Messages that could not be read.
+    pub unreadable: Cell<u64>,
+    /// Whether the box is stopping.
+    pub(crate) stopping: Cell<bool>,
+}
+
+impl Control {
+    /// The cluster's time since 1970.
+    pub fn time(&self) -> Duration {
+        self.clock.borrow_mut().read(Instant::now(), clock::since_epoch())
+    }
+
+    /// Where another node's box takes connections of other boxes.
+    pub fn cluster_address(&self, node: NodeId) -> SocketAddr {
+        let port = self.settings.cluster_listen.port();
+        SocketAddr::V4(SocketAddrV4::new(node_address(node), port))
+    }
+
+    /// Where another node's box takes calls of endpoints and operators.
+    pub fn api_address(&self, node: NodeId) -> SocketAddr {
+        let port = self.settings.listen.port();
+        SocketAddr::V4(SocketAddrV4::new(node_address(node), port))
+    }
+
+    /// Whether this node leads and surely no other does, and it knows all that was committed
+    /// before.
+    pub fn leads_surely(&self) -> bool {
+        let node = self.node.borrow();
+        let lease = node.lease_until().is_some_and(|until| Instant::now() < until);
+        lease && node.log().term_at(node.committed()) == Some(node.term())
+    }
+
+    /// The whole state as JSON.
+    pub fn dump(&self) -> Value {
+        let node = self.node.borrow();
+        let now = Instant::now();
+        let registry = self.registry.borrow();
+        let endpoints: Vec<_> = registry
+            .iter()
+            .map(|(instance, known)| {
+                json!({
+                    "instance": instance,
+                    "standing": known.standing.name(),
+                    "sequence": known.sequence,
+                    "heard_ms_ago": now.saturating_duration_since(known.heard).as_millis() as u64,
+                })
+            })
+            .collect();
+        json!({
+            "name": self.settings.name,
+            "node": node.id(),
+            "role": format!("{:?}", node.role()),
+            "term": node.term(),
+            "leader": node.leader(),
+            "committed": node.committed(),
+            "last": node.log().last_index(),
+            "members": node.log().members(),
+            "configuration": self.machine.borrow().version(),
+            "endpoints": endpoints,
+            "entry_boxes": self.entries.borrow().len(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/store.rs
@@ -0,0 +1,197 @@
+//! The agreement's file: who this node is, and everything that it must not forget.
+//!
+//! Data flow: records are queued; one task appends all that are queued in one write, syncs once,
+//! and reports the number of the last. A write or sync that fails is tried again, from the end of
+//! the last good record, until it succeeds: until then the node promises nothing new, and the
+//! others go on without it. The file's name is synced before the first record counts.
+
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use compio::buf::BufResult;
+use compio::io::AsyncWriteAtExt as _;
+use eyre::WrapErr as _;
+use futures_channel::mpsc;
+use futures_util::StreamExt as _;
+use serde::Deserialize;
+use serde::Serialize;
+use vaneway_agreement::Durable;
+use vaneway_agreement::Entry;
+use vaneway_agreement::Members;
+use vaneway_agreement::NodeId;
+use vaneway_agreement::Persist;
+use vaneway_agreement::Term;
+
+use crate::util::logline::Line;
+use crate::util::timers::Timers;
+
+/// The file's name under the data folder.
+const FILE_NAME: &str = "agreement.log";
+
+/// Pause before a write that failed is tried again.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// A record of the file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Record {
+    /// The first record: who this node is.
+    Identity { node: NodeId, first_members: Members },
+    /// What the node wants to be durable, in order.
+    Persist { term: Term, vote: Option<NodeId>, entries: Vec<Entry> },
+}
+
+/// What a folder holds of a node.
+#[derive(Debug)]
+pub struct Stored {
+    /// The node.
+    pub node: NodeId,
+    /// What it must not forget.
+    pub durable: Durable,
+}
+
+/// The open file.
+#[derive(Debug)]
+pub struct Store {
+    path: PathBuf,
+    file: compio::fs::File,
+    end: u64,
+}
+
+/// What reaches a store's task.
+pub type Queue = mpsc::UnboundedReceiver<Persist>;
+
+/// Opens the file under `folder`. A folder without one becomes that of the node that `identity`
+/// gives.
+///
+/// # Errors
+///
+/// If the file can't be read, written or synced, or a record in it is damaged.
+pub async fn open(
+    folder: &Path,
+    identity: impl FnOnce() -> (NodeId, Members),
+) -> eyre::Result<(Stored, Store)> {
+    let path = folder.join(FILE_NAME);
+    let context = || format!("failed to open the agreement's file `{}`", path.display());
+    std::fs::create_dir_all(folder).wrap_err_with(context)?;
+    let bytes = match std::fs::read(&path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
+        read => read.wrap_err_with(context)?,
+    };
+    let recovered = vaneway_log::recover(&bytes).wrap_err_with(context)?;
+    if recovered.torn_bytes > 0 {
+        Line::new("log_tail_cut")
+            .with("file", path.display())
+            .with("bytes", recovered.torn_bytes)
+            .warn();
+    }
+    let stored = replay(&recovered.records).wrap_err_with(context)?;
+    let mut end = recovered.whole_bytes as u64;
+    let file = OpenOptions::new().create(true).write(true).truncate(false).open(&path);
+    let file = file.wrap_err_with(context)?;
+    file.set_len(end).wrap_err_with(context)?;
+    let stored = match stored {
+        Some(stored) => stored,
+        None => {
+            let (node, first_members) = identity();
+            let record = Record::Identity { node, first_members: first_members.clone() };
+            end = write_first(&file, folder, &record).wrap_err_with(context)?;
+            Stored { node, durable: Durable::empty(first_members) }
+        }
+    };
+    drop(file);
+    let file = compio::fs::OpenOptions::new().write(true).open(&path).await;
+    let file = file.wrap_err_with(context)?;
+    Ok((stored, Store { path, file, end }))
+}
+
+fn replay(records: &[&[u8]]) -> eyre::Result<Option<Stored>> {
+    let mut stored: Option<Stored> = None;
+    for record in records {
+        match (postcard::from_bytes(record).wrap_err("a record can't be read")?, &mut stored) {
+            (Record::Identity { node, first_members }, None) => {
+                stored = Some(Stored { node, durable: Durable::empty(first_members) });
+            }
+            (Record::Persist { term, vote, entries }, Some(stored)) => {
+                stored.durable.apply(&Persist { number: 0, term, vote, entries });
+            }
+            (Record::Identity { .. }, Some(_)) => eyre::bail!("the file names two nodes"),
+            (Record::Persist { .. }, None) => eyre::bail!("the file does not name its node"),
+        }
+    }
+    Ok(stored)
+}
+
+fn encode(record: &Record) -> Vec<u8> {
+    let payload = postcard::to_stdvec(record).expect("records can be encoded");
+    let mut framed = Vec::with_capacity(payload.len() + vaneway_log::HEADER_BYTES);
+    vaneway_log::append(&mut framed, &payload);
+    framed
+}
+
+/// Writes the first record and makes it and the file's name durable.
+fn write_first(file: &File, folder: &Path, record: &Record) -> io::Result<u64> {
+    use std::os::unix::fs::FileExt as _;
+    let framed = encode(record);
+    file.write_all_at(&framed, 0)?;
+    file.sync_all()?;
+    File::open(folder)?.sync_all()?;
+    Ok(framed.len() as u64)
+}
+
+impl Store {
+    /// Writes what is queued until the queue is closed; `durable` learns the number of the last
+    /// record of each batch.
+    pub async fn write_forever(mut self, timers: Timers, mut queue: Queue, durable: impl Fn(u64)) {
+        while let Some(first) = queue.next().await {
+            let mut batch = Vec::new();
+            let mut number = first.number;
+            batch.extend(encode(&record(first)));
+            while let Ok(persist) = queue.try_recv() {
+                number = persist.number;
+                batch.extend(encode(&record(persist)));
+            }
+            self.write(&timers, batch).await;
+            durable(number);
+        }
+    }
+
+    /// Appends and syncs, again and again until it succeeds.
+    async fn write(&mut self, timers: &Timers, batch: Vec<u8>) {
+        let mut batch = batch;
+        let mut failed = false;
+        loop {
+            let BufResult(written, returned) = self.file.write_all_at(batch, self.end).await;
+            batch = returned;
+            let synced = match written {
+                Ok(()) => self.file.sync_data().await,
+                Err(error) => Err(error),
+            };
+            match synced {
+                Ok(()) => break,
+                Err(error) => {
+                    if !failed {
+                        Line::new("disk_lost")
+                            .with("file", self.path.display())
+                            .with("error", error)
+                            .error();
+                    }
+                    failed = true;
+                    timers.sleep(RETRY_AFTER).await;
+                }
+            }
+        }
+        if failed {
+            Line::new("disk_regained").with("file", self.path.display()).info();
+        }
+        self.end += batch.len() as u64;
+    }
+}
+
+fn record(persist: Persist) -> Record {
+    let Persist { term, vote, entries, .. } = persist;
+    Record::Persist { term, vote, entries }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/endpoints/mod.rs
@@ -0,0 +1,6 @@
+//! Towards endpoints: protocols, attempts and connections.
+
+pub mod link;
+pub mod protocol;
+pub mod registered;
+pub mod upstream;
--- /dev/null
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -0,0 +1,177 @@
+//! How requests are put to endpoints and what their answers mean.
+//!
+//! Why a trait: the decisions over a request are the same whatever its endpoint speaks. What
+//! differs are the headers, and how an endpoint says that it did not run a request.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HOST;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::PROXY_AUTHENTICATE;
+use hyper::header::PROXY_AUTHORIZATION;
+use hyper::header::TE;
+use hyper::header::TRAILER;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+use hyper::http::request::Builder;
+use hyper::http::response;
+use vaneway_relay::AnswerForm;
+use vaneway_relay::RunState;
+use vaneway_route::EndpointSpec;
+use vaneway_route::ServiceId;
+
+use crate::core::callers::api_error::RUN_HEADER;
+use crate::core::endpoints::link::EndpointRequest;
+
+/// Headers that belong to one connection and do not pass through.
+pub const HOP_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    CONTENT_LENGTH,
+];
+
+/// A checked request to a service, as the caller sent it.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// Its id.
+    pub id: String,
+    /// The service that must answer.
+    pub service: ServiceId,
+    /// The service's name, for logs and metrics.
+    pub service_name: String,
+    /// The organisation that sent it; empty where callers need no key.
+    pub organisation: String,
+    /// The method.
+    pub method: Method,
+    /// Path and query as the endpoint gets them.
+    pub path: String,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// What its answer looks like.
+    pub form: AnswerForm,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Its rank at the engine, 0 first, if it has one.
+    pub priority: Option<u32>,
+    /// Estimated tokens that it costs an endpoint.
+    pub tokens: u64,
+    /// Hash of the prompt's shared beginning; 0 if there is none.
+    pub prefix: u64,
+}
+
+/// One sending of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending<'a> {
+    /// Where to.
+    pub to: &'a EndpointSpec,
+    /// Time that the endpoint may use.
+    pub left: Duration,
+    /// Number of the last event that the caller has, if a stream goes on.
+    pub after: Option<u32>,
+}
+
+/// What the head of an answer means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It begins the answer to this request.
+    Answer,
+    /// The endpoint did not run the request.
+    Refused,
+    /// Another endpoint has the address now; it did not run the request.
+    Replaced,
+    /// It is no answer to this request.
+    Foreign,
+}
+
+/// What endpoints speak.
+pub trait EndpointProtocol: 'static {
+    /// The request as the endpoint gets it.
+    fn request(&self, call: &CallRequest, sending: Sending<'_>) -> EndpointRequest;
+
+    /// What the head of an answer means.
+    fn judge(&self, call: &CallRequest, head: &response::Parts) -> Verdict;
+
+    /// Prepares the headers of an answer for the caller.
+    fn pass_headers(&self, headers: &mut HeaderMap);
+}
+
+/// Copies the headers that pass through: all but those of one connection and those in `own`,
+/// which this box sets itself.
+pub fn copy_headers(builder: Builder, headers: &HeaderMap, own: &[HeaderName]) -> Builder {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let passes = |name: &&HeaderName| {
+        !own.contains(name)
+            && !HOP_HEADERS.contains(name)
+            && !named.iter().any(|listed| listed == name.as_str())
+    };
+    let add = |builder: Builder, name| {
+        let values = headers.get_all(name).iter();
+        values.fold(builder, |builder, value| builder.header(name, value))
+    };
+    headers.keys().filter(passes).fold(builder, add)
+}
+
+/// Takes the headers of one connection out of an answer.
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// The product's own way to speak to plain services.
+#[derive(Debug, Clone)]
+pub struct PlainEndpoints {
+    /// Header with which an endpoint says that it did not run a call it answers with 503.
+    pub not_run_header: Option<String>,
+}
+
+impl EndpointProtocol for PlainEndpoints {
+    fn request(&self, call: &CallRequest, sending: Sending<'_>) -> EndpointRequest {
+        let builder = Request::builder().method(call.method.clone()).uri(&call.path);
+        copy_headers(builder, &call.headers, &[HOST, AUTHORIZATION])
+            .header(HOST, sending.to.address.to_string())
+            .header("x-request-id", &call.id)
+            .header("x-organisation", &call.organisation)
+            .body(Full::new(call.body.clone()))
+            .expect("the parts of the request are valid")
+    }
+
+    fn judge(&self, _call: &CallRequest, head: &response::Parts) -> Verdict {
+        let not_run = self.not_run_header.as_ref();
+        let not_run = not_run.is_some_and(|name| head.headers.contains_key(name));
+        if head.status == StatusCode::SERVICE_UNAVAILABLE && not_run {
+            Verdict::Refused
+        } else {
+            Verdict::Answer
+        }
+    }
+
+    fn pass_headers(&self, headers: &mut HeaderMap) {
+        remove_hop_headers(headers);
+        headers.insert(RUN_HEADER, HeaderValue::from_static(RunState::Ran.name()));
+    }
+}
--- /dev/null
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -0,0 +1,76 @@
+//! Endpoints that registered themselves, as this entry box uses them.
+//!
+//! Reports arrive from any control box, in any order; the registry says what is news. A new
+//! endpoint joins the pool; one that drains or ends gets no new work; what runs there goes on until
+//! its connection breaks, since endpoints that leave finish what they have.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use vaneway_registry::Change;
+use vaneway_registry::Details;
+use vaneway_registry::InstanceId;
+use vaneway_registry::Known;
+use vaneway_registry::Report;
+use vaneway_registry::Standing;
+use vaneway_route::EndpointId;
+use vaneway_route::EndpointSpec;
+
+use crate::core::entry::Entry;
+use crate::util::logline::Line;
+
+/// How long an endpoint that leaves without naming a time may finish what it has.
+const FINISH_WITHIN: Duration = Duration::from_mins(2);
+
+/// Requests that an endpoint queues for each one that it works on; more are not sent there.
+const QUEUED_A_SLOT: u32 = 2;
+
+/// Applies reports of a control box.
+pub fn apply(entry: &Entry, reports: &[Report]) {
+    let now = Instant::now();
+    for report in reports {
+        let change = entry.registry.borrow_mut().merge(now, report);
+        if change == Change::News {
+            let known = entry.registry.borrow().get(&report.instance).cloned();
+            if let Some(known) = known {
+                apply_news(entry, &report.instance, &known);
+            }
+        }
+    }
+}
+
+fn apply_news(entry: &Entry, instance: &InstanceId, known: &Known) {
+    let registered = entry.registered.borrow().get(instance).copied();
+    let endpoint = match (registered, &known.details) {
+        (Some(endpoint), _) => endpoint,
+        (None, Some(details)) if known.standing == Standing::Ready => add(entry, instance, details),
+        // Never used here, so there is nothing to take away.
+        (None, _) => return,
+    };
+    Line::new("endpoint")
+        .with("replica", instance)
+        .with("standing", known.standing.name())
+        .with("sequence", known.sequence)
+        .with("address", known.details.as_ref().map_or(String::new(), |d| d.address.to_string()))
+        .info();
+    if known.standing > Standing::Ready {
+        let now = Instant::now();
+        let gone_at = known.ends_at.unwrap_or(now + FINISH_WITHIN);
+        entry.change(|pool, now, out| pool.notice(now, endpoint, gone_at, out));
+    }
+}
+
+fn add(entry: &Entry, instance: &InstanceId, details: &Details) -> EndpointId {
+    let spec = EndpointSpec {
+        name: instance.clone(),
+        service: entry.service_id(&details.service),
+        address: details.address,
+        availability_zone: details.availability_zone.clone(),
+        box_name: instance.clone(),
+        reclaimable: details.reclaimable,
+        max_open: details.slots.saturating_mul(1 + QUEUED_A_SLOT),
+    };
+    let endpoint = entry.change(|pool, _, _| pool.add(spec));
+    entry.registered.borrow_mut().insert(instance.clone(), endpoint);
+    endpoint
+}
--- a/src/core/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -25,10 +25,10 @@
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
 
-use crate::core::link::EndpointRequest;
-use crate::core::link::Link;
-use crate::core::link::LinkBody;
-use crate::core::link::SharedBody;
+use crate::core::endpoints::link::EndpointRequest;
+use crate::core::endpoints::link::Link;
+use crate::core::endpoints::link::LinkBody;
+use crate::core::endpoints::link::SharedBody;
 use crate::util::socket;
 use crate::util::timers::Timers;
 
@@ -195,6 +195,16 @@
         }
     }
 
+    /// Takes a connection back after a refusal, if its body ends soon.
+    pub async fn put_refused(&self, timers: &Timers, addr: SocketAddr, mut body: LinkBody) {
+        let mut held = BytesMut::new();
+        let read = body.read_into(&mut held, ERROR_BYTES_MOST);
+        let read = timers.until(Instant::now() + END_WITHIN, read).await;
+        if matches!(read, Some(Ok(true))) {
+            self.put(addr, body);
+        }
+    }
+
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
--- a/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -8,11 +8,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
 use vaneway_marks::Instance;
+use vaneway_quota::Bucket;
+use vaneway_quota::Limit;
+use vaneway_registry::InstanceId;
+use vaneway_registry::Registry;
 use vaneway_relay::Event;
 use vaneway_relay::RetryBudget;
 use vaneway_route::Choice;
@@ -21,19 +26,32 @@
 use vaneway_route::EndpointId;
 use vaneway_route::Pool;
 use vaneway_route::Query;
+use vaneway_route::ServiceId;
 
-use crate::core::claims::Claims;
-use crate::core::datagram::Cluster;
+use crate::core::calls::claims::Claims;
+use crate::core::calls::open_requests::OpenRequests;
+use crate::core::cluster::datagram::Cluster;
+use crate::core::configuration::CallerLimits;
+use crate::core::configuration::Configuration;
+use crate::core::configuration::RouteTable;
+use crate::core::endpoints::upstream::Connections;
 use crate::core::metrics::Metrics;
-use crate::core::open_requests::OpenRequests;
 use crate::core::settings::Settings;
-use crate::core::upstream::Connections;
+use crate::core::usage::Used;
 use crate::util::logline::Line;
 use crate::util::timers::Timers;
 
 /// Retries that a service's budget holds at most, so that a quiet service can still retry.
 const RETRY_RESERVE: u32 = 20;
 
+/// Retries that a routed service may make for each hundred requests, a little below the share
+/// that operators allow for all boxes together.
+const ROUTED_RETRY_PERCENT: u32 = 15;
+
+/// Retries that one box may make for a routed service on top; all boxes together must stay within
+/// what operators allow on top.
+const ROUTED_RETRY_RESERVE: u32 = 4;
+
 /// Whether the entry takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -81,9 +99,19 @@
     pub metrics: Metrics,
     /// Callers' connections that are open.
     pub callers: Cell<usize>,
+    /// What endpoints have told the control boxes.
+    pub registry: RefCell<Registry>,
+    /// The endpoints that came from the registry.
+    pub registered: RefCell<BTreeMap<InstanceId, EndpointId>>,
+    /// What the requests of this box counted, for the control boxes.
+    pub used: RefCell<Used>,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    service_ids: RefCell<BTreeMap<String, ServiceId>>,
+    quotas: RefCell<BTreeMap<String, Bucket>>,
     phase: Cell<Phase>,
     started: Instant,
     boot: u64,
+    next_id: Cell<u64>,
 }
 
 /// What an entry is made of besides its settings.
@@ -119,6 +147,9 @@
         let budget = |service: &crate::core::settings::Service| {
             RetryBudget::new(service.retry_percent, RETRY_RESERVE)
         };
+        let names = settings.services.iter().enumerate();
+        let service_ids =
+            names.map(|(i, service)| (service.name.clone(), i as ServiceId)).collect();
         let mut boxes = BTreeMap::<String, Vec<EndpointId>>::new();
         for (id, endpoint) in pool.endpoints().iter().enumerate() {
             boxes.entry(endpoint.spec.box_name.clone()).or_default().push(id as EndpointId);
@@ -134,9 +165,16 @@
             cluster,
             metrics: Metrics::new(),
             callers: Cell::new(0),
+            registry: RefCell::default(),
+            registered: RefCell::default(),
+            used: RefCell::default(),
+            table: RefCell::default(),
+            service_ids: RefCell::new(service_ids),
+            quotas: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             started: Instant::now(),
             boot,
+            next_id: Cell::new(0),
             settings,
         }
     }
@@ -151,6 +189,22 @@
         format!("{}-{:x}-{number}", self.settings.name, self.boot)
     }
 
+    /// An id for a request whose caller gave none.
+    pub fn next_request_id(&self) -> String {
+        self.next_id.update(|id| id + 1);
+        format!("{}-{:x}-c{}", self.settings.name, self.boot, self.next_id.get())
+    }
+
+    /// Time since this box started.
+    pub fn up(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// A number that no earlier start of this box had.
+    pub fn boot(&self) -> u64 {
+        self.boot
+    }
+
     /// Seed of a request's random numbers.
     pub fn request_seed(&self, number: u64) -> u64 {
         self.settings.routing.seed.wrapping_add(number)
@@ -171,6 +225,109 @@
         }
     }
 
+    /// The configuration in force at this box, if it has one.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless it is not above the one in force.
+    pub fn configure(&self, configuration: Configuration) {
+        let held = self.table().map(|table| table.configuration().version);
+        let version = configuration.version;
+        if held.is_some_and(|held| held >= version) {
+            return;
+        }
+        for service in &configuration.services {
+            self.service_id(&service.name);
+        }
+        self.set_quotas(&configuration);
+        Line::new("configured")
+            .with("version", version)
+            .with("before", held.unwrap_or_default())
+            .with("routes", configuration.routes.len())
+            .with("organisations", configuration.organisations.len())
+            .info();
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
+    }
+
+    /// Limits on callers: the configuration's, or the settings' before there is one.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.table().map_or_else(
+            || CallerLimits {
+                header_bytes: self.settings.limits.header_bytes,
+                body_bytes: self.settings.limits.body_bytes,
+                ..CallerLimits::default()
+            },
+            |table| table.configuration().limits,
+        )
+    }
+
+    /// Position of a service by its name; a name that is new gets the next one.
+    pub fn service_id(&self, name: &str) -> ServiceId {
+        let mut ids = self.service_ids.borrow_mut();
+        if let Some(id) = ids.get(name) {
+            return *id;
+        }
+        let mut budgets = self.budgets.borrow_mut();
+        let id = budgets.len() as ServiceId;
+        ids.insert(name.to_owned(), id);
+        budgets.push(RetryBudget::new(ROUTED_RETRY_PERCENT, ROUTED_RETRY_RESERVE));
+        id
+    }
+
+    fn set_quotas(&self, configuration: &Configuration) {
+        let now = Instant::now();
+        let mut quotas = self.quotas.borrow_mut();
+        let limited = |spec: &&crate::core::configuration::OrganisationSpec| spec.rate.is_some();
+        let organisations = configuration.organisations.iter().filter(limited);
+        let limits: BTreeMap<&str, Limit> = organisations
+            .map(|spec| {
+                let limit = Limit { rate: spec.rate.unwrap_or_default(), burst: spec.burst };
+                (spec.name.as_str(), limit)
+            })
+            .collect();
+        quotas.retain(|name, _| limits.contains_key(name.as_str()));
+        for (name, limit) in limits {
+            quotas
+                .entry(name.to_owned())
+                .or_insert_with(|| Bucket::new(now, limit))
+                .set_limit(now, limit);
+        }
+    }
+
+    /// Charges an organisation for a request.
+    ///
+    /// # Errors
+    ///
+    /// The time after which its quota allows the request.
+    pub fn charge(&self, organisation: &str, units: u64) -> Result<(), Duration> {
+        if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
+            quota.take(Instant::now(), units as f64)?;
+        }
+        self.used.borrow_mut().add_units(organisation, units as i64);
+        Ok(())
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn give_back(&self, organisation: &str, units: u64) {
+        if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
+            quota.give_back(Instant::now(), units as f64);
+        }
+        self.used.borrow_mut().add_units(organisation, -(units as i64));
+    }
+
+    /// Learns what the other entry boxes took of an organisation's quota since they last told.
+    pub fn others_used(&self, organisation: &str, units: f64, entries: u32) {
+        if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
+            quota.told(Instant::now(), units, entries);
+        }
+    }
+
+    /// Counts a request that an endpoint began to work on.
+    pub fn count_begun(&self, organisation: &str) {
+        self.used.borrow_mut().begin(Instant::now(), organisation);
+    }
+
     /// Counts an attempt that begins.
     pub fn occupy(self: &Rc<Self>, endpoint: EndpointId, tokens: u64) -> Occupancy {
         self.pool.borrow_mut().begin(endpoint, tokens);
@@ -275,6 +432,8 @@
             "caller_connections": self.callers.get(),
             "idle_connections": self.connections.idle(),
             "timers": self.timers.waiting(),
+            "configuration": self.table().map(|table| table.configuration().version),
+            "registered": self.registered.borrow().len(),
             "settings": self.settings,
         })
     }
--- /dev/null
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -0,0 +1,19 @@
+//! What runs on entry and control boxes.
+//!
+//! The way of a request goes through [`callers`] (its protocol, its route, its organisation),
+//! [`calls`] (the decisions over it, driven until its last byte) and [`endpoints`] (attempts and
+//! connections). [`control`] is what control boxes run; [`cluster`] what boxes tell each other.
+
+pub mod callers;
+pub mod calls;
+pub mod cloud_notices;
+pub mod cluster;
+pub mod configuration;
+pub mod control;
+pub mod endpoints;
+pub mod entry;
+pub mod metrics;
+pub mod operators;
+pub mod running;
+pub mod settings;
+pub mod usage;
--- a/src/core/running.rs
+++ b/crates/vaneway-server/src/core/running.rs
@@ -9,19 +9,25 @@
 use futures_channel::oneshot;
 use vaneway_route::Pool;
 
-use crate::core::claims;
-use crate::core::claims::Claims;
-use crate::core::cluster;
-use crate::core::datagram::Cluster;
+use crate::core::callers::front;
+use crate::core::callers::own::OwnCallers;
+use crate::core::callers::protocol::CallerProtocol;
+use crate::core::callers::ready;
+use crate::core::calls::claims;
+use crate::core::calls::claims::Claims;
+use crate::core::cloud_notices;
+use crate::core::cluster::datagram::Cluster;
+use crate::core::cluster::follow;
+use crate::core::cluster::marks;
 use crate::core::entry::Entry;
 use crate::core::entry::Parts;
 use crate::core::entry::Phase;
-use crate::core::front;
 use crate::core::operators;
-use crate::core::platform;
 use crate::core::settings::Settings;
 use crate::util::clock;
+use crate::util::http_server::HttpServer;
 use crate::util::logline::Line;
+use crate::util::task::spawn_until_dropped;
 use crate::util::timers::Timers;
 
 /// How long a planned stop waits for connections to close once no request is open.
@@ -33,27 +39,41 @@
     entry: Rc<Entry>,
     listen: SocketAddr,
     operators: SocketAddr,
-    front: front::Front,
+    front: HttpServer,
+    ready: Option<HttpServer>,
     /// Dropped to end the expiry of leaving endpoints and the platform's client.
     background: Vec<oneshot::Sender<()>>,
 }
 
-/// Starts an entry on the current loop.
+/// Starts an entry on the current loop, with the product's own interface for callers.
 ///
 /// # Errors
 ///
 /// If one of its addresses can't be bound.
 pub async fn spawn(settings: Settings) -> eyre::Result<RunningEntry> {
+    spawn_with(settings, OwnCallers).await
+}
+
+/// Starts an entry on the current loop, with an interface for callers.
+///
+/// # Errors
+///
+/// If one of its addresses can't be bound.
+pub async fn spawn_with<C: CallerProtocol>(
+    settings: Settings,
+    callers: C,
+) -> eyre::Result<RunningEntry> {
     check_charts();
     let timers = Timers::spawn();
     let boot = clock::since_epoch().as_micros() as u64;
     let claims = open_claims(&settings, boot).await?;
     let cluster = bind_cluster(&settings, boot).await?;
     let entry = Rc::new(Entry::new(settings, timers, Parts { claims, cluster, boot }));
-    let receiving = spawn_until_dropped(cluster::receive(Rc::clone(&entry)));
-    cluster::catch_up(&entry).await;
+    let receiving = spawn_until_dropped(marks::receive(Rc::clone(&entry)));
+    marks::catch_up(&entry).await;
     let listen = entry.settings.listen;
-    let front = front::bind(Rc::clone(&entry))
+    let ready = bind_ready(&entry)?;
+    let front = front::bind(Rc::clone(&entry), callers)
         .wrap_err_with(|| format!("failed to listen for callers on {listen}"))?;
     let listen = entry.settings.operators.listen;
     let operators = operators::bind(Rc::clone(&entry))
@@ -61,11 +81,12 @@
         .wrap_err_with(|| format!("failed to listen for operators on {listen}"))?;
     let background = vec![
         receiving,
-        spawn_until_dropped(cluster::compare(Rc::clone(&entry))),
+        spawn_until_dropped(marks::compare(Rc::clone(&entry))),
         spawn_until_dropped(expire_leaving(Rc::clone(&entry))),
         spawn_until_dropped(expire_claims(Rc::clone(&entry))),
-        spawn_until_dropped(platform::follow_list(Rc::clone(&entry))),
-        spawn_until_dropped(platform::follow_notices(Rc::clone(&entry))),
+        spawn_until_dropped(follow::follow(Rc::clone(&entry))),
+        spawn_until_dropped(cloud_notices::follow_list(Rc::clone(&entry))),
+        spawn_until_dropped(cloud_notices::follow_notices(Rc::clone(&entry))),
     ];
     let listen = front.address();
     Line::new("started")
@@ -76,7 +97,7 @@
         .with("services", entry.settings.services.len())
         .with("replicas", entry.settings.replicas.len())
         .info();
-    Ok(RunningEntry { entry, listen, operators, front, background })
+    Ok(RunningEntry { entry, listen, operators, front, ready, background })
 }
 
 /// Compiles the charts, so that a fault in one is found at start and not at the first request.
@@ -100,6 +121,13 @@
     }
 }
 
+/// Binds the address where balancers ask for readiness, if it is one of its own.
+fn bind_ready(entry: &Rc<Entry>) -> eyre::Result<Option<HttpServer>> {
+    let Some(listen) = entry.settings.ready else { return Ok(None) };
+    let bound = ready::bind(Rc::clone(entry), listen);
+    bound.map(Some).wrap_err_with(|| format!("failed to listen for readiness on {listen}"))
+}
+
 /// Binds the socket to the other entry boxes.
 async fn bind_cluster(settings: &Settings, seed: u64) -> eyre::Result<Option<Cluster>> {
     let Some(cluster) = &settings.cluster else { return Ok(None) };
@@ -121,16 +149,6 @@
     }
 }
 
-fn spawn_until_dropped(work: impl Future<Output = ()> + 'static) -> oneshot::Sender<()> {
-    let (tx, rx) = oneshot::channel::<()>();
-    compio::runtime::spawn(async move {
-        futures_util::pin_mut!(work);
-        futures_util::future::select(work, rx).await;
-    })
-    .detach();
-    tx
-}
-
 /// Lets leaving endpoints be gone when their time has come.
 async fn expire_leaving(entry: Rc<Entry>) {
     /// Longest wait before looking again, since a notice can arrive meanwhile.
@@ -164,7 +182,7 @@
     /// request has its answer. Returns the number of requests that were still open when the time
     /// for that was over.
     pub async fn stop(self) -> usize {
-        let Self { entry, front, background, .. } = self;
+        let Self { entry, front, ready, background, .. } = self;
         entry.enter_phase(Phase::Unready);
         entry.timers.sleep(entry.settings.stop.accept).await;
         entry.enter_phase(Phase::Finishing);
@@ -178,7 +196,7 @@
         while busy() && Instant::now() < until {
             entry.timers.sleep(Duration::from_millis(5)).await;
         }
-        drop(background);
+        drop((background, ready));
         Line::new("stopped").with("cut_off", cut_off).info();
         cut_off
     }
--- a/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -16,6 +16,8 @@
 pub use read::SettingsError;
 pub use read::read;
 pub use read::read_file;
+pub use read::read_process;
+pub use read::read_process_file;
 
 /// Settings of one process.
 #[derive(Debug, Clone, Serialize)]
@@ -34,6 +36,10 @@
     pub platform: Option<Platform>,
     /// How this box talks to the other entry boxes.
     pub cluster: Option<Cluster>,
+    /// How this box follows the control boxes, in a deployment that has them.
+    pub follow: Option<FollowSettings>,
+    /// Where balancers ask whether this box is ready, besides the callers' address.
+    pub ready: Option<SocketAddr>,
     /// The other entry boxes.
     pub peers: Vec<Peer>,
     /// Where durable state is kept.
@@ -54,6 +60,59 @@
     pub claims: ClaimSettings,
 }
 
+/// How an entry box follows the control boxes.
+#[derive(Debug, Clone, Serialize)]
+pub struct FollowSettings {
+    /// Control boxes to begin with, by their addresses for other boxes.
+    pub seeds: Vec<SocketAddr>,
+    /// Length of an accounting window.
+    pub window: Duration,
+}
+
+/// Settings of a control box.
+#[derive(Debug, Clone, Serialize)]
+pub struct ControlSettings {
+    /// Name of this control box, unique in the deployment.
+    pub name: String,
+    /// The availability zone that it stands in.
+    pub availability_zone: String,
+    /// Where endpoints and operators call.
+    pub listen: SocketAddr,
+    /// Where other boxes connect. All control boxes use the same port there.
+    pub cluster_listen: SocketAddr,
+    /// Control boxes to begin with, by their addresses for other boxes.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether this start may form a new group of exactly the seeds. Only true when the whole
+    /// deployment starts for the first time.
+    pub form_group: bool,
+    /// Where durable state is kept.
+    pub data_folder: PathBuf,
+    /// Length of an accounting window.
+    pub window: Duration,
+    /// The cloud's interface, if it wants reports.
+    pub cloud: Option<CloudSettings>,
+}
+
+/// The cloud's interface for reports and orders.
+#[derive(Debug, Clone, Serialize)]
+pub struct CloudSettings {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Whether it wants a report of what organisations used in each window.
+    pub usage_reports: bool,
+    /// Whether it takes orders of replicas.
+    pub capacity_orders: bool,
+}
+
+/// Settings of one process, by its role.
+#[derive(Debug, Clone)]
+pub enum ProcessSettings {
+    /// An entry box.
+    Entry(Box<Settings>),
+    /// A control box.
+    Control(ControlSettings),
+}
+
 /// The ledger of calls that may run at most once.
 #[derive(Debug, Clone, Serialize)]
 pub struct ClaimSettings {
@@ -183,6 +242,10 @@
     pub policy: Policy,
     /// Seed of its random numbers.
     pub seed: u64,
+    /// Whether a call that may run at most once gets a new connection. An idle one may be closing
+    /// at that moment, which leaves the call's outcome unknown for no good reason; but a new one
+    /// costs time.
+    pub fresh_for_at_most_once: bool,
 }
 
 /// Limits on what callers send and hold.
--- a/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -13,7 +13,10 @@
 use vaneway_route::Policy;
 
 use super::ClaimSettings;
+use super::CloudSettings;
 use super::Cluster;
+use super::ControlSettings;
+use super::FollowSettings;
 use super::Limits;
 use super::NonRepeatable;
 use super::OperatorToken;
@@ -21,6 +24,7 @@
 use super::Organisation;
 use super::Peer;
 use super::Platform;
+use super::ProcessSettings;
 use super::Routing;
 use super::Service;
 use super::ServiceKind;
@@ -49,6 +53,9 @@
 /// Shortest key between boxes.
 const KEY_BYTES_LEAST: usize = 16;
 
+/// Port of control boxes for other boxes, unless the settings name another.
+const DEFAULT_CLUSTER_PORT: u64 = 7_600;
+
 /// Smallest read buffer that hyper accepts, so the least limit for a request's head.
 const HEADER_BYTES_LEAST: u64 = 8_192;
 
@@ -89,22 +96,80 @@
 ///
 /// [`SettingsError`] lists every finding.
 pub fn read(text: &str) -> Result<Settings, SettingsError> {
+    read_root(text, |fields, findings| {
+        let settings = root(fields);
+        check_names(&settings, findings);
+        check_stop(&settings, findings);
+        settings
+    })
+}
+
+/// Reads and checks the settings file at `path`, for either role.
+///
+/// # Errors
+///
+/// If the file can't be read, or with every finding in it.
+pub fn read_process_file(path: &Path) -> eyre::Result<ProcessSettings> {
+    let context = || format!("failed to read settings `{}`", path.display());
+    let text = std::fs::read_to_string(path).wrap_err_with(context)?;
+    read_process(&text).wrap_err_with(context)
+}
+
+/// Reads and checks the text of a settings file, for the role that its `role` names; an entry box
+/// without one.
+///
+/// # Errors
+///
+/// [`SettingsError`] lists every finding.
+pub fn read_process(text: &str) -> Result<ProcessSettings, SettingsError> {
+    let role = read_root(text, |mut fields, _| {
+        let role = fields.optional("role");
+        role.and_then(|place| place.parsed("`entry` or `control`", Role::from_name))
+    })?;
+    match role {
+        Some(Role::Control) => {
+            read_root(text, |fields, _| control(fields)).map(ProcessSettings::Control)
+        }
+        Some(Role::Entry) | None => read(text).map(Box::new).map(ProcessSettings::Entry),
+    }
+}
+
+/// What a process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    Entry,
+    Control,
+}
+
+impl Role {
+    fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "entry" => Some(Self::Entry),
+            "control" => Some(Self::Control),
+            _ => None,
+        }
+    }
+}
+
+/// Reads a document that is an object and collects what is wrong with it.
+fn read_root<T>(
+    text: &str,
+    read: impl FnOnce(Fields<'_>, &Findings) -> T,
+) -> Result<T, SettingsError> {
     let value: Value = serde_json::from_str(text).map_err(|error| SettingsError {
         findings: vec![Finding { path: "$".to_owned(), message: error.to_string() }],
     })?;
     let findings = Findings::new();
-    let settings = Place::root(&value, &findings).object().map(root);
-    if let Some(settings) = &settings {
-        check_names(settings, &findings);
-        check_stop(settings, &findings);
-    }
-    match (settings, findings.take()) {
-        (Some(settings), findings) if findings.is_empty() => Ok(settings),
+    let read = Place::root(&value, &findings).object().map(|fields| read(fields, &findings));
+    match (read, findings.take()) {
+        (Some(read), findings) if findings.is_empty() => Ok(read),
         (_, findings) => Err(SettingsError { findings }),
     }
 }
 
 fn root(mut fields: Fields<'_>) -> Settings {
+    // Read before, to choose the role.
+    fields.optional("role");
     let name = fields.text("name");
     let availability_zones = texts(&mut fields, "availability_zones");
     let availability_zone = zone(fields.required("availability_zone"), &availability_zones);
@@ -114,13 +179,17 @@
         operators.unwrap_or_else(|| Operators { listen: address(None), tokens: Vec::new() });
     let platform = fields.optional("platform").and_then(|place| place.object()).map(platform);
     let cluster = fields.optional("cluster").and_then(|place| place.object()).map(cluster);
+    let follow = fields.optional("control").and_then(|place| place.object()).map(follow);
+    let ready = fields.optional("ready").map(|place| address(Some(place)));
     let peers = fields.items("peers").iter().filter_map(Place::object).map(peer).collect();
     let data_folder = fields.optional("data_folder").and_then(|place| place.text());
     let organisations = fields.items("organisations");
     let organisations = organisations.iter().filter_map(Place::object).map(organisation).collect();
     let mut replicas = Vec::new();
     let mut services = Vec::new();
-    if fields.required("services").is_some() {
+    let services_given =
+        if follow.is_some() { fields.optional("services") } else { fields.required("services") };
+    if services_given.is_some() {
         for place in fields.items("services") {
             let Some(object) = place.object() else { continue };
             let id = services.len() as u32;
@@ -140,6 +209,8 @@
         operators,
         platform,
         cluster,
+        follow,
+        ready,
         peers,
         data_folder: data_folder.map(Into::into),
         organisations,
@@ -152,6 +223,63 @@
     }
 }
 
+fn control(mut fields: Fields<'_>) -> ControlSettings {
+    fields.optional("role");
+    let cluster_listen = address(fields.required("cluster_listen"));
+    let settings = ControlSettings {
+        name: fields.text("name"),
+        availability_zone: fields.text("availability_zone"),
+        listen: address(fields.required("listen")),
+        cluster_listen,
+        seeds: seeds(&mut fields, cluster_listen.port()),
+        form_group: fields.optional("form_group").and_then(|p| p.flag()).unwrap_or(false),
+        data_folder: fields.text("data_folder").into(),
+        window: millis(&mut fields, "usage_window_ms", SOME_TIME, 60_000),
+        cloud: fields.optional("cloud").and_then(|place| place.object()).map(cloud),
+    };
+    if !cluster_listen.is_ipv4() {
+        fields.place().report("`cluster_listen` must be an IPv4 address");
+    }
+    fields.finish();
+    settings
+}
+
+fn cloud(mut fields: Fields<'_>) -> CloudSettings {
+    let duties = texts(&mut fields, "duties");
+    let settings = CloudSettings {
+        address: address(fields.required("address")),
+        usage_reports: duties.iter().any(|duty| duty == "usage"),
+        capacity_orders: duties.iter().any(|duty| duty == "capacity"),
+    };
+    fields.finish();
+    settings
+}
+
+fn follow(mut fields: Fields<'_>) -> FollowSettings {
+    let port = fields.number("port", 1..=u64::from(u16::MAX), DEFAULT_CLUSTER_PORT) as u16;
+    let settings = FollowSettings {
+        seeds: seeds(&mut fields, port),
+        window: millis(&mut fields, "usage_window_ms", SOME_TIME, 60_000),
+    };
+    fields.finish();
+    settings
+}
+
+/// Addresses of control boxes. Any of their addresses will do, since all use one port for other
+/// boxes.
+fn seeds(fields: &mut Fields<'_>, port: u16) -> Vec<SocketAddr> {
+    let seeds = fields.items("seeds");
+    if seeds.is_empty() {
+        fields.place().report("field `seeds` must name at least one control box");
+    }
+    let mut addresses = seeds.into_iter().map(|place| address(Some(place)));
+    let mut addresses: Vec<_> = addresses.by_ref().collect();
+    for address in &mut addresses {
+        address.set_port(port);
+    }
+    addresses
+}
+
 fn texts(fields: &mut Fields<'_>, name: &'static str) -> Vec<String> {
     fields.items(name).iter().filter_map(Place::text).collect()
 }
@@ -316,6 +444,10 @@
     let routing = Routing {
         policy: policy.unwrap_or_default(),
         seed: fields.number("seed", 0..=u64::MAX, 1),
+        fresh_for_at_most_once: fields
+            .optional("fresh_for_at_most_once")
+            .and_then(|place| place.flag())
+            .unwrap_or(true),
     };
     fields.finish();
     routing
--- /dev/null
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -0,0 +1,175 @@
+//! What organisations use: requests begun in each accounting window, and quota units taken.
+//!
+//! Why windows at the entry box: a report of a window must be true to a few requests, so each
+//! request is counted where its work was seen to begin, by the cluster's time. What an entry box
+//! counted for a window only grows, so control boxes may hear it any number of times, late, or
+//! from each other, and keep the highest count of each entry's start.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of an accounting window since 1970.
+pub type Window = u64;
+
+/// Requests of each organisation.
+pub type Counts = BTreeMap<String, u64>;
+
+/// Windows that an entry box remembers: longer than a report may be late.
+const WINDOWS_KEPT: usize = 8;
+
+/// The cluster's time: true time as the control boxes agree on it, against this box's steady
+/// clock, which no step of the time of day changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClusterTime {
+    at: Instant,
+    since_epoch: Duration,
+}
+
+impl ClusterTime {
+    /// At `at` it was `since_epoch` since 1970.
+    pub fn new(at: Instant, since_epoch: Duration) -> Self {
+        Self { at, since_epoch }
+    }
+
+    /// The time since 1970 at `now`.
+    pub fn since_epoch(&self, now: Instant) -> Duration {
+        if now >= self.at {
+            self.since_epoch + (now - self.at)
+        } else {
+            self.since_epoch.saturating_sub(self.at - now)
+        }
+    }
+
+    /// The window that `now` falls into.
+    pub fn window(&self, now: Instant, length: Duration) -> Window {
+        (self.since_epoch(now).as_millis() / length.as_millis().max(1)) as Window
+    }
+}
+
+/// What the requests of one entry box used.
+#[derive(Debug, Default)]
+pub struct Used {
+    /// The cluster's time and the length of a window, once a control box told.
+    clock: Option<(ClusterTime, Duration)>,
+    windows: BTreeMap<Window, Counts>,
+    /// Requests begun before the cluster's time was known.
+    early: Vec<(Instant, String)>,
+    units: BTreeMap<String, i64>,
+}
+
+/// Most requests that wait for the cluster's time.
+const EARLY_MOST: usize = 10_000;
+
+impl Used {
+    /// Learns the cluster's time.
+    pub fn set_clock(&mut self, clock: ClusterTime, length: Duration) {
+        self.clock = Some((clock, length));
+        for (at, organisation) in std::mem::take(&mut self.early) {
+            self.begin(at, &organisation);
+        }
+    }
+
+    /// The cluster's time, once known.
+    pub fn clock(&self) -> Option<ClusterTime> {
+        self.clock.map(|(clock, _)| clock)
+    }
+
+    /// Counts a request whose work began at `now`.
+    pub fn begin(&mut self, now: Instant, organisation: &str) {
+        let Some((clock, length)) = self.clock else {
+            if self.early.len() < EARLY_MOST {
+                self.early.push((now, organisation.to_owned()));
+            }
+            return;
+        };
+        let counts = self.windows.entry(clock.window(now, length)).or_default();
+        *counts.entry(organisation.to_owned()).or_default() += 1;
+        while self.windows.len() > WINDOWS_KEPT {
+            self.windows.pop_first();
+        }
+    }
+
+    /// Counts quota units taken, or given back.
+    pub fn add_units(&mut self, organisation: &str, units: i64) {
+        *self.units.entry(organisation.to_owned()).or_default() += units;
+    }
+
+    /// Everything, as it travels.
+    pub fn report(&self) -> UseReport {
+        UseReport {
+            windows: self.windows.iter().map(|(w, counts)| (*w, counts.clone())).collect(),
+            units: self.units.iter().map(|(name, units)| (name.clone(), *units)).collect(),
+        }
+    }
+}
+
+/// What one entry box tells of its requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseReport {
+    /// Requests begun in the latest windows.
+    pub windows: Vec<(Window, Counts)>,
+    /// Quota units taken since the box started.
+    pub units: Vec<(String, i64)>,
+}
+
+/// Names one start of an entry box.
+pub type EntryStart = (String, u64);
+
+/// What all entry boxes told one control box.
+#[derive(Debug, Default)]
+pub struct UseLedger {
+    windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
+    units: BTreeMap<EntryStart, BTreeMap<String, i64>>,
+}
+
+/// Windows that a control box remembers.
+const LEDGER_WINDOWS: usize = 16;
+
+impl UseLedger {
+    /// Takes a report in.
+    pub fn merge(&mut self, entry: &EntryStart, report: &UseReport) {
+        for (window, counts) in &report.windows {
+            let known = self.windows.entry(*window).or_default().entry(entry.clone()).or_default();
+            for (organisation, count) in counts {
+                let known = known.entry(organisation.clone()).or_default();
+                *known = (*known).max(*count);
+            }
+        }
+        while self.windows.len() > LEDGER_WINDOWS {
+            self.windows.pop_first();
+        }
+        let units = report.units.iter().cloned().collect();
+        self.units.insert(entry.clone(), units);
+    }
+
+    /// Requests of each organisation in a window, over all entry boxes.
+    pub fn counts(&self, window: Window) -> Counts {
+        let mut sum = Counts::new();
+        for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
+            for (organisation, count) in counts {
+                *sum.entry(organisation.clone()).or_default() += count;
+            }
+        }
+        sum
+    }
+
+    /// Units that all entry boxes took, since each of them started.
+    pub fn units(&self) -> BTreeMap<String, i64> {
+        let mut sum = BTreeMap::new();
+        for (organisation, units) in self.units.values().flatten() {
+            *sum.entry(organisation.clone()).or_default() += units;
+        }
+        sum
+    }
+
+    /// What is left of `total` without the units of one entry box.
+    pub fn without(&self, total: &BTreeMap<String, i64>, entry: &EntryStart) -> Vec<(String, i64)> {
+        let own = self.units.get(entry);
+        let own = |name: &str| own.and_then(|own| own.get(name)).copied().unwrap_or_default();
+        total.iter().map(|(name, units)| (name.clone(), units - own(name))).collect()
+    }
+}
--- a/src/lib.rs
+++ b/crates/vaneway-server/src/lib.rs
@@ -12,9 +12,9 @@
 //! - [`proto`]: the operators' schema, generated from `proto/`;
 //! - the packages in `crates/`: decisions without I/O that others can embed.
 //!
-//! Data flow of a request: `core::front` reads it and finds its organisation and service,
-//! `core::model_call` or `core::plain_call` drives a `vaneway_relay::Relay` for it, which asks
-//! `vaneway_route::Pool` for endpoints and `core::upstream` for attempts, until the caller has
+//! Data flow of a request: `core::callers::front` reads it and finds its organisation and service,
+//! `core::calls::model_call` or `core::calls::call` drives a `vaneway_relay::Relay` for it, which asks
+//! `vaneway_route::Pool` for endpoints and `core::endpoints::upstream` for attempts, until the caller has
 //! the whole answer or one clear error.
 
 pub mod core;
--- a/src/ops/check.rs
+++ b/crates/vaneway-server/src/ops/check.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use crate::core::settings;
+use crate::core::settings::ProcessSettings;
 
 /// Checks the settings file at `path` and returns one line that sums it up.
 ///
@@ -10,7 +11,13 @@
 ///
 /// If the file can't be read, or with every finding in it.
 pub fn check(path: &Path) -> eyre::Result<String> {
-    let settings = settings::read_file(path)?;
+    let settings = match settings::read_process_file(path)? {
+        ProcessSettings::Entry(settings) => settings,
+        ProcessSettings::Control(settings) => {
+            let seeds = settings.seeds.len();
+            return Ok(format!("{}: ok (control box, {seeds} seeds)", path.display()));
+        }
+    };
     Ok(format!(
         "{}: ok ({} services, {} replicas, {} organisations, {} other entry boxes)",
         path.display(),
--- /dev/null
+++ b/crates/vaneway-server/src/ops/run.rs
@@ -0,0 +1,132 @@
+//! `vaneway run`: runs an entry or control box until it is told to stop.
+
+use std::path::Path;
+use std::rc::Rc;
+
+use compio::signal::unix;
+use eyre::WrapErr as _;
+use eyre::bail;
+use serde_json::Value;
+
+use crate::core::callers::own::OwnCallers;
+use crate::core::callers::protocol::CallerProtocol;
+use crate::core::control;
+use crate::core::control::own::OwnCloud;
+use crate::core::control::own::OwnControl;
+use crate::core::control::protocol::CloudProtocol;
+use crate::core::control::protocol::ControlProtocol;
+use crate::core::running;
+use crate::core::settings;
+use crate::core::settings::ControlSettings;
+use crate::core::settings::ProcessSettings;
+use crate::core::settings::Settings;
+use crate::util::logline::Line;
+
+/// Signal numbers, which are the same on every Unix that compio runs on.
+mod signal_number {
+    /// Asks for a dump of the state.
+    pub const HANGUP: i32 = 1;
+    /// Asks for a planned stop from a terminal.
+    pub const INTERRUPT: i32 = 2;
+    /// Asks for a planned stop.
+    pub const TERMINATE: i32 = 15;
+}
+
+/// The protocols that a process speaks with the outside.
+pub trait Protocols {
+    /// Towards callers.
+    type Callers: CallerProtocol;
+    /// Towards endpoints and operators of a control box.
+    type Control: ControlProtocol;
+    /// Towards the cloud.
+    type Cloud: CloudProtocol;
+
+    /// The callers' protocol of an entry box.
+    fn callers(&self) -> Self::Callers;
+
+    /// The protocol of a control box.
+    fn control(&self) -> Self::Control;
+
+    /// The cloud's protocol.
+    fn cloud(&self) -> Self::Cloud;
+}
+
+/// The product's own protocols.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnProtocols;
+
+impl Protocols for OwnProtocols {
+    type Callers = OwnCallers;
+    type Control = OwnControl;
+    type Cloud = OwnCloud;
+
+    fn callers(&self) -> OwnCallers {
+        OwnCallers
+    }
+
+    fn control(&self) -> OwnControl {
+        OwnControl
+    }
+
+    fn cloud(&self) -> OwnCloud {
+        OwnCloud
+    }
+}
+
+/// Runs an entry or control box with the settings at `path` until SIGTERM or SIGINT; SIGHUP writes
+/// its state to the log.
+///
+/// # Errors
+///
+/// If the settings have findings, an address can't be bound, or the stop cut requests off.
+pub fn run<P: Protocols>(path: &Path, protocols: &P) -> eyre::Result<()> {
+    let settings = settings::read_process_file(path)?;
+    let runtime = compio::runtime::Runtime::new().wrap_err("failed to start the event loop")?;
+    Line::new("loop").with("driver", format!("{:?}", runtime.driver_type())).info();
+    runtime.block_on(async {
+        match settings {
+            ProcessSettings::Entry(settings) => run_entry(*settings, protocols.callers()).await,
+            ProcessSettings::Control(settings) => {
+                run_control(settings, protocols.control(), protocols.cloud()).await
+            }
+        }
+    })
+}
+
+async fn run_entry<C: CallerProtocol>(settings: Settings, callers: C) -> eyre::Result<()> {
+    let entry = running::spawn_with(settings, callers).await?;
+    let state = Rc::clone(entry.entry());
+    compio::runtime::spawn(dump_on_hangup(move || state.dump())).detach();
+    wait_for_stop().await?;
+    match entry.stop().await {
+        0 => Ok(()),
+        cut_off => bail!("the stop cut off {cut_off} requests; raise `$.stop.finish_ms`"),
+    }
+}
+
+async fn run_control<P: ControlProtocol, C: CloudProtocol>(
+    settings: ControlSettings,
+    protocol: P,
+    cloud: C,
+) -> eyre::Result<()> {
+    let control = control::running::spawn(settings, protocol, cloud).await?;
+    let state = Rc::clone(control.control());
+    compio::runtime::spawn(dump_on_hangup(move || state.dump())).detach();
+    wait_for_stop().await?;
+    control.stop().await;
+    Ok(())
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    let terminate = unix::signal(signal_number::TERMINATE);
+    let interrupt = unix::signal(signal_number::INTERRUPT);
+    futures_util::pin_mut!(terminate, interrupt);
+    let stopped = futures_util::future::select(terminate, interrupt).await;
+    stopped.factor_first().0.wrap_err("failed to wait for a signal")
+}
+
+async fn dump_on_hangup(dump: impl Fn() -> Value) {
+    while unix::signal(signal_number::HANGUP).await.is_ok() {
+        log::info!("event=dump state={}", dump());
+    }
+}
--- a/src/ops/table.rs
+++ b/crates/vaneway-server/src/ops/table.rs
@@ -3,7 +3,7 @@
 /// Lays rows out in columns of even width, the header first.
 ///
 /// ```
-/// use vaneway::ops::table::layout;
+/// use vaneway_server::ops::table::layout;
 ///
 /// let rows = vec![vec!["lm-scribes".to_owned(), "10".to_owned()]];
 /// assert_eq!(layout(&["name", "replicas"], &rows), "name        replicas\nlm-scribes  10\n");
--- a/src/util/logline.rs
+++ b/crates/vaneway-server/src/util/logline.rs
@@ -27,7 +27,7 @@
 /// Builds one line of key=value pairs.
 ///
 /// ```
-/// use vaneway::util::logline::Line;
+/// use vaneway_server::util::logline::Line;
 ///
 /// let line = Line::new("stopped").with("open", 3).with("why", "drain deadline").build();
 /// assert_eq!(line, r#"event=stopped open=3 why="drain deadline""#);
--- a/src/util/mod.rs
+++ b/crates/vaneway-server/src/util/mod.rs
@@ -1,9 +1,13 @@
 //! Helpers without knowledge of the product.
 
+pub mod body;
 pub mod clock;
 pub mod command_line;
 pub mod findings;
+pub mod frames;
+pub mod http_server;
 pub mod logline;
 pub mod outbox;
 pub mod socket;
+pub mod task;
 pub mod timers;
--- a/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -1,8 +1,8 @@
-//! Listening and connected sockets in the form that hyper takes.
+//! Listening and connected sockets, also in the form that hyper takes.
 //!
 //! Why not the ready-made adaptor: it keeps buffers of its own for both directions besides
 //! hyper's, which costs memory for each of thousands of open streams and a copy of every byte.
-//! [`HttpStream`] waits for readiness and then reads and writes hyper's buffers directly. The
+//! [`TcpStream`] waits for readiness and then reads and writes hyper's buffers directly. The
 //! figures before and after stand in docs/EXPERIMENTS.md.
 
 use std::future::poll_fn;
@@ -10,22 +10,29 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use compio::runtime::fd::PollFd;
 use hyper::rt::ReadBufCursor;
 use socket2::Domain;
 use socket2::Socket;
+use socket2::TcpKeepalive;
 use socket2::Type;
 
-/// A connected socket that hyper reads and writes.
+use crate::util::http_server::Activity;
+
+/// A connected socket.
 #[derive(Debug)]
-pub struct HttpStream {
+pub struct TcpStream {
     fd: PollFd<Socket>,
     /// The last read found nothing, so the next one waits for readiness before it asks the
     /// kernel: hyper polls for reads each time it writes.
     drained: bool,
+    /// Told whenever bytes arrive.
+    activity: Option<Rc<Activity>>,
 }
 
 /// Connections that wait to be accepted at most.
@@ -36,9 +43,9 @@
 /// The event loop's own would create and close sockets on helper threads, where one thread is to
 /// do everything; neither call can block.
 #[derive(Debug)]
-pub struct HttpListener(PollFd<Socket>);
+pub struct TcpListener(PollFd<Socket>);
 
-impl HttpListener {
+impl TcpListener {
     /// Binds a listening socket.
     ///
     /// # Errors
@@ -77,10 +84,10 @@
     /// # Errors
     ///
     /// The operating system's, for example when descriptors run out.
-    pub async fn accept(&self) -> io::Result<HttpStream> {
+    pub async fn accept(&self) -> io::Result<TcpStream> {
         let accepted = poll_fn(|cx| self.0.poll_accept_with(cx, Socket::accept));
         let (socket, _peer) = accepted.await?;
-        HttpStream::new(socket)
+        TcpStream::new(socket)
     }
 }
 
@@ -95,8 +102,8 @@
 /// # Errors
 ///
 /// The operating system's, for example when nothing listens there.
-pub async fn connect(addr: SocketAddr) -> io::Result<HttpStream> {
-    let stream = HttpStream::new(new_socket(addr)?)?;
+pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::new(new_socket(addr)?)?;
     match stream.fd.connect(&addr.into()) {
         Err(error) if error.raw_os_error() == Some(libc::EINPROGRESS) => {
             stream.fd.connect_ready().await?;
@@ -106,7 +113,7 @@
     }
 }
 
-impl HttpStream {
+impl TcpStream {
     /// Prepares a socket. Chunks are small and must leave at once, so
     /// Nagle's algorithm is off.
     ///
@@ -116,11 +123,44 @@
     fn new(socket: Socket) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
-        Ok(Self { fd: PollFd::new(socket)?, drained: false })
+        Ok(Self { fd: PollFd::new(socket)?, drained: false, activity: None })
+    }
+}
+
+impl TcpStream {
+    /// Tells `activity` whenever bytes arrive for hyper.
+    pub fn watch(&mut self, activity: Rc<Activity>) {
+        self.activity = Some(activity);
+    }
+
+    /// Reads some bytes; 0 at the end.
+    pub fn poll_recv(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        self.fd.poll_read_with(cx, |socket| {
+            let mut socket = socket;
+            io::Read::read(&mut socket, buf)
+        })
+    }
+
+    /// Writes some bytes.
+    pub fn poll_send(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.fd.poll_write_with(cx, |socket| socket.send(buf))
+    }
+
+    /// Lets the connection fail once the peer's box has been silent for about `within`, also
+    /// while nothing is being sent. Without it, a connection to a box that lost its power or its
+    /// network hangs for minutes.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's.
+    pub fn fail_when_silent(&self, within: Duration) -> io::Result<()> {
+        self.fd.set_tcp_user_timeout(Some(within))?;
+        let probes = TcpKeepalive::new().with_time(within).with_interval(Duration::from_secs(1));
+        self.fd.set_tcp_keepalive(&probes)
     }
 }
 
-impl hyper::rt::Read for HttpStream {
+impl hyper::rt::Read for TcpStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -135,6 +175,9 @@
             }
             match self.fd.recv(free) {
                 Ok(count) => {
+                    if let Some(activity) = &self.activity {
+                        activity.received();
+                    }
                     // SAFETY: `recv` has initialized the first `count` bytes.
                     unsafe { buf.advance(count) };
                     return Poll::Ready(Ok(()));
@@ -147,7 +190,7 @@
     }
 }
 
-impl hyper::rt::Write for HttpStream {
+impl hyper::rt::Write for TcpStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/vaneway-test-support/src/caller.rs
+++ b/crates/vaneway-test-support/src/caller.rs
@@ -13,7 +13,7 @@
 use hyper::client::conn::http1;
 use serde_json::Value;
 use serde_json::json;
-use vaneway::util::socket;
+use vaneway_server::util::socket;
 
 /// A caller of one entry with one organisation's token.
 #[derive(Debug, Clone)]
--- a/crates/vaneway-test-support/src/engine/batch.rs
+++ b/crates/vaneway-test-support/src/engine/batch.rs
@@ -8,8 +8,8 @@
 
 use serde_json::Value;
 use serde_json::json;
-use vaneway::util::clock;
-use vaneway::util::outbox::Outbox;
+use vaneway_server::util::clock;
+use vaneway_server::util::outbox::Outbox;
 
 use super::EngineOptions;
 use super::EngineStats;
--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -31,8 +31,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
-use vaneway::core::body::CallerBody;
-use vaneway::util::outbox::outbox;
+use vaneway_server::util::body::CallerBody;
+use vaneway_server::util::outbox::outbox;
 
 use self::batch::Batch;
 use self::batch::Sequence;
--- a/crates/vaneway-test-support/src/plain_service.rs
+++ b/crates/vaneway-test-support/src/plain_service.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde_json::json;
-use vaneway::core::body::CallerBody;
+use vaneway_server::util::body::CallerBody;
 
 use crate::server;
 use crate::standin::Standin;
--- a/crates/vaneway-test-support/src/platform.rs
+++ b/crates/vaneway-test-support/src/platform.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
-use vaneway::core::body::CallerBody;
+use vaneway_server::util::body::CallerBody;
 
 use crate::server;
 use crate::standin::Standin;
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use eyre::ensure;
-use vaneway::core::running;
-use vaneway::core::settings;
+use vaneway_server::core::running;
+use vaneway_server::core::settings;
 use vaneway_test_support::Caller;
 use vaneway_test_support::CloudPlatform;
 use vaneway_test_support::Deployment;
--- a/src/bin/vanectl/commands/dump.rs
+++ b/src/bin/vanectl/commands/dump.rs
@@ -1,6 +1,6 @@
 //! `vanectl dump`
 
-use vaneway::ops;
+use vaneway_server::ops;
 
 use super::Args;
 
--- a/src/bin/vanectl/commands/mod.rs
+++ b/src/bin/vanectl/commands/mod.rs
@@ -10,8 +10,8 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt as _;
-use vaneway::ops::client::Target;
-use vaneway::util::command_line::UsageError;
+use vaneway_server::ops::client::Target;
+use vaneway_server::util::command_line::UsageError;
 
 const HELP: &str = "\
 The operators' client of vaneway
--- a/src/bin/vanectl/commands/status.rs
+++ b/src/bin/vanectl/commands/status.rs
@@ -1,6 +1,6 @@
 //! `vanectl status`
 
-use vaneway::ops;
+use vaneway_server::ops;
 
 use super::Args;
 
--- a/src/bin/vanectl/main.rs
+++ b/src/bin/vanectl/main.rs
@@ -8,5 +8,8 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-    vaneway::util::command_line::conclude("vanectl", commands::exec(lexopt::Parser::from_env()))
+    vaneway_server::util::command_line::conclude(
+        "vanectl",
+        commands::exec(lexopt::Parser::from_env()),
+    )
 }
--- a/src/bin/vaneway/commands/check.rs
+++ b/src/bin/vaneway/commands/check.rs
@@ -1,7 +1,7 @@
 //! `vaneway check FILE`
 
 use lexopt::Parser;
-use vaneway::ops;
+use vaneway_server::ops;
 
 /// Checks a settings file.
 pub fn exec(mut args: Parser) -> eyre::Result<String> {
--- a/src/bin/vaneway/commands/mod.rs
+++ b/src/bin/vaneway/commands/mod.rs
@@ -6,7 +6,7 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt as _;
-use vaneway::util::command_line::UsageError;
+use vaneway_server::util::command_line::UsageError;
 
 const HELP: &str = "\
 A serving system for reclaimable boxes
@@ -14,9 +14,12 @@
 Usage: vaneway <COMMAND>
 
 Commands:
-  run FILE     Run an entry with the settings in FILE
+  run FILE     Run an entry or control box with the settings in FILE
   check FILE   Check the settings in FILE and report every finding
 
+Options of run:
+  --adapter NAME  Speak a platform's protocols in place of the own ones: `platform`
+
 Options:
   -h, --help     Print help
   -V, --version  Print the version
--- a/src/bin/vaneway/main.rs
+++ b/src/bin/vaneway/main.rs
@@ -8,6 +8,9 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-    vaneway::util::logline::init();
-    vaneway::util::command_line::conclude("vaneway", commands::exec(lexopt::Parser::from_env()))
+    vaneway_server::util::logline::init();
+    vaneway_server::util::command_line::conclude(
+        "vaneway",
+        commands::exec(lexopt::Parser::from_env()),
+    )
 }
--- a/tests/testsuite/capacity.rs
+++ b/tests/testsuite/capacity.rs
@@ -5,11 +5,11 @@
 use std::path::PathBuf;
 
 use serde_json::Value;
-use vaneway::core::datagram::Envelope;
-use vaneway::core::datagram::seal;
 use vaneway_marks::DIGEST_TO;
 use vaneway_marks::Message;
 use vaneway_marks::TICK;
+use vaneway_server::core::cluster::datagram::Envelope;
+use vaneway_server::core::cluster::datagram::seal;
 
 /// Set to write the tables instead of comparing them.
 const BLESS: &str = "VANEWAY_BLESS";
--- a/tests/testsuite/claims.rs
+++ b/tests/testsuite/claims.rs
@@ -3,13 +3,13 @@
 
 use hyper::Method;
 use serde_json::json;
-use vaneway::core::settings;
 use vaneway_claims::Claim;
 use vaneway_claims::ClaimKey;
 use vaneway_claims::Command;
 use vaneway_claims::KeptAnswer;
 use vaneway_claims::Ledger;
 use vaneway_claims::Reply;
+use vaneway_server::core::settings;
 use vaneway_test_support::Caller;
 use vaneway_test_support::Deployment;
 use vaneway_test_support::PlainService;
--- a/tests/testsuite/marks.rs
+++ b/tests/testsuite/marks.rs
@@ -8,13 +8,13 @@
 
 use bolero::TypeGenerator;
 use hyper::Method;
-use vaneway::core::datagram::Envelope;
-use vaneway::core::datagram::seal;
-use vaneway::core::datagram::unseal;
 use vaneway_marks::Action;
 use vaneway_marks::Instance;
 use vaneway_marks::Marks;
 use vaneway_marks::Message;
+use vaneway_server::core::cluster::datagram::Envelope;
+use vaneway_server::core::cluster::datagram::seal;
+use vaneway_server::core::cluster::datagram::unseal;
 use vaneway_test_support::Caller;
 use vaneway_test_support::CloudPlatform;
 use vaneway_test_support::Process;
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -7,7 +7,7 @@
 use bolero::TypeGenerator;
 use serde_json::Value;
 use serde_json::json;
-use vaneway::core::settings;
+use vaneway_server::core::settings;
 
 use crate::property;
 
