--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -86,6 +86,8 @@
     Event(RawEvent),
     /// An answer to pass on.
     Answer(Response<CallerBody>),
+    /// An answer that says that the endpoint failed, to pass on if no other endpoint does better.
+    Failed(Response<CallerBody>),
     /// The attempt ended; nothing follows.
     Ended {
         outcome: Outcome,
@@ -261,7 +263,7 @@
         let item = std::task::ready!(current.items.poll_next_unpin(cx));
         let item = item.unwrap_or_else(|| Item::ended(Outcome::Unknown, "the attempt ended early"));
         let (attempt, endpoint) = (current.attempt, current.endpoint);
-        if matches!(item, Item::Answer(_) | Item::Ended { .. }) {
+        if !matches!(item, Item::Head(_) | Item::Event(_)) {
             *running = None;
         }
         Poll::Ready(self.received(attempt, endpoint, item))
@@ -305,6 +307,11 @@
                 self.response = Some(response);
                 Event::Ended { attempt, outcome: Outcome::Done }
             }
+            Item::Failed(response) => {
+                let cause = format!("the endpoint answered {}", response.status().as_u16());
+                self.response = Some(response);
+                self.ended(attempt, endpoint, Outcome::Unknown, &cause)
+            }
             Item::Ended { outcome, cause, replaced } => {
                 if replaced {
                     self.entry.report(endpoint, EndpointEvent::Removed);
@@ -324,6 +331,8 @@
         match outcome {
             Outcome::Done => self.entry.report(endpoint, EndpointEvent::Answered),
             Outcome::Refused => {}
+            // It answers, so it is not lost.
+            Outcome::Unknown if self.response.is_some() => {}
             Outcome::NotSent | Outcome::Unknown => {
                 self.entry.report(endpoint, EndpointEvent::Failed);
             }
@@ -420,6 +429,10 @@
             (None, state) => state.name(),
         };
         self.entry.metrics.requests.with_label_values(&[&self.request.service_name, end]).inc();
+        if self.failure.is_some() && self.reply.tx.is_some() && self.response.is_some() {
+            // What an endpoint said of its failure goes before what this box can say.
+            self.failure = None;
+        }
         if let Some(failure) = self.failure {
             self.events.log_failure(&self.request.id, failure, self.relay.moves().attempts);
             // An answer that has begun is cut off when the outbox is dropped unfinished.
@@ -500,8 +513,12 @@
                     return (Item::Head(head), Stage::Reading(Box::new(reading)));
                 }
                 let response = Response::from_parts(head, body);
+                let failed = response.status().is_server_error() && request.repeatable;
                 let answered = Answered { response, attempt };
-                read_answer(entry, &*protocol, spec.address, answered).await
+                match read_answer(entry, &*protocol, spec.address, answered).await {
+                    Item::Answer(response) if failed => Item::Failed(response),
+                    item => item,
+                }
             }
             Verdict::Refused => {
                 entry.connections.put_refused(&entry.timers, spec.address, body).await;
--- a/crates/vaneway-server/src/core/cloud_notices.rs
+++ b/crates/vaneway-server/src/core/cloud_notices.rs
@@ -142,7 +142,8 @@
     let until = Instant::now() + within;
     let req = Request::builder().uri(path).body(Full::default()).expect("the path is valid");
     let (connections, limit) = (&entry.connections, ANSWER_BYTES_MOST);
-    let body = connections.exchange(&entry.timers, platform.address, req, limit, until).await?;
+    let exchange = connections.exchange(&entry.timers, platform.address, req, limit, until).await;
+    let (_, body) = exchange.ok().filter(|(status, _)| status.is_success())?;
     match serde_json::from_slice(&body) {
         Ok(answer) => Some(answer),
         Err(error) => {
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -11,11 +11,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper::StatusCode;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+
 use crate::core::control::group;
 use crate::core::control::machine::Command;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::Holder;
 use crate::core::control::state::Control;
+use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
 use crate::core::usage::Window;
 use crate::util::logline::Line;
@@ -85,6 +90,45 @@
     }
 }
 
+/// What became of a call to the cloud.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallEnd {
+    /// It answered with this status.
+    Answered(StatusCode),
+    /// It may or may not have taken the call.
+    Unknown,
+}
+
+impl CallEnd {
+    fn is_success(self) -> bool {
+        matches!(self, Self::Answered(status) if status.is_success())
+    }
+}
+
+/// Calls the cloud.
+async fn call(control: &Control, cloud: &CloudSettings, mut req: EndpointRequest) -> CallEnd {
+    let host = cloud.address.to_string();
+    if let Ok(host) = HeaderValue::from_str(&host) {
+        req.headers_mut().insert(HOST, host);
+    }
+    let path = req.uri().path().to_owned();
+    let until = Instant::now() + ANSWER_WITHIN;
+    let (connections, timers) = (&control.connections, &control.timers);
+    let exchange = connections.exchange(timers, cloud.address, req, ANSWER_BYTES_MOST, until);
+    match exchange.await {
+        Ok((status, _body)) => {
+            if !status.is_success() {
+                Line::new("cloud_refused").with("path", path).with("status", status).info();
+            }
+            CallEnd::Answered(status)
+        }
+        Err(error) => {
+            Line::new("cloud_call_failed").with("path", path).with("cause", &error.cause).info();
+            CallEnd::Unknown
+        }
+    }
+}
+
 /// Sends the reports that the cloud has not taken from this box.
 async fn send_reports<C: CloudProtocol>(
     control: &Rc<Control>,
@@ -107,10 +151,7 @@
         let fence = control.node.borrow().term();
         let holder = Holder { name: control.settings.name.clone(), fence };
         let req = protocol.usage_report(&holder, window, &counts);
-        let until = Instant::now() + ANSWER_WITHIN;
-        let (connections, timers) = (&control.connections, &control.timers);
-        let exchange = connections.exchange(timers, cloud.address, req, ANSWER_BYTES_MOST, until);
-        let taken = exchange.await.is_some();
+        let taken = call(control, cloud, req).await.is_success();
         Line::new("usage_report")
             .with("window", window)
             .with("requests", counts.values().sum::<u64>())
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -136,7 +136,11 @@
     }
 
     /// Sends a small request that may be repeated and reads its whole answer, of at most `limit`
-    /// bytes, until `until`; none if that did not succeed.
+    /// bytes, until `until`.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`] if no whole answer came.
     pub async fn exchange(
         &self,
         timers: &Timers,
@@ -144,17 +148,21 @@
         req: EndpointRequest,
         limit: usize,
         until: Instant,
-    ) -> Option<Bytes> {
-        let answered = self.send(timers, addr, req, false, until).await.ok()?;
-        let success = answered.response.status().is_success();
-        let mut body = answered.response.into_body();
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let Answered { response, mut attempt } = self.send(timers, addr, req, false, until).await?;
+        let status = response.status();
+        let mut body = response.into_body();
         let mut held = BytesMut::new();
-        let read = timers.until(until, body.read_into(&mut held, limit)).await;
-        if !matches!(read, Some(Ok(true))) {
-            return None;
-        }
-        self.put(addr, body);
-        success.then(|| held.freeze())
+        let cause = match timers.until(until, body.read_into(&mut held, limit)).await {
+            Some(Ok(true)) => {
+                self.put(addr, body);
+                return Ok((status, held.freeze()));
+            }
+            Some(Ok(false)) => "the answer is too long".to_owned(),
+            Some(Err(error)) => error.to_string(),
+            None => "the answer did not end in time".to_owned(),
+        };
+        Err(ended(&mut attempt, AttemptEvent::Broken, cause))
     }
 
     async fn open(
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -52,6 +52,9 @@
 /// what operators allow on top.
 const ROUTED_RETRY_RESERVE: u32 = 4;
 
+/// Part of what operators allow beyond quotas that is used for bursts.
+const BURST_PART: f64 = 0.5;
+
 /// Whether the entry takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -282,8 +285,9 @@
         let organisations = configuration.organisations.iter().filter(limited);
         let limits: BTreeMap<&str, Limit> = organisations
             .map(|spec| {
-                let limit = Limit { rate: spec.rate.unwrap_or_default(), burst: spec.burst };
-                (spec.name.as_str(), limit)
+                let rate = spec.rate.unwrap_or_default();
+                let burst = spec.burst + self.burst_allowance(rate, spec.burst);
+                (spec.name.as_str(), Limit { rate, burst })
             })
             .collect();
         quotas.retain(|name, _| limits.contains_key(name.as_str()));
@@ -295,6 +299,15 @@
         }
     }
 
+    /// Units that may be taken at once beyond a quota's burst: a part of what operators allow on
+    /// top. The rest is for what boxes admit before they have heard of each other.
+    fn burst_allowance(&self, rate: f64, burst: f64) -> f64 {
+        let Some(follow) = &self.settings.follow else { return 0.0 };
+        let allowed = follow.quota;
+        let measured = rate.mul_add(allowed.window.as_secs_f64(), burst);
+        measured.mul_add(allowed.overage, allowed.slack) * BURST_PART
+    }
+
     /// Charges an organisation for a request.
     ///
     /// # Errors
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -67,6 +67,19 @@
     pub seeds: Vec<SocketAddr>,
     /// Length of an accounting window.
     pub window: Duration,
+    /// What operators allow beyond quotas.
+    pub quota: QuotaAllowance,
+}
+
+/// What operators allow beyond quotas, since entry boxes admit requests without asking each other.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct QuotaAllowance {
+    /// Time over which a quota is measured.
+    pub window: Duration,
+    /// Part of what a quota allows in that time, on top.
+    pub overage: f64,
+    /// Units on top of that.
+    pub slack: f64,
 }
 
 /// Settings of a control box.
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -25,6 +25,7 @@
 use super::Peer;
 use super::Platform;
 use super::ProcessSettings;
+use super::QuotaAllowance;
 use super::Routing;
 use super::Service;
 use super::ServiceKind;
@@ -234,7 +235,7 @@
         seeds: seeds(&mut fields, cluster_listen.port()),
         form_group: fields.optional("form_group").and_then(|p| p.flag()).unwrap_or(false),
         data_folder: fields.text("data_folder").into(),
-        window: millis(&mut fields, "usage_window_ms", SOME_TIME, 60_000),
+        window: seconds(&mut fields, "usage_window_s", 60.0),
         cloud: fields.optional("cloud").and_then(|place| place.object()).map(cloud),
     };
     if !cluster_listen.is_ipv4() {
@@ -259,12 +260,28 @@
     let port = fields.number("port", 1..=u64::from(u16::MAX), DEFAULT_CLUSTER_PORT) as u16;
     let settings = FollowSettings {
         seeds: seeds(&mut fields, port),
-        window: millis(&mut fields, "usage_window_ms", SOME_TIME, 60_000),
+        window: seconds(&mut fields, "usage_window_s", 60.0),
+        quota: quota(fields.section("quota")),
     };
     fields.finish();
     settings
 }
 
+fn quota(mut fields: Fields<'_>) -> QuotaAllowance {
+    let allowance = QuotaAllowance {
+        window: seconds(&mut fields, "window_s", 10.0),
+        overage: fields.fraction("overage", 0.0..=10.0, 0.0),
+        slack: fields.fraction("slack", 0.0..=1e12, 0.0),
+    };
+    fields.finish();
+    allowance
+}
+
+/// A time in seconds and parts of them.
+fn seconds(fields: &mut Fields<'_>, name: &'static str, default: f64) -> Duration {
+    Duration::from_secs_f64(fields.fraction(name, 0.001..=86_400.0, default))
+}
+
 /// Addresses of control boxes. Any of their addresses will do, since all use one port for other
 /// boxes.
 fn seeds(fields: &mut Fields<'_>, port: u16) -> Vec<SocketAddr> {
--- a/crates/vaneway-server/src/util/findings.rs
+++ b/crates/vaneway-server/src/util/findings.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// The place as a number within `range`, with a fraction or without.
+    pub fn fraction(&self, range: std::ops::RangeInclusive<f64>) -> Option<f64> {
+        match self.value.as_f64() {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => self.wanted(&format!("a number from {} to {}", range.start(), range.end())),
+        }
+    }
+
     /// The place as true or false.
     pub fn flag(&self) -> Option<bool> {
         match self.value {
@@ -203,6 +211,16 @@
         self.optional(name).and_then(|place| place.number(range)).unwrap_or(default)
     }
 
+    /// Optional number within `range`, with a fraction or without.
+    pub fn fraction(
+        &mut self,
+        name: &'static str,
+        range: std::ops::RangeInclusive<f64>,
+        default: f64,
+    ) -> f64 {
+        self.optional(name).and_then(|place| place.fraction(range)).unwrap_or(default)
+    }
+
     /// The items of an optional array.
     pub fn items(&mut self, name: &'static str) -> Vec<Place<'a>> {
         self.optional(name).map(|place| place.items()).unwrap_or_default()
