--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -1,14 +1,19 @@
 //! Quotas of organisations that many entry boxes share, without I/O.
 //!
 //! Why: an organisation's limit holds over all entry boxes together, and no entry box may ask
-//! another before it admits a request. So each box keeps a token bucket for the whole limit: it
-//! takes what it admits itself at once, and what the others admitted as soon as it is told, some
-//! times a second. Between two such reports boxes may admit too much together, by what arrives in
-//! that time; a bucket in debt then admits nothing until the limit has paid it off, so over any
-//! longer time the limit holds. A box that is told nothing for a while falls back to its share.
+//! another before it admits a request. So each box counts what it admits in short slots of the
+//! cluster's time, and tells the others some times a second. From its own counts and theirs it works
+//! out the level of the one token bucket that all share.
+//!
+//! What is told of a slot only grows, so it may be told twice, late or by several control boxes,
+//! and a box that starts or was cut off is told the latest slots again and knows what it must know.
+//!
+//! Between two tellings boxes may admit too much together. Each therefore keeps back what the
+//! others will have admitted before it hears of it, going by how much they admitted lately. A box
+//! that is told nothing for a while falls back to its share.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
-use std::time::Instant;
 
 /// A limit, in units (requests or tokens).
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -19,84 +24,140 @@
     pub burst: f64,
 }
 
+/// Number of a slot of the cluster's time.
+pub type Slot = u64;
+
+/// Length of a slot.
+pub const SLOT: Duration = Duration::from_millis(500);
+
+/// Slots that count: longer than any quota is measured over.
+pub const SLOTS_KEPT: u64 = 24;
+
 /// Silence after which the others' use counts as unknown.
 const TOLD_WITHIN: Duration = Duration::from_secs(2);
 
-/// One organisation's bucket at one entry box.
+/// Time after which a box has heard of what another admitted: two tellings and the way.
+const HEARD_AFTER: Duration = Duration::from_millis(350);
+
+/// The slot of a time since 1970.
+pub fn slot(time: Duration) -> Slot {
+    (time.as_millis() / SLOT.as_millis()) as Slot
+}
+
+/// One organisation's quota at one entry box. Times are the cluster's, since 1970.
 #[derive(Debug, Clone)]
-pub struct Bucket {
+pub struct Quota {
     limit: Limit,
-    /// Units that may be taken now; below zero while in debt.
-    level: f64,
-    updated: Instant,
+    /// Slot from which on the limit counts; what was taken before was taken under another.
+    since: Slot,
+    own: BTreeMap<Slot, f64>,
+    others: BTreeMap<Slot, f64>,
     /// When the others' use was last told.
-    told: Instant,
+    told: Option<Duration>,
     /// Entry boxes that share the limit.
     sharers: u32,
 }
 
-impl Bucket {
-    /// A full bucket.
-    pub fn new(now: Instant, limit: Limit) -> Self {
-        Self { limit, level: limit.burst, updated: now, told: now, sharers: 1 }
+impl Quota {
+    /// A quota of which nothing was taken.
+    pub fn new(now: Duration, limit: Limit) -> Self {
+        Self {
+            limit,
+            since: slot(now),
+            own: BTreeMap::new(),
+            others: BTreeMap::new(),
+            told: None,
+            sharers: 1,
+        }
     }
 
-    /// Changes the limit; what was taken stays taken.
-    pub fn set_limit(&mut self, now: Instant, limit: Limit) {
-        self.refill(now);
-        self.limit = limit;
-        self.level = self.level.min(limit.burst);
+    /// Changes the limit.
+    pub fn set_limit(&mut self, now: Duration, limit: Limit) {
+        if self.limit != limit {
+            self.limit = limit;
+            self.since = slot(now);
+        }
     }
 
     /// Takes `units` for a request of this box.
     ///
     /// # Errors
     ///
-    /// The time after which the bucket will hold enough.
-    pub fn take(&mut self, now: Instant, units: f64) -> Result<(), Duration> {
-        self.refill(now);
+    /// The time after which the quota will hold enough.
+    pub fn take(&mut self, now: Duration, units: f64) -> Result<(), Duration> {
+        self.forget(now);
         // A request larger than the burst can only ever start from a full bucket.
         let needed = units.min(self.limit.burst);
-        if self.level >= needed {
-            self.level -= units;
+        let free = self.level(now) - self.unheard(now);
+        if free >= needed {
+            *self.own.entry(slot(now)).or_default() += units;
             return Ok(());
         }
         let rate = self.rate(now).max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64((needed - self.level) / rate).unwrap_or(Duration::MAX))
+        Err(Duration::try_from_secs_f64((needed - free) / rate).unwrap_or(Duration::MAX))
     }
 
     /// Gives back what a request took that was not run.
-    pub fn give_back(&mut self, now: Instant, units: f64) {
-        self.refill(now);
-        self.level = (self.level + units).min(self.limit.burst);
+    pub fn give_back(&mut self, now: Duration, units: f64) {
+        let own = self.own.entry(slot(now)).or_default();
+        *own = (*own - units).max(0.0);
     }
 
-    /// Learns that the other boxes took `units` since they were last told of, and how many boxes
-    /// share the limit.
-    pub fn told(&mut self, now: Instant, units: f64, sharers: u32) {
-        self.refill(now);
-        self.level -= units;
-        self.told = now;
+    /// Learns what the other boxes took in some slots, and how many boxes share the limit.
+    pub fn tell(&mut self, now: Duration, slots: &[(Slot, f64)], sharers: u32) {
+        for (slot, units) in slots {
+            let known = self.others.entry(*slot).or_default();
+            *known = known.max(*units);
+        }
+        self.told = Some(now);
         self.sharers = sharers.max(1);
     }
 
-    /// Units that may be taken now.
-    pub fn level(&self) -> f64 {
-        self.level
+    /// What this box took in the slots from `first` on.
+    pub fn own(&self, first: Slot) -> impl Iterator<Item = (Slot, f64)> {
+        self.own.range(first..).map(|(slot, units)| (*slot, *units))
+    }
+
+    /// Units that may be taken now: the level of a bucket that was full when the limit began to
+    /// count, fills at the limit's rate, and from which each slot's use was taken.
+    pub fn level(&self, now: Duration) -> f64 {
+        let present = slot(now);
+        let first = self.since.max(present.saturating_sub(SLOTS_KEPT));
+        let filled = self.rate(now) * SLOT.as_secs_f64();
+        let used = |slot: Slot| {
+            self.own.get(&slot).unwrap_or(&0.0) + self.others.get(&slot).unwrap_or(&0.0)
+        };
+        let mut level = self.limit.burst;
+        for slot in first..present {
+            level = (level - used(slot) + filled).min(self.limit.burst);
+        }
+        let part = (now.as_secs_f64() / SLOT.as_secs_f64()).fract();
+        (level + filled * part).min(self.limit.burst) - used(present)
+    }
+
+    /// What the others will have taken before this box hears of it, by their latest whole slots.
+    fn unheard(&self, now: Duration) -> f64 {
+        /// Slots that are looked at.
+        const LATEST: u64 = 2;
+        let present = slot(now);
+        let latest = self.others.range(present.saturating_sub(LATEST)..present);
+        let taken: f64 = latest.map(|(_, units)| units).sum();
+        taken * HEARD_AFTER.as_secs_f64() / (SLOT.as_secs_f64() * LATEST as f64)
     }
 
     /// Units a second that this box may count on.
-    fn rate(&self, now: Instant) -> f64 {
-        if now.saturating_duration_since(self.told) <= TOLD_WITHIN {
+    fn rate(&self, now: Duration) -> f64 {
+        let told = self.told.is_some_and(|told| now.saturating_sub(told) <= TOLD_WITHIN);
+        if told || self.sharers == 1 {
             self.limit.rate
         } else {
             self.limit.rate / f64::from(self.sharers)
         }
     }
 
-    fn refill(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.level = self.rate(now).mul_add(passed, self.level).min(self.limit.burst);
-        self.updated = self.updated.max(now);
+    fn forget(&mut self, now: Duration) {
+        let first = slot(now).saturating_sub(SLOTS_KEPT);
+        self.own.retain(|slot, _| *slot >= first);
+        self.others.retain(|slot, _| *slot >= first);
     }
 }
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -2,9 +2,8 @@
 //!
 //! Data flow: one connection to each control box that is known: the seeds of the settings at
 //! first, then whoever the control boxes name. Configuration and endpoints may come from any of
-//! them; the newest counts, so one control box that is cut off or behind takes nothing away. The
-//! use of quotas is told to all; what the others used is taken from one connection at a time, the
-//! first that works, since two control boxes may have heard different parts of it.
+//! them; the newest counts, so one control box that is cut off or behind takes nothing away. What
+//! requests used is told to all, and what the others used is heard from all.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -15,25 +14,28 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use vaneway_quota::SLOTS_KEPT;
+
 use crate::core::cluster::wire::CONNECT_WITHIN;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::PING_EVERY;
 use crate::core::cluster::wire::RECONNECT_AFTER;
 use crate::core::cluster::wire::SILENCE_MOST;
+use crate::core::cluster::wire::SLOTS_TOLD;
+use crate::core::cluster::wire::TELL_ALL_EVERY;
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
+use crate::core::cluster::wire::USE_EVERY;
 use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
 use crate::core::settings::FollowSettings;
 use crate::core::usage::ClusterTime;
+use crate::core::usage::UseReport;
 use crate::util::frames;
 use crate::util::frames::Outgoing;
 use crate::util::logline::Line;
 use crate::util::socket;
 
-/// Time between two reports of what requests used.
-const USE_EVERY: Duration = Duration::from_millis(200);
-
 /// Largest step by which a better estimate of the cluster's time may differ without a log line.
 const CLOCK_STEP: Duration = Duration::from_millis(250);
 
@@ -52,8 +54,6 @@
 #[derive(Debug, Default)]
 struct Connection {
     outgoing: Outgoing,
-    /// Units of the others as last told here; none before the first time.
-    others: RefCell<Option<BTreeMap<String, i64>>>,
 }
 
 /// How old an estimate of the cluster's time may be before a worse one replaces it.
@@ -72,9 +72,11 @@
     });
     follower.keep(&seeds);
     let mut pinged = Instant::now();
+    let mut round = 0;
     loop {
         follower.entry.timers.sleep(USE_EVERY).await;
-        let report = follower.entry.used.borrow().report();
+        round += 1;
+        let report = follower.report(round);
         let ping = pinged.elapsed() >= PING_EVERY;
         if ping {
             pinged = Instant::now();
@@ -128,7 +130,7 @@
         }
     }
 
-    async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::TcpStream) {
+    async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
         if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
             log::warn!("event=socket_option_failed error={error:?}");
         }
@@ -142,7 +144,7 @@
         Line::new("control_connected").with("address", address).info();
         let on_frame = |frame: &[u8]| {
             match frames::decode::<ToEntry>(frame) {
-                Some(message) => self.received(address, &connection, message),
+                Some(message) => self.received(message),
                 None => self.entry.metrics.datagrams_dropped.inc(),
             }
             true
@@ -155,7 +157,7 @@
         Line::new("control_lost").with("address", address).with("why", why).info();
     }
 
-    fn received(self: &Rc<Self>, from: SocketAddr, connection: &Connection, message: ToEntry) {
+    fn received(self: &Rc<Self>, message: ToEntry) {
         match message {
             ToEntry::Pong { sent_us, time_us } => self.learn_time(sent_us, time_us),
             ToEntry::Configuration(configuration) => self.entry.configure(configuration),
@@ -165,28 +167,21 @@
                     self.keep(&addresses);
                 }
             }
-            ToEntry::OthersUse { entries, units } => {
-                self.others_used(from, connection, entries, units);
+            ToEntry::OthersUse { entries, quotas } => {
+                for (organisation, slots) in &quotas {
+                    self.entry.others_took(organisation, slots, entries);
+                }
             }
         }
     }
 
-    /// Takes what the others used since this connection last told, if it is the one to go by.
-    fn others_used(
-        &self,
-        from: SocketAddr,
-        connection: &Connection,
-        entries: u32,
-        units: Vec<(String, i64)>,
-    ) {
-        let units: BTreeMap<String, i64> = units.into_iter().collect();
-        let first = self.open.borrow().keys().next().copied();
-        let before = connection.others.replace(Some(units.clone()));
-        let Some(before) = before.filter(|_| first == Some(from)) else { return };
-        for (organisation, units) in &units {
-            let known = before.get(organisation).copied().unwrap_or_default();
-            self.entry.others_used(organisation, (units - known) as f64, entries);
-        }
+    /// What this box's requests used, as far as it must be told now.
+    fn report(&self, round: u64) -> UseReport {
+        let all = round.is_multiple_of(TELL_ALL_EVERY);
+        let kept = if all { SLOTS_KEPT } else { SLOTS_TOLD };
+        let first = vaneway_quota::slot(self.entry.cluster_time()).saturating_sub(kept);
+        let windows = self.entry.used.borrow().windows();
+        UseReport { windows, quotas: self.entry.own_quota_use(first) }
     }
 
     /// Microseconds of this box's steady clock, from any fixed time on.
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -14,8 +14,18 @@
 use vaneway_registry::Report;
 
 use crate::core::configuration::Configuration;
+use crate::core::usage::QuotaUse;
 use crate::core::usage::UseReport;
 
+/// Time between two tellings of what requests used, in either direction.
+pub const USE_EVERY: Duration = Duration::from_millis(150);
+
+/// Slots of quotas that each telling repeats.
+pub const SLOTS_TOLD: u64 = 2;
+
+/// Tellings after which all slots are repeated, for whoever missed some.
+pub const TELL_ALL_EVERY: u64 = 12;
+
 /// Time between two signs of life on a connection.
 pub const PING_EVERY: Duration = Duration::from_millis(400);
 
@@ -63,12 +73,12 @@
     Registry(Vec<Report>),
     /// The control boxes, by the addresses for other boxes.
     ControlBoxes(Vec<SocketAddr>),
-    /// Quota units that the other entry boxes have taken, as this control box knows.
+    /// Quota units that the other entry boxes took in the latest slots, as this control box knows.
     OthersUse {
         /// Entry boxes that are there.
         entries: u32,
-        /// Units by organisation.
-        units: Vec<(String, i64)>,
+        /// Units by organisation and slot.
+        quotas: QuotaUse,
     },
 }
 
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -54,7 +54,7 @@
     loop {
         control.timers.sleep(LOOK_EVERY).await;
         if cloud.usage_reports {
-            let window = present_window(&control);
+            let window = control.now().window;
             let first = *began.get_or_insert(window);
             if holds_duty(&control) {
                 fix_reports(&control, first, window).await;
@@ -64,11 +64,6 @@
     }
 }
 
-fn present_window(control: &Control) -> Window {
-    let length = control.settings.window.as_millis().max(1);
-    (control.time().as_millis() / length) as Window
-}
-
 /// Whether this box may act for the deployment now.
 fn holds_duty(control: &Control) -> bool {
     let settled = control.leads_since.get().is_some_and(|since| since.elapsed() > TAKE_OVER_AFTER);
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -20,8 +20,11 @@
 use crate::core::cluster::wire::PING_EVERY;
 use crate::core::cluster::wire::RECONNECT_AFTER;
 use crate::core::cluster::wire::SILENCE_MOST;
+use crate::core::cluster::wire::SLOTS_TOLD;
+use crate::core::cluster::wire::TELL_ALL_EVERY;
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
+use crate::core::cluster::wire::USE_EVERY;
 use crate::core::configuration::Configuration;
 use crate::core::control::group;
 use crate::core::control::state::Control;
@@ -31,11 +34,8 @@
 use crate::util::frames::Outgoing;
 use crate::util::logline::Line;
 use crate::util::socket;
-use crate::util::socket::TcpListener;
-use crate::util::socket::TcpStream;
-
-/// Time between two reports to entry boxes of what the others used.
-const USE_EVERY: Duration = Duration::from_millis(200);
+use crate::util::socket::SocketListener;
+use crate::util::socket::SocketStream;
 
 /// Time between two looks at which control boxes to be connected with.
 const PEERS_EVERY: Duration = Duration::from_millis(300);
@@ -125,7 +125,7 @@
 }
 
 /// Accepts connections until dropped.
-pub async fn accept(control: Rc<Control>, listener: TcpListener) {
+pub async fn accept(control: Rc<Control>, listener: SocketListener) {
     /// Pause after a failed accept, which mostly means that descriptors ran out.
     const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
     loop {
@@ -150,7 +150,7 @@
     Control { node: NodeId },
 }
 
-async fn serve(control: Rc<Control>, stream: TcpStream) {
+async fn serve(control: Rc<Control>, stream: SocketStream) {
     if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
         log::warn!("event=socket_option_failed error={error:?}");
     }
@@ -185,7 +185,8 @@
         }
         ToControl::Entry(FromEntry::Use(report)) => {
             if let Sender::Entry { start, .. } = sender {
-                control.use_ledger.borrow_mut().merge(start, &report);
+                let now = control.now();
+                control.use_ledger.borrow_mut().merge(now, start, &report);
             }
         }
         ToControl::Control(message) => {
@@ -260,22 +261,30 @@
 /// Tells the entry boxes again and again what the others used, until dropped.
 pub async fn tell_entries(control: Rc<Control>) {
     let mut boxes = Vec::new();
+    let mut round: u64 = 0;
     loop {
         control.timers.sleep(USE_EVERY).await;
+        round += 1;
         let now_boxes = control_boxes(&control);
-        let changed = boxes != now_boxes;
-        let links: Vec<Rc<EntryLink>> = control.entries.borrow().values().cloned().collect();
-        let count = links.len() as u32;
-        let ledger = control.use_ledger.borrow();
-        let total = ledger.units();
-        for link in &links {
-            let units = ledger.without(&total, &link.start);
-            link.outgoing.send(&ToEntry::OthersUse { entries: count, units });
-            if changed {
+        if boxes != now_boxes {
+            for link in control.entries.borrow().values() {
                 link.outgoing.send(&ToEntry::ControlBoxes(now_boxes.clone()));
             }
         }
         boxes = now_boxes;
+        tell_use(&control, round.is_multiple_of(TELL_ALL_EVERY));
+    }
+}
+
+fn tell_use(control: &Control, all: bool) {
+    let links = control.entries.borrow();
+    let entries = links.len() as u32;
+    let ledger = control.use_ledger.borrow();
+    let first = if all { 0 } else { ledger.last_slot().saturating_sub(SLOTS_TOLD) };
+    let totals = ledger.quota_totals(first);
+    for link in links.values() {
+        let quotas = ledger.without(&totals, &link.start);
+        link.outgoing.send(&ToEntry::OthersUse { entries, quotas });
     }
 }
 
@@ -316,7 +325,7 @@
     }
 }
 
-async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: TcpStream) {
+async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
     if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
         log::warn!("event=socket_option_failed error={error:?}");
     }
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -38,7 +38,7 @@
 use crate::util::http_server::Handler;
 use crate::util::http_server::HttpServer;
 use crate::util::logline::Line;
-use crate::util::socket::TcpListener;
+use crate::util::socket::SocketListener;
 use crate::util::task;
 use crate::util::timers::Timers;
 
@@ -134,7 +134,7 @@
     });
     compio::runtime::spawn(writing).detach();
     let listen = control.settings.cluster_listen;
-    let listener = TcpListener::bind(listen)
+    let listener = SocketListener::bind(listen)
         .wrap_err_with(|| format!("failed to listen for other boxes on {listen}"))?;
     let listen = control.settings.listen;
     let api = Rc::new(Api { control: Rc::clone(&control), protocol });
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -28,7 +28,9 @@
 use crate::core::control::machine::Machine;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::settings::ControlSettings;
+use crate::core::usage::ClusterNow;
 use crate::core::usage::UseLedger;
+use crate::core::usage::Window;
 use crate::util::clock;
 use crate::util::timers::Timers;
 
@@ -113,6 +115,14 @@
         self.clock.borrow_mut().read(Instant::now(), clock::since_epoch())
     }
 
+    /// Where the cluster's time stands.
+    pub fn now(&self) -> ClusterNow {
+        let time = self.time();
+        let length = self.settings.window.as_millis().max(1);
+        let window = (time.as_millis() / length) as Window;
+        ClusterNow { window, slot: vaneway_quota::slot(time) }
+    }
+
     /// Where another node's box takes connections of other boxes.
     pub fn cluster_address(&self, node: NodeId) -> SocketAddr {
         let port = self.settings.cluster_listen.port();
--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -28,7 +28,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 
-use crate::util::socket::TcpStream;
+use crate::util::socket::SocketStream;
 
 /// A request as endpoints get it.
 pub type EndpointRequest = Request<Full<Bytes>>;
@@ -36,7 +36,7 @@
 /// Size of a connection's read buffer: dozens of tokens, and half of what hyper takes by itself.
 const READ_BYTES: usize = 4_096;
 
-type HttpConnection = http1::Connection<TcpStream, Full<Bytes>>;
+type HttpConnection = http1::Connection<SocketStream, Full<Bytes>>;
 
 /// An open connection.
 #[derive(Debug)]
@@ -52,7 +52,7 @@
     /// # Errors
     ///
     /// If hyper can't set the connection up.
-    pub async fn open(stream: TcpStream) -> hyper::Result<Self> {
+    pub async fn open(stream: SocketStream) -> hyper::Result<Self> {
         let (sender, driver) =
             http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
         Ok(Self { sender, driver: Box::pin(driver), closed: false })
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -14,8 +14,9 @@
 use serde_json::Value;
 use serde_json::json;
 use vaneway_marks::Instance;
-use vaneway_quota::Bucket;
 use vaneway_quota::Limit;
+use vaneway_quota::Quota;
+use vaneway_quota::Slot;
 use vaneway_registry::InstanceId;
 use vaneway_registry::Registry;
 use vaneway_relay::Event;
@@ -38,6 +39,7 @@
 use crate::core::metrics::Metrics;
 use crate::core::settings::Settings;
 use crate::core::usage::Used;
+use crate::util::clock;
 use crate::util::logline::Line;
 use crate::util::timers::Timers;
 
@@ -110,7 +112,7 @@
     pub used: RefCell<Used>,
     table: RefCell<Option<Rc<RouteTable>>>,
     service_ids: RefCell<BTreeMap<String, ServiceId>>,
-    quotas: RefCell<BTreeMap<String, Bucket>>,
+    quotas: RefCell<BTreeMap<String, Quota>>,
     phase: Cell<Phase>,
     started: Instant,
     boot: u64,
@@ -279,7 +281,7 @@
     }
 
     fn set_quotas(&self, configuration: &Configuration) {
-        let now = Instant::now();
+        let now = self.cluster_time();
         let mut quotas = self.quotas.borrow_mut();
         let limited = |spec: &&crate::core::configuration::OrganisationSpec| spec.rate.is_some();
         let organisations = configuration.organisations.iter().filter(limited);
@@ -294,7 +296,7 @@
         for (name, limit) in limits {
             quotas
                 .entry(name.to_owned())
-                .or_insert_with(|| Bucket::new(now, limit))
+                .or_insert_with(|| Quota::new(now, limit))
                 .set_limit(now, limit);
         }
     }
@@ -314,28 +316,42 @@
     ///
     /// The time after which its quota allows the request.
     pub fn charge(&self, organisation: &str, units: u64) -> Result<(), Duration> {
-        if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
-            quota.take(Instant::now(), units as f64)?;
+        let now = self.cluster_time();
+        match self.quotas.borrow_mut().get_mut(organisation) {
+            Some(quota) => quota.take(now, units as f64),
+            None => Ok(()),
         }
-        self.used.borrow_mut().add_units(organisation, units as i64);
-        Ok(())
     }
 
     /// Gives back what a request was charged that did not run.
     pub fn give_back(&self, organisation: &str, units: u64) {
+        let now = self.cluster_time();
         if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
-            quota.give_back(Instant::now(), units as f64);
+            quota.give_back(now, units as f64);
         }
-        self.used.borrow_mut().add_units(organisation, -(units as i64));
     }
 
-    /// Learns what the other entry boxes took of an organisation's quota since they last told.
-    pub fn others_used(&self, organisation: &str, units: f64, entries: u32) {
+    /// Learns what the other entry boxes took of an organisation's quota.
+    pub fn others_took(&self, organisation: &str, slots: &[(Slot, f64)], entries: u32) {
+        let now = self.cluster_time();
         if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
-            quota.told(Instant::now(), units, entries);
+            quota.tell(now, slots, entries);
         }
     }
 
+    /// What this box took of each quota in the slots from `first` on.
+    pub fn own_quota_use(&self, first: Slot) -> Vec<(String, Vec<(Slot, f64)>)> {
+        let quotas = self.quotas.borrow();
+        let used = quotas.iter().map(|(name, quota)| (name.clone(), quota.own(first).collect()));
+        used.filter(|(_, slots): &(String, Vec<_>)| !slots.is_empty()).collect()
+    }
+
+    /// The cluster's time since 1970, or this box's before it knows better.
+    pub fn cluster_time(&self) -> Duration {
+        let clock = self.used.borrow().clock();
+        clock.map_or_else(clock::since_epoch, |clock| clock.since_epoch(Instant::now()))
+    }
+
     /// Counts a request that an endpoint began to work on.
     pub fn count_begun(&self, organisation: &str) {
         self.used.borrow_mut().begin(Instant::now(), organisation);
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -11,6 +11,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use vaneway_quota::SLOTS_KEPT;
+use vaneway_quota::Slot;
 
 /// Number of an accounting window since 1970.
 pub type Window = u64;
@@ -58,7 +60,6 @@
     windows: BTreeMap<Window, Counts>,
     /// Requests begun before the cluster's time was known.
     early: Vec<(Instant, String)>,
-    units: BTreeMap<String, i64>,
 }
 
 /// Most requests that wait for the cluster's time.
@@ -93,27 +94,22 @@
         }
     }
 
-    /// Counts quota units taken, or given back.
-    pub fn add_units(&mut self, organisation: &str, units: i64) {
-        *self.units.entry(organisation.to_owned()).or_default() += units;
-    }
-
-    /// Everything, as it travels.
-    pub fn report(&self) -> UseReport {
-        UseReport {
-            windows: self.windows.iter().map(|(w, counts)| (*w, counts.clone())).collect(),
-            units: self.units.iter().map(|(name, units)| (name.clone(), *units)).collect(),
-        }
+    /// Requests begun in the latest windows, as they travel.
+    pub fn windows(&self) -> Vec<(Window, Counts)> {
+        self.windows.iter().map(|(window, counts)| (*window, counts.clone())).collect()
     }
 }
 
+/// Quota units of each organisation by slot.
+pub type QuotaUse = Vec<(String, Vec<(Slot, f64)>)>;
+
 /// What one entry box tells of its requests.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct UseReport {
     /// Requests begun in the latest windows.
     pub windows: Vec<(Window, Counts)>,
-    /// Quota units taken since the box started.
-    pub units: Vec<(String, i64)>,
+    /// Quota units taken in the latest slots.
+    pub quotas: QuotaUse,
 }
 
 /// Names one start of an entry box.
@@ -123,16 +119,34 @@
 #[derive(Debug, Default)]
 pub struct UseLedger {
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
-    units: BTreeMap<EntryStart, BTreeMap<String, i64>>,
+    slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, f64>>>,
 }
 
 /// Windows that a control box remembers.
 const LEDGER_WINDOWS: usize = 16;
 
+/// Slots of quotas that a control box remembers.
+const LEDGER_SLOTS: usize = SLOTS_KEPT as usize + 4;
+
+/// Where the cluster's time stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClusterNow {
+    /// The accounting window.
+    pub window: Window,
+    /// The slot of quotas.
+    pub slot: Slot,
+}
+
+/// Windows and slots that another box's time may be ahead.
+const AHEAD_MOST: u64 = 1;
+
 impl UseLedger {
-    /// Takes a report in.
-    pub fn merge(&mut self, entry: &EntryStart, report: &UseReport) {
+    /// Takes a report in; `now` is the cluster's time, beyond which nothing can have been used.
+    pub fn merge(&mut self, now: ClusterNow, entry: &EntryStart, report: &UseReport) {
         for (window, counts) in &report.windows {
+            if *window > now.window + AHEAD_MOST {
+                continue;
+            }
             let known = self.windows.entry(*window).or_default().entry(entry.clone()).or_default();
             for (organisation, count) in counts {
                 let known = known.entry(organisation.clone()).or_default();
@@ -142,8 +156,19 @@
         while self.windows.len() > LEDGER_WINDOWS {
             self.windows.pop_first();
         }
-        let units = report.units.iter().cloned().collect();
-        self.units.insert(entry.clone(), units);
+        for (organisation, slots) in &report.quotas {
+            for (slot, units) in slots {
+                if *slot > now.slot + AHEAD_MOST {
+                    continue;
+                }
+                let known = self.slots.entry(*slot).or_default().entry(entry.clone()).or_default();
+                let known = known.entry(organisation.clone()).or_default();
+                *known = known.max(*units);
+            }
+        }
+        while self.slots.len() > LEDGER_SLOTS {
+            self.slots.pop_first();
+        }
     }
 
     /// Requests of each organisation in a window, over all entry boxes.
@@ -157,19 +182,38 @@
         sum
     }
 
-    /// Units that all entry boxes took, since each of them started.
-    pub fn units(&self) -> BTreeMap<String, i64> {
-        let mut sum = BTreeMap::new();
-        for (organisation, units) in self.units.values().flatten() {
-            *sum.entry(organisation.clone()).or_default() += units;
+    /// The last slot of which anything is known.
+    pub fn last_slot(&self) -> Slot {
+        self.slots.last_key_value().map_or(0, |(slot, _)| *slot)
+    }
+
+    /// Units that all entry boxes took, in the slots from `first` on.
+    pub fn quota_totals(&self, first: Slot) -> QuotaTotals {
+        let mut totals = QuotaTotals::new();
+        for (slot, entries) in self.slots.range(first..) {
+            for (organisation, units) in entries.values().flatten() {
+                let slots = totals.entry(organisation.clone()).or_default();
+                *slots.entry(*slot).or_default() += units;
+            }
         }
-        sum
+        totals
     }
 
-    /// What is left of `total` without the units of one entry box.
-    pub fn without(&self, total: &BTreeMap<String, i64>, entry: &EntryStart) -> Vec<(String, i64)> {
-        let own = self.units.get(entry);
-        let own = |name: &str| own.and_then(|own| own.get(name)).copied().unwrap_or_default();
-        total.iter().map(|(name, units)| (name.clone(), units - own(name))).collect()
+    /// What is left of `totals` without the units of one entry box.
+    pub fn without(&self, totals: &QuotaTotals, entry: &EntryStart) -> QuotaUse {
+        let own = |slot: Slot, organisation: &str| {
+            let entries = self.slots.get(&slot)?;
+            entries.get(entry)?.get(organisation).copied()
+        };
+        let rest = |organisation: &str, slots: &BTreeMap<Slot, f64>| {
+            let rest = slots
+                .iter()
+                .map(|(slot, units)| (*slot, units - own(*slot, organisation).unwrap_or_default()));
+            rest.collect()
+        };
+        totals.iter().map(|(name, slots)| (name.clone(), rest(name, slots))).collect()
     }
 }
+
+/// Quota units by organisation and slot.
+pub type QuotaTotals = BTreeMap<String, BTreeMap<Slot, f64>>;
--- a/crates/vaneway-server/src/util/frames.rs
+++ b/crates/vaneway-server/src/util/frames.rs
@@ -24,7 +24,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::util::socket::TcpStream;
+use crate::util::socket::SocketStream;
 use crate::util::timers::Timers;
 
 /// Longest frame: a configuration of the largest body that operators may send, several times over.
@@ -90,7 +90,7 @@
     }
 
     /// Writes what waits; ready once the queue is closed or the connection broken.
-    fn poll_write(&self, stream: &TcpStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_write(&self, stream: &SocketStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut queue = self.0.borrow_mut();
         loop {
             if queue.closed {
@@ -115,7 +115,7 @@
 /// long.
 pub async fn drive(
     timers: &Timers,
-    stream: &TcpStream,
+    stream: &SocketStream,
     outgoing: &Outgoing,
     silence: Duration,
     mut on_frame: impl FnMut(&[u8]) -> bool,
@@ -141,7 +141,7 @@
 
 /// Writes what it can and reads some bytes; 0 means that the connection ended.
 fn poll_both(
-    stream: &TcpStream,
+    stream: &SocketStream,
     outgoing: &Outgoing,
     held: &mut BytesMut,
     cx: &mut Context<'_>,
--- a/crates/vaneway-server/src/util/http_server.rs
+++ b/crates/vaneway-server/src/util/http_server.rs
@@ -35,8 +35,8 @@
 
 use crate::util::body::CallerBody;
 use crate::util::outbox::CutOff;
-use crate::util::socket::TcpListener;
-use crate::util::socket::TcpStream;
+use crate::util::socket::SocketListener;
+use crate::util::socket::SocketStream;
 use crate::util::timers::Sleep;
 use crate::util::timers::Timers;
 
@@ -92,7 +92,7 @@
     timers: Timers,
     handler: Rc<H>,
 ) -> io::Result<HttpServer> {
-    let listener = TcpListener::bind(addr)?;
+    let listener = SocketListener::bind(addr)?;
     let address = listener.local_addr()?;
     let (finish, rx) = oneshot::channel();
     compio::runtime::spawn(accept(listener, timers, handler, rx.shared())).detach();
@@ -112,7 +112,12 @@
     }
 }
 
-async fn accept<H: Handler>(listener: TcpListener, timers: Timers, handler: Rc<H>, finish: Finish) {
+async fn accept<H: Handler>(
+    listener: SocketListener,
+    timers: Timers,
+    handler: Rc<H>,
+    finish: Finish,
+) {
     let open = Rc::new(Cell::new(0));
     loop {
         let accepted = listener.accept().fuse();
@@ -215,7 +220,7 @@
 }
 
 async fn serve<H: Handler>(
-    mut stream: TcpStream,
+    mut stream: SocketStream,
     timers: Timers,
     count: ConnectionCount<H>,
     finish: Finish,
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -2,7 +2,7 @@
 //!
 //! Why not the ready-made adaptor: it keeps buffers of its own for both directions besides
 //! hyper's, which costs memory for each of thousands of open streams and a copy of every byte.
-//! [`TcpStream`] waits for readiness and then reads and writes hyper's buffers directly. The
+//! [`SocketStream`] waits for readiness and then reads and writes hyper's buffers directly. The
 //! figures before and after stand in docs/EXPERIMENTS.md.
 
 use std::future::poll_fn;
@@ -26,7 +26,7 @@
 
 /// A connected socket.
 #[derive(Debug)]
-pub struct TcpStream {
+pub struct SocketStream {
     fd: PollFd<Socket>,
     /// The last read found nothing, so the next one waits for readiness before it asks the
     /// kernel: hyper polls for reads each time it writes.
@@ -43,9 +43,9 @@
 /// The event loop's own would create and close sockets on helper threads, where one thread is to
 /// do everything; neither call can block.
 #[derive(Debug)]
-pub struct TcpListener(PollFd<Socket>);
+pub struct SocketListener(PollFd<Socket>);
 
-impl TcpListener {
+impl SocketListener {
     /// Binds a listening socket.
     ///
     /// # Errors
@@ -84,10 +84,10 @@
     /// # Errors
     ///
     /// The operating system's, for example when descriptors run out.
-    pub async fn accept(&self) -> io::Result<TcpStream> {
+    pub async fn accept(&self) -> io::Result<SocketStream> {
         let accepted = poll_fn(|cx| self.0.poll_accept_with(cx, Socket::accept));
         let (socket, _peer) = accepted.await?;
-        TcpStream::new(socket)
+        SocketStream::new(socket)
     }
 }
 
@@ -102,8 +102,8 @@
 /// # Errors
 ///
 /// The operating system's, for example when nothing listens there.
-pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::new(new_socket(addr)?)?;
+pub async fn connect(addr: SocketAddr) -> io::Result<SocketStream> {
+    let stream = SocketStream::new(new_socket(addr)?)?;
     match stream.fd.connect(&addr.into()) {
         Err(error) if error.raw_os_error() == Some(libc::EINPROGRESS) => {
             stream.fd.connect_ready().await?;
@@ -113,7 +113,7 @@
     }
 }
 
-impl TcpStream {
+impl SocketStream {
     /// Prepares a socket. Chunks are small and must leave at once, so
     /// Nagle's algorithm is off.
     ///
@@ -127,7 +127,7 @@
     }
 }
 
-impl TcpStream {
+impl SocketStream {
     /// Tells `activity` whenever bytes arrive for hyper.
     pub fn watch(&mut self, activity: Rc<Activity>) {
         self.activity = Some(activity);
@@ -160,7 +160,7 @@
     }
 }
 
-impl hyper::rt::Read for TcpStream {
+impl hyper::rt::Read for SocketStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -190,7 +190,7 @@
     }
 }
 
-impl hyper::rt::Write for TcpStream {
+impl hyper::rt::Write for SocketStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
