--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -9,10 +9,13 @@
 //! and a box that starts or was cut off is told the latest slots again and knows what it must know.
 //!
 //! Between two tellings boxes may admit too much together. Each therefore keeps back what the
-//! others will have admitted before it hears of it, going by how much they admitted lately. A box
-//! that is told nothing for a while falls back to its share.
+//! others will have admitted before it hears of it: what they admitted lately in such a time, or as
+//! much as it admitted itself, whichever is more, so that a burst that meets all boxes at once
+//! stays in bounds from its beginning. A box that is told nothing for a while falls back to its
+//! share.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// A limit, in units (requests or tokens).
@@ -51,6 +54,8 @@
     /// Slot from which on the limit counts; what was taken before was taken under another.
     since: Slot,
     own: BTreeMap<Slot, f64>,
+    /// What this box took so lately that others can't have heard of it.
+    latest: VecDeque<(Duration, f64)>,
     others: BTreeMap<Slot, f64>,
     /// When the others' use was last told.
     told: Option<Duration>,
@@ -65,6 +70,7 @@
             limit,
             since: slot(now),
             own: BTreeMap::new(),
+            latest: VecDeque::new(),
             others: BTreeMap::new(),
             told: None,
             sharers: 1,
@@ -91,6 +97,7 @@
         let free = self.level(now) - self.unheard(now);
         if free >= needed {
             *self.own.entry(slot(now)).or_default() += units;
+            self.latest.push_back((now, units));
             return Ok(());
         }
         let rate = self.rate(now).max(f64::MIN_POSITIVE);
@@ -135,14 +142,16 @@
         (level + filled * part).min(self.limit.burst) - used(present)
     }
 
-    /// What the others will have taken before this box hears of it, by their latest whole slots.
+    /// What the others will have taken before this box hears of it.
     fn unheard(&self, now: Duration) -> f64 {
         /// Slots that are looked at.
         const LATEST: u64 = 2;
         let present = slot(now);
         let latest = self.others.range(present.saturating_sub(LATEST)..present);
         let taken: f64 = latest.map(|(_, units)| units).sum();
-        taken * HEARD_AFTER.as_secs_f64() / (SLOT.as_secs_f64() * LATEST as f64)
+        let taken = taken * HEARD_AFTER.as_secs_f64() / (SLOT.as_secs_f64() * LATEST as f64);
+        let own: f64 = self.latest.iter().map(|(_, units)| units).sum();
+        taken.max(own * f64::from(self.sharers - 1))
     }
 
     /// Units a second that this box may count on.
@@ -159,5 +168,6 @@
         let first = slot(now).saturating_sub(SLOTS_KEPT);
         self.own.retain(|slot, _| *slot >= first);
         self.others.retain(|slot, _| *slot >= first);
+        while self.latest.pop_front_if(|(at, _)| *at + HEARD_AFTER < now).is_some() {}
     }
 }
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -96,7 +96,13 @@
         time_us: u64,
     },
     /// A message of the agreement.
-    Agreement(vaneway_agreement::Message),
+    Agreement {
+        /// The node that it is meant for. A box that lost its disk is another node now, for which
+        /// messages to the one before mean nothing.
+        to: NodeId,
+        /// The message.
+        message: vaneway_agreement::Message,
+    },
     /// I have no part in the agreement, or hear no leader: let me join.
     Join,
     /// News of endpoints.
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -60,7 +60,7 @@
 fn perform(control: &Rc<Control>, action: Action) {
     match action {
         Action::Send { to, message } => {
-            links::send_to_node(control, to, &BetweenControl::Agreement(message));
+            links::send_to_node(control, to, &BetweenControl::Agreement { to, message });
         }
         Action::Persist(persist) => {
             if control.persist.unbounded_send(persist).is_err() {
@@ -164,12 +164,17 @@
         let leads = control.node.borrow().role() == Role::Leader;
         if leads {
             change_members(&control);
-        } else if control.led_at.get().elapsed() > JOIN_AFTER {
+        } else if !is_member(&control) || control.led_at.get().elapsed() > JOIN_AFTER {
             links::send_to_all(&control, &BetweenControl::Join);
         }
     }
 }
 
+fn is_member(control: &Control) -> bool {
+    let node = control.node.borrow();
+    node.log().members().all().any(|member| member == node.id())
+}
+
 fn change_members(control: &Rc<Control>) {
     let now = Instant::now();
     control.joining.borrow_mut().retain(|_, asked| now - *asked < JOINING_FOR);
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -244,8 +244,10 @@
             control.clock.borrow_mut().learn(Instant::now(), node, time);
             outgoing.send(&ping());
         }
-        BetweenControl::Agreement(message) => {
-            group::step(control, Event::Message { from: node, message });
+        BetweenControl::Agreement { to, message } => {
+            if to == control.node.borrow().id() {
+                group::step(control, Event::Message { from: node, message });
+            }
         }
         BetweenControl::Join => {
             control.joining.borrow_mut().insert(node, Instant::now());
