--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -1,11 +1,16 @@
 //! One endpoint: what the settings say of it and what this box has seen of it.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::net::SocketAddr;
 use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
 use serde::Serialize;
 use vaneway_chart::Chart;
 use vaneway_chart::ChartName;
@@ -98,6 +103,8 @@
 pub struct Endpoint {
     /// What the settings say.
     pub spec: EndpointSpec,
+    /// Hash of its name, the same at every box.
+    pub(crate) key: u64,
     /// Where its chart stands.
     pub state: EndpointState,
     /// The platform's id of the running instance, once known.
@@ -114,12 +121,59 @@
     pub open: u32,
     /// Tokens this box expects to be worked on there.
     pub open_tokens: u64,
+    /// What the other entry boxes have open there, as last told.
+    pub others: Load,
+    /// When the others' load was told.
+    pub others_told: Option<Instant>,
+    /// Recent failures, each worth 1 at first and less with time.
+    pub trouble: Fading,
+    /// Prompt parts that requests of this box brought there, and when last.
+    pub parts: BTreeMap<PartId, Instant>,
+}
+
+/// What is open at an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of work that has not begun.
+    pub tokens: u64,
+}
+
+/// Names a part of a prompt that requests may share.
+pub type PartId = u64;
+
+/// A sum of events, each of which counts less with time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Fading {
+    value: f64,
+    at: Option<Instant>,
+}
+
+/// Time in which an event of a [`Fading`] sum loses half of its worth.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+impl Fading {
+    /// The sum at `now`.
+    pub fn value(&self, now: Instant) -> f64 {
+        let passed = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.value * (-passed.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Adds an event.
+    pub fn add(&mut self, now: Instant, worth: f64) {
+        self.value = self.value(now) + worth;
+        self.at = Some(now);
+    }
 }
 
 impl Endpoint {
     /// A new endpoint that serves.
     pub fn new(spec: EndpointSpec) -> Self {
+        let mut hasher = DefaultHasher::new();
+        spec.name.hash(&mut hasher);
         Self {
+            key: hasher.finish(),
             spec,
             state: endpoint_chart().initial(),
             instance: None,
@@ -129,6 +183,10 @@
             failures: 0,
             open: 0,
             open_tokens: 0,
+            others: Load::default(),
+            others_told: None,
+            trouble: Fading::default(),
+            parts: BTreeMap::new(),
         }
     }
 
--- /dev/null
+++ b/crates/vaneway-route/src/expected.rs
@@ -0,0 +1,100 @@
+//! Choosing by the work that is expected before a request is done.
+//!
+//! Everything is counted in tokens of a prompt, the unit of an engine's time. An endpoint's cost
+//! is the sum of
+//!
+//! - the work open there that has not begun, of this box and the others;
+//! - a little for each open request, which makes every step of a batch longer;
+//! - the request's own prompt, less the parts that the endpoint has probably kept;
+//! - the way to another availability zone;
+//! - its recent failures.
+//!
+//! Parts that this box has seen there lately are taken as kept. Of others the endpoint with the
+//! highest rendezvous weight is taken to have them, since every entry box, asked for the same
+//! part, turns there first; so boxes place prompts alike without talking. When that endpoint has
+//! more work open than the part costs, the request goes elsewhere, where the part is then known
+//! too: a part in demand spreads by itself.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::Endpoint;
+use crate::EndpointId;
+use crate::PartId;
+use crate::Query;
+use crate::Work;
+use crate::policy::rendezvous_weight;
+
+/// What each open request adds.
+const REQUEST_TOKENS: f64 = 150.0;
+
+/// What the way to another availability zone costs.
+const DISTANCE_TOKENS: f64 = 100.0;
+
+/// What one recent failure costs.
+const FAILURE_TOKENS: f64 = 4_000.0;
+
+/// Time after which a part is no longer taken as kept: in it an endpoint under load reads more than
+/// its memory holds.
+const PART_KEPT: Duration = Duration::from_secs(20);
+
+/// How sure it is that the endpoint with the highest weight has a part that this box has not seen
+/// there.
+const PLACED_BELIEF: f64 = 0.8;
+
+/// Age after which the others' load counts as unknown.
+const OTHERS_KNOWN: Duration = Duration::from_secs(2);
+
+/// Picks the candidate with the least expected work.
+pub(crate) fn pick(
+    endpoints: &[Endpoint],
+    candidates: &[EndpointId],
+    now: Instant,
+    query: &Query<'_>,
+) -> Option<EndpointId> {
+    let shared = query.work.map_or(&[][..], Work::shared);
+    let placed: Vec<(PartId, Option<EndpointId>)> = shared
+        .iter()
+        .map(|part| {
+            let first = candidates.iter().copied();
+            (part.id, first.max_by_key(|id| rendezvous_weight(part.id, &endpoints[*id as usize])))
+        })
+        .collect();
+    let cost = |id: EndpointId| {
+        let endpoint = &endpoints[id as usize];
+        let prompt = query.work.map_or(0.0, |work| f64::from(work.prompt_tokens));
+        let mut kept = 0.0;
+        for (part, (_, place)) in shared.iter().zip(&placed) {
+            let seen = endpoint.parts.get(&part.id).is_some_and(|at| now < *at + PART_KEPT);
+            let belief = match (seen, *place == Some(id)) {
+                (true, _) => 1.0,
+                (false, true) => PLACED_BELIEF,
+                (false, false) => 0.0,
+            };
+            kept += belief * f64::from(part.tokens);
+        }
+        let distance =
+            if endpoint.spec.availability_zone == query.home { 0.0 } else { DISTANCE_TOKENS };
+        let failures = endpoint.trouble.value(now) * FAILURE_TOKENS;
+        open_work(endpoint, now) + (prompt - kept).max(0.0) + distance + failures
+    };
+    candidates.iter().copied().min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
+}
+
+/// Tokens of a prompt that an endpoint has yet to read.
+pub(crate) fn unread(endpoint: &Endpoint, work: &Work, now: Instant) -> u64 {
+    let seen = |id: PartId| endpoint.parts.get(&id).is_some_and(|at| now < *at + PART_KEPT);
+    let kept: u32 = work.shared().iter().filter(|part| seen(part.id)).map(|part| part.tokens).sum();
+    u64::from(work.prompt_tokens.saturating_sub(kept))
+}
+
+/// The work open at an endpoint.
+fn open_work(endpoint: &Endpoint, now: Instant) -> f64 {
+    let known = endpoint.others_told.is_some_and(|told| now < told + OTHERS_KNOWN);
+    let (requests, tokens) = match known {
+        true => (endpoint.others.requests, endpoint.others.tokens),
+        false => (0, 0),
+    };
+    let requests = f64::from(endpoint.open + requests);
+    requests * REQUEST_TOKENS + endpoint.open_tokens as f64 + tokens as f64
+}
--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -11,6 +11,7 @@
 //! `charts/endpoint.json`.
 
 mod endpoint;
+mod expected;
 mod policy;
 mod pool;
 
@@ -20,9 +21,13 @@
 pub use endpoint::EndpointId;
 pub use endpoint::EndpointSpec;
 pub use endpoint::EndpointState;
+pub use endpoint::Load;
+pub use endpoint::PartId;
 pub use endpoint::ServiceId;
 pub use endpoint::endpoint_chart;
 pub use policy::Policy;
+pub use policy::PromptPart;
+pub use policy::Work;
 pub use pool::Choice;
 pub use pool::Effect;
 pub use pool::Pool;
--- a/crates/vaneway-route/src/policy.rs
+++ b/crates/vaneway-route/src/policy.rs
@@ -5,6 +5,7 @@
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -12,6 +13,9 @@
 
 use crate::Endpoint;
 use crate::EndpointId;
+use crate::PartId;
+use crate::Query;
+use crate::expected;
 
 /// How an endpoint is chosen among the candidates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
@@ -30,16 +34,47 @@
     /// Always the same one for the same prefix (rendezvous hashing; Thaler and Ravishankar,
     /// 1998).
     PrefixHash,
+    /// The one that is expected to be done first, going by the work open there, the parts of the
+    /// prompt that it has read before, its distance and its recent failures.
+    ExpectedWork,
+}
+
+/// A part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part.
+    pub id: PartId,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What a request will cost an endpoint.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Tokens of the prompt; 0 for a request to a plain service.
+    pub prompt_tokens: u32,
+    /// Most tokens that may be generated.
+    pub max_tokens: u32,
+    /// The prompt's parts in order; the last belongs to the request alone.
+    pub parts: Vec<PromptPart>,
+}
+
+impl Work {
+    /// The parts that other requests may share.
+    pub fn shared(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_own, shared)| shared)
+    }
 }
 
 impl Policy {
     /// Every policy.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Random,
         Self::RoundRobin,
         Self::LeastOutstanding,
         Self::TwoChoices,
         Self::PrefixHash,
+        Self::ExpectedWork,
     ];
 
     /// The policy's name in settings and reports.
@@ -50,6 +85,7 @@
             Self::LeastOutstanding => "least_outstanding",
             Self::TwoChoices => "two_choices",
             Self::PrefixHash => "prefix_hash",
+            Self::ExpectedWork => "expected_work",
         }
     }
 
@@ -68,6 +104,10 @@
 }
 
 impl Chooser {
+    pub(crate) fn policy(&self) -> Policy {
+        self.policy
+    }
+
     pub(crate) fn new(policy: Policy, rng: Pcg64Mcg) -> Self {
         Self { policy, rng, turn: 0 }
     }
@@ -77,8 +117,10 @@
         &mut self,
         endpoints: &[Endpoint],
         candidates: &[EndpointId],
-        prefix: u64,
+        now: Instant,
+        query: &Query<'_>,
     ) -> Option<EndpointId> {
+        let prefix = query.prefix;
         let load = |id: &EndpointId| {
             let endpoint = &endpoints[*id as usize];
             (endpoint.open_tokens, endpoint.open, *id)
@@ -95,9 +137,11 @@
                 let second = self.any(candidates)?;
                 [first, second].into_iter().min_by_key(load)
             }
-            Policy::PrefixHash => {
-                candidates.iter().copied().max_by_key(|id| rendezvous_weight(prefix, *id))
-            }
+            Policy::PrefixHash => candidates
+                .iter()
+                .copied()
+                .max_by_key(|id| rendezvous_weight(prefix, &endpoints[*id as usize])),
+            Policy::ExpectedWork => expected::pick(endpoints, candidates, now, query),
         }
     }
 
@@ -106,8 +150,9 @@
     }
 }
 
-fn rendezvous_weight(prefix: u64, id: EndpointId) -> u64 {
+/// How much an endpoint is the place for `prefix`, the same at every box.
+pub(crate) fn rendezvous_weight(prefix: u64, endpoint: &Endpoint) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (prefix, id).hash(&mut hasher);
+    (prefix, endpoint.key).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -12,9 +12,12 @@
 use crate::EndpointId;
 use crate::EndpointSpec;
 use crate::EndpointState;
+use crate::Load;
 use crate::Policy;
 use crate::ServiceId;
+use crate::Work;
 use crate::endpoint_chart;
+use crate::expected;
 use crate::policy::Chooser;
 
 /// What a request needs of the endpoint to be chosen.
@@ -28,6 +31,8 @@
     pub avoid: &'a [EndpointId],
     /// Hash of the prompt's beginning, for affinity.
     pub prefix: u64,
+    /// What the request will cost, if known.
+    pub work: Option<&'a Work>,
 }
 
 /// The answer to a [`Query`].
@@ -64,6 +69,10 @@
 /// Notice assumed when the platform names none, the shortest that clouds give in practice.
 const NOTICE_DEFAULT: Duration = Duration::from_secs(5);
 
+/// Prompt parts remembered of one endpoint before old ones are dropped, and for how long.
+const PARTS_MOST: usize = 4_096;
+const PARTS_KEPT: Duration = Duration::from_secs(30);
+
 /// The endpoints and the chooser.
 #[derive(Debug)]
 pub struct Pool {
@@ -107,6 +116,9 @@
         out: &mut Vec<Effect>,
     ) {
         let endpoint = &mut self.endpoints[id as usize];
+        if event == EndpointEvent::Failed {
+            endpoint.trouble.add(now, 1.0);
+        }
         let step = endpoint_chart().step(endpoint.state, event);
         endpoint.state = step.to;
         for action in &step.actions {
@@ -185,10 +197,12 @@
             |_, tried, _| !tried,
             |_, _, _| true,
         ];
-        for preferred in preferences {
+        // Where the way counts as work, it is weighed against the rest.
+        let weighed = self.chooser.policy() == Policy::ExpectedWork;
+        for preferred in preferences.into_iter().skip(usize::from(weighed)) {
             self.collect(now, &query, preferred);
             let candidates = &self.candidates;
-            if let Some(id) = self.chooser.pick(&self.endpoints, candidates, query.prefix) {
+            if let Some(id) = self.chooser.pick(&self.endpoints, candidates, now, &query) {
                 return Choice::Endpoint(id);
             }
         }
@@ -222,17 +236,38 @@
         Choice::Unavailable { until: suspended.filter_map(|e| e.suspended_until).min() }
     }
 
-    /// Counts an attempt that begins.
-    pub fn begin(&mut self, id: EndpointId, tokens: u64) {
+    /// Counts an attempt that begins: `tokens` of work, or what the endpoint must read of a prompt.
+    /// The shared parts of the prompt will be kept there. Returns the tokens that were counted.
+    pub fn begin(&mut self, now: Instant, id: EndpointId, tokens: u64, work: Option<&Work>) -> u64 {
         let endpoint = &mut self.endpoints[id as usize];
+        let tokens = work.map_or(tokens, |work| expected::unread(endpoint, work, now));
         endpoint.open += 1;
         endpoint.open_tokens += tokens;
+        for part in work.map_or(&[][..], Work::shared) {
+            endpoint.parts.insert(part.id, now);
+        }
+        if endpoint.parts.len() > PARTS_MOST {
+            endpoint.parts.retain(|_, at| now < *at + PARTS_KEPT);
+        }
+        tokens
     }
 
-    /// Counts an attempt that ended; `tokens` as given to [`Pool::begin`].
+    /// Counts that the work of an attempt has begun; `tokens` as [`Pool::begin`] returned them.
+    pub fn begun(&mut self, id: EndpointId, tokens: u64) {
+        self.endpoints[id as usize].open_tokens -= tokens;
+    }
+
+    /// Counts an attempt that ended, with `tokens` of work that had not begun.
     pub fn end(&mut self, id: EndpointId, tokens: u64) {
         let endpoint = &mut self.endpoints[id as usize];
         endpoint.open -= 1;
         endpoint.open_tokens -= tokens;
     }
+
+    /// Learns what the other entry boxes have open at an endpoint.
+    pub fn tell_others(&mut self, now: Instant, id: EndpointId, load: Load) {
+        let endpoint = &mut self.endpoints[id as usize];
+        endpoint.others = load;
+        endpoint.others_told = Some(now);
+    }
 }
--- a/crates/vaneway-server/src/core/callers/own.rs
+++ b/crates/vaneway-server/src/core/callers/own.rs
@@ -229,7 +229,7 @@
         form: AnswerForm::Whole,
         repeatable: !non_repeatable,
         priority: None,
-        tokens: 1,
+        work: None,
         prefix: 0,
     };
     let protocol = Rc::new(PlainEndpoints { not_run_header: settings.not_run_header.clone() });
--- a/crates/vaneway-server/src/core/callers/protocol.rs
+++ b/crates/vaneway-server/src/core/callers/protocol.rs
@@ -7,6 +7,8 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::request;
+pub use vaneway_route::PromptPart;
+pub use vaneway_route::Work;
 
 use crate::core::callers::api_error::ApiError;
 use crate::core::endpoints::protocol::EndpointProtocol;
@@ -23,26 +25,6 @@
     ) -> impl Future<Output = Response<CallerBody>>;
 }
 
-/// A part of a prompt that other requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Names the part.
-    pub id: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// What a request to a model will cost, as its caller says.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ModelWork {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Most tokens that may be generated.
-    pub max_tokens: u32,
-    /// The prompt's parts in order; the last belongs to the request alone.
-    pub parts: Vec<PromptPart>,
-}
-
 /// What the head of a routed request says.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallerHead {
@@ -55,7 +37,7 @@
     /// How long the caller will wait.
     pub time_left: Option<Duration>,
     /// The work, if it is for a model.
-    pub work: Option<ModelWork>,
+    pub work: Option<Work>,
 }
 
 /// A callers' protocol in which requests are routed by the deployment's configuration.
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -22,8 +22,8 @@
 use crate::core::callers::own;
 use crate::core::callers::protocol::CallerHead;
 use crate::core::callers::protocol::CallerProtocol;
-use crate::core::callers::protocol::ModelWork;
 use crate::core::callers::protocol::RoutedProtocol;
+use crate::core::callers::protocol::Work;
 use crate::core::calls::call;
 use crate::core::calls::call::CallLimits;
 use crate::core::configuration::OrganisationSpec;
@@ -45,9 +45,6 @@
 const PAUSES_MOST: u32 = 4;
 const PAUSE_LEAST: Duration = Duration::from_millis(2_500);
 
-/// A token that is generated takes about as much of an engine's time as this many of a prompt.
-const PROMPT_TOKENS_A_TOKEN: u64 = 10;
-
 /// A callers' protocol whose requests are routed by the configuration.
 #[derive(Debug)]
 pub struct Routed<P>(pub P);
@@ -135,8 +132,8 @@
         form: form(route.kind),
         repeatable: route.kind.repeatable(),
         priority: organisation.and_then(|o| o.priority).or(Some(route.priority)),
-        tokens: head.work.as_ref().map_or(1, cost),
         prefix: if route.affine { head.work.as_ref().map_or(0, prefix) } else { 0 },
+        work: head.work.clone(),
     };
     Ok((request, limits(route, head.time_left, received)))
 }
@@ -162,7 +159,7 @@
 }
 
 /// What a request counts against its organisation's quota.
-fn quota_units(entry: &Entry, organisation: &str, work: Option<&ModelWork>) -> u64 {
+fn quota_units(entry: &Entry, organisation: &str, work: Option<&Work>) -> u64 {
     let table = entry.table();
     let spec = table.as_ref().and_then(|table| {
         table.configuration().organisations.iter().find(|spec| spec.name == organisation)
@@ -201,13 +198,7 @@
     hasher.finish()
 }
 
-/// What a request costs an engine, in tokens of a prompt.
-fn cost(work: &ModelWork) -> u64 {
-    u64::from(work.prompt_tokens) + u64::from(work.max_tokens) * PROMPT_TOKENS_A_TOKEN
-}
-
 /// Hash of the last part of a prompt that other requests share.
-fn prefix(work: &ModelWork) -> u64 {
-    let shared = work.parts.len().checked_sub(2).map(|last| work.parts[last].id);
-    shared.map_or(0, |id| hash(id).max(1))
+fn prefix(work: &Work) -> u64 {
+    work.shared().last().map_or(0, |part| hash(part.id).max(1))
 }
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -374,7 +374,7 @@
             Start::Resume { after } | Start::Continue { after } => Some(after),
         };
         let sending = Attempt {
-            occupancy: self.entry.occupy(endpoint, self.request.tokens),
+            occupancy: self.entry.occupy(endpoint, 1, self.request.work.as_ref()),
             entry: Rc::clone(&self.entry),
             protocol: Rc::clone(&self.protocol),
             request: Rc::clone(&self.request),
@@ -397,7 +397,9 @@
             Action::Choose => {
                 let request = &self.request;
                 let tried = self.relay.tried();
-                let event = self.entry.choose(request.service as usize, tried, request.prefix);
+                let work = request.work.as_ref();
+                let event =
+                    self.entry.choose(request.service as usize, tried, request.prefix, work);
                 if matches!(event, Event::Unavailable { .. }) {
                     log::debug!("event=no_endpoint request={} {event:?}", request.id);
                 }
@@ -479,7 +481,7 @@
     limits: CallLimits,
     /// Whether its first event has come.
     begun: bool,
-    _occupancy: Occupancy,
+    occupancy: Occupancy,
 }
 
 impl<E: EndpointProtocol> Attempt<E> {
@@ -505,7 +507,7 @@
                         cutter: EventCutter::default(),
                         limits,
                         begun: false,
-                        _occupancy: occupancy,
+                        occupancy,
                         entry,
                         body,
                         attempt,
@@ -540,7 +542,9 @@
 async fn next_event<E>(mut reading: Box<Reading>) -> (Item, Stage<E>) {
     let broken = loop {
         if let Some(event) = reading.cutter.next_event() {
-            reading.begun = true;
+            if !std::mem::replace(&mut reading.begun, true) {
+                reading.occupancy.begun();
+            }
             return (Item::Event(event), Stage::Reading(reading));
         }
         let limits = &reading.limits;
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -167,7 +167,8 @@
                     self.keep(&addresses);
                 }
             }
-            ToEntry::OthersUse { entries, quotas } => {
+            ToEntry::OthersUse { entries, quotas, loads } => {
+                self.entry.others_open(&loads);
                 for (organisation, slots) in &quotas {
                     self.entry.others_took(organisation, slots, entries);
                 }
@@ -181,7 +182,11 @@
         let kept = if all { SLOTS_KEPT } else { SLOTS_TOLD };
         let first = vaneway_quota::slot(self.entry.cluster_time()).saturating_sub(kept);
         let windows = self.entry.used.borrow().windows();
-        UseReport { windows, quotas: self.entry.own_quota_use(first) }
+        UseReport {
+            windows,
+            quotas: self.entry.own_quota_use(first),
+            loads: self.entry.open_loads(),
+        }
     }
 
     /// Microseconds of this box's steady clock, from any fixed time on.
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -11,7 +11,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vaneway_agreement::NodeId;
+use vaneway_registry::InstanceId;
 use vaneway_registry::Report;
+use vaneway_route::Load;
 
 use crate::core::configuration::Configuration;
 use crate::core::usage::QuotaUse;
@@ -73,12 +75,14 @@
     Registry(Vec<Report>),
     /// The control boxes, by the addresses for other boxes.
     ControlBoxes(Vec<SocketAddr>),
-    /// Quota units that the other entry boxes took in the latest slots, as this control box knows.
+    /// What the other entry boxes use, as this control box knows.
     OthersUse {
         /// Entry boxes that are there.
         entries: u32,
         /// Units by organisation and slot.
         quotas: QuotaUse,
+        /// What they have open at endpoints.
+        loads: Vec<(InstanceId, Load)>,
     },
 }
 
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -169,6 +169,7 @@
     let ended = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
     if let Sender::Entry { link, start } = sender {
         control.entries.borrow_mut().remove(&link);
+        control.use_ledger.borrow_mut().remove_loads(&start);
         let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
         Line::new("entry_lost").with("entry", start.0).with("why", why).info();
     }
@@ -284,9 +285,11 @@
     let ledger = control.use_ledger.borrow();
     let first = if all { 0 } else { ledger.last_slot().saturating_sub(SLOTS_TOLD) };
     let totals = ledger.quota_totals(first);
+    let loads = ledger.loads();
     for link in links.values() {
         let quotas = ledger.without(&totals, &link.start);
-        link.outgoing.send(&ToEntry::OthersUse { entries, quotas });
+        let loads = ledger.loads_without(&loads, &link.start);
+        link.outgoing.send(&ToEntry::OthersUse { entries, quotas, loads });
     }
 }
 
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -29,6 +29,7 @@
 use vaneway_relay::RunState;
 use vaneway_route::EndpointSpec;
 use vaneway_route::ServiceId;
+use vaneway_route::Work;
 
 use crate::core::callers::api_error::RUN_HEADER;
 use crate::core::endpoints::link::EndpointRequest;
@@ -71,8 +72,8 @@
     pub repeatable: bool,
     /// Its rank at the engine, 0 first, if it has one.
     pub priority: Option<u32>,
-    /// Estimated tokens that it costs an endpoint.
-    pub tokens: u64,
+    /// What it will cost an endpoint, if it is for a model.
+    pub work: Option<Work>,
     /// Hash of the prompt's shared beginning; 0 if there is none.
     pub prefix: u64,
 }
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -25,9 +25,11 @@
 use vaneway_route::Effect;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
+use vaneway_route::Load;
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_route::ServiceId;
+use vaneway_route::Work;
 
 use crate::core::calls::claims::Claims;
 use crate::core::calls::open_requests::OpenRequests;
@@ -135,9 +137,18 @@
 pub struct Occupancy {
     entry: Rc<Entry>,
     endpoint: EndpointId,
+    /// Tokens of work that has not begun.
     tokens: u64,
 }
 
+impl Occupancy {
+    /// Counts that the work has begun.
+    pub fn begun(&mut self) {
+        let tokens = std::mem::take(&mut self.tokens);
+        self.entry.pool.borrow_mut().begun(self.endpoint, tokens);
+    }
+}
+
 impl Drop for Occupancy {
     fn drop(&mut self) {
         self.entry.pool.borrow_mut().end(self.endpoint, self.tokens);
@@ -216,12 +227,19 @@
     }
 
     /// Chooses an endpoint for a request, as the answer to `Action::Choose`.
-    pub fn choose(&self, service: usize, avoid: &[EndpointId], prefix: u64) -> Event {
+    pub fn choose(
+        &self,
+        service: usize,
+        avoid: &[EndpointId],
+        prefix: u64,
+        work: Option<&Work>,
+    ) -> Event {
         let query = Query {
             service: service as u32,
             home: &self.settings.availability_zone,
             avoid,
             prefix,
+            work,
         };
         match self.pool.borrow_mut().choose(Instant::now(), query) {
             Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
@@ -346,6 +364,29 @@
         used.filter(|(_, slots): &(String, Vec<_>)| !slots.is_empty()).collect()
     }
 
+    /// What this box has open at each registered endpoint that has anything.
+    pub fn open_loads(&self) -> Vec<(InstanceId, Load)> {
+        let pool = self.pool.borrow();
+        let registered = self.registered.borrow();
+        let loads = registered.iter().map(|(instance, endpoint)| {
+            let endpoint = pool.get(*endpoint);
+            let load = Load { requests: endpoint.open, tokens: endpoint.open_tokens };
+            (instance.clone(), load)
+        });
+        loads.filter(|(_, load)| *load != Load::default()).collect()
+    }
+
+    /// Learns what the other entry boxes have open at the registered endpoints.
+    pub fn others_open(&self, loads: &[(InstanceId, Load)]) {
+        let now = Instant::now();
+        let loads: BTreeMap<&InstanceId, Load> = loads.iter().map(|(i, load)| (i, *load)).collect();
+        let mut pool = self.pool.borrow_mut();
+        for (instance, endpoint) in self.registered.borrow().iter() {
+            let load = loads.get(instance).copied().unwrap_or_default();
+            pool.tell_others(now, *endpoint, load);
+        }
+    }
+
     /// The cluster's time since 1970, or this box's before it knows better.
     pub fn cluster_time(&self) -> Duration {
         let clock = self.used.borrow().clock();
@@ -358,8 +399,13 @@
     }
 
     /// Counts an attempt that begins.
-    pub fn occupy(self: &Rc<Self>, endpoint: EndpointId, tokens: u64) -> Occupancy {
-        self.pool.borrow_mut().begin(endpoint, tokens);
+    pub fn occupy(
+        self: &Rc<Self>,
+        endpoint: EndpointId,
+        tokens: u64,
+        work: Option<&Work>,
+    ) -> Occupancy {
+        let tokens = self.pool.borrow_mut().begin(Instant::now(), endpoint, tokens, work);
         Occupancy { entry: Rc::clone(self), endpoint, tokens }
     }
 
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -13,6 +13,8 @@
 use serde::Serialize;
 use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Slot;
+use vaneway_registry::InstanceId;
+use vaneway_route::Load;
 
 /// Number of an accounting window since 1970.
 pub type Window = u64;
@@ -110,6 +112,8 @@
     pub windows: Vec<(Window, Counts)>,
     /// Quota units taken in the latest slots.
     pub quotas: QuotaUse,
+    /// What is open at endpoints now.
+    pub loads: Vec<(InstanceId, Load)>,
 }
 
 /// Names one start of an entry box.
@@ -120,6 +124,7 @@
 pub struct UseLedger {
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
     slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, f64>>>,
+    loads: BTreeMap<EntryStart, BTreeMap<InstanceId, Load>>,
 }
 
 /// Windows that a control box remembers.
@@ -169,6 +174,39 @@
         while self.slots.len() > LEDGER_SLOTS {
             self.slots.pop_first();
         }
+        self.loads.insert(entry.clone(), report.loads.iter().cloned().collect());
+    }
+
+    /// Forgets what an entry box that is gone has open.
+    pub fn remove_loads(&mut self, entry: &EntryStart) {
+        self.loads.remove(entry);
+    }
+
+    /// What all entry boxes have open at endpoints.
+    pub fn loads(&self) -> BTreeMap<InstanceId, Load> {
+        let mut sum = BTreeMap::<InstanceId, Load>::new();
+        for (instance, load) in self.loads.values().flatten() {
+            let known = sum.entry(instance.clone()).or_default();
+            known.requests += load.requests;
+            known.tokens += load.tokens;
+        }
+        sum
+    }
+
+    /// What is left of `total` without one entry box.
+    pub fn loads_without(
+        &self,
+        total: &BTreeMap<InstanceId, Load>,
+        entry: &EntryStart,
+    ) -> Vec<(InstanceId, Load)> {
+        let own = self.loads.get(entry);
+        let own = |id: &str| own.and_then(|own| own.get(id)).copied().unwrap_or_default();
+        let rest = total.iter().map(|(id, load)| {
+            let own = own(id);
+            let requests = load.requests - own.requests;
+            (id.clone(), Load { requests, tokens: load.tokens - own.tokens })
+        });
+        rest.filter(|(_, load)| *load != Load::default()).collect()
     }
 
     /// Requests of each organisation in a window, over all entry boxes.
