--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -373,8 +373,13 @@
             Start::Fresh => None,
             Start::Resume { after } | Start::Continue { after } => Some(after),
         };
+        let occupancy = self.entry.occupy(endpoint, 1, self.request.work.as_ref());
+        if self.request.work.is_some() {
+            let mut used = self.entry.used.borrow_mut();
+            used.add_work(&self.request.service_name, occupancy.tokens());
+        }
         let sending = Attempt {
-            occupancy: self.entry.occupy(endpoint, 1, self.request.work.as_ref()),
+            occupancy,
             entry: Rc::clone(&self.entry),
             protocol: Rc::clone(&self.protocol),
             request: Rc::clone(&self.request),
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -186,6 +186,7 @@
             windows,
             quotas: self.entry.own_quota_use(first),
             loads: self.entry.open_loads(),
+            work: self.entry.used.borrow().work(),
         }
     }
 
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -1,4 +1,5 @@
-//! What the leader does towards the cloud: reports of what organisations used.
+//! What the leader does towards the cloud: reports of what organisations used, and orders of
+//! replicas.
 //!
 //! Why a report is agreed on before it is sent: whoever leads next must send the same. The leader
 //! fixes a window's counts in the log a little after its end, and sends what is fixed until the
@@ -15,6 +16,7 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 
+use crate::core::control::capacity::Orders;
 use crate::core::control::group;
 use crate::core::control::machine::Command;
 use crate::core::control::protocol::CloudProtocol;
@@ -31,11 +33,13 @@
 /// Time after a window's end at which its counts are fixed: entry boxes have told them by then.
 const FIX_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Time that a new leader waits, so that calls of the one before have arrived.
-const TAKE_OVER_AFTER: Duration = Duration::from_secs(1);
+/// How long one call may take. Its connection is reset then, so that nothing of it can still
+/// arrive.
+const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 
-/// How long one call may take.
-const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Time that a new leader waits: by then the lease of the one before is over, and so is any call
+/// that it began within its lease.
+const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_600);
 
 /// How long the fixing of a report may take.
 const FIX_WITHIN: Duration = Duration::from_secs(1);
@@ -51,8 +55,17 @@
     let Some(cloud) = control.settings.cloud.clone() else { return };
     let mut sent = BTreeSet::new();
     let mut began: Option<Window> = None;
+    let mut orders = Orders::default();
     loop {
         control.timers.sleep(LOOK_EVERY).await;
+        if cloud.capacity_orders {
+            if holds_duty(&control) {
+                orders.give(&control, &cloud, &protocol).await;
+            } else {
+                // Whoever leads next goes by what runs then.
+                orders = Orders::default();
+            }
+        }
         if cloud.usage_reports {
             let window = control.now().window;
             let first = *began.get_or_insert(window);
@@ -65,7 +78,7 @@
 }
 
 /// Whether this box may act for the deployment now.
-fn holds_duty(control: &Control) -> bool {
+pub(super) fn holds_duty(control: &Control) -> bool {
     let settled = control.leads_since.get().is_some_and(|since| since.elapsed() > TAKE_OVER_AFTER);
     settled && control.leads_surely() && !control.stopping.get()
 }
@@ -87,7 +100,7 @@
 
 /// What became of a call to the cloud.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallEnd {
+pub(super) enum CallEnd {
     /// It answered with this status.
     Answered(StatusCode),
     /// It may or may not have taken the call.
@@ -101,7 +114,11 @@
 }
 
 /// Calls the cloud.
-async fn call(control: &Control, cloud: &CloudSettings, mut req: EndpointRequest) -> CallEnd {
+pub(super) async fn call(
+    control: &Control,
+    cloud: &CloudSettings,
+    mut req: EndpointRequest,
+) -> CallEnd {
     let host = cloud.address.to_string();
     if let Ok(host) = HeaderValue::from_str(&host) {
         req.headers_mut().insert(HOST, host);
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -7,11 +7,13 @@
 //! - [`membership`]: who should take part in it, without I/O;
 //! - [`links`]: connections with entry boxes and other control boxes;
 //! - [`duties`]: what the leader does towards the cloud;
+//! - [`capacity`]: orders of replicas;
 //! - [`clock`]: the cluster's time;
 //! - [`operations`]: what operators and endpoints ask for, whatever protocol they speak;
 //! - [`protocol`]: what they speak, and [`own`], the product's own;
 //! - [`running`]: start and stop.
 
+pub mod capacity;
 pub mod clock;
 pub mod duties;
 pub mod group;
--- a/crates/vaneway-server/src/core/control/own.rs
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -22,6 +22,9 @@
 use hyper::body::Incoming;
 use hyper::header::LOCATION;
 use serde_json::json;
+use vaneway_capacity::Answer;
+use vaneway_capacity::Kind;
+use vaneway_capacity::Order;
 use vaneway_registry::Report;
 
 use crate::core::callers::answer::json_response;
@@ -142,4 +145,28 @@
             .body(Full::new(Bytes::from(body.to_string())))
             .expect("the parts of the request are valid")
     }
+
+    fn capacity_order(&self, holder: &Holder, service: &str, order: &Order) -> EndpointRequest {
+        let body = json!({
+            "service": service,
+            "availability_zone": order.zone,
+            "reclaimable": order.kind == Kind::Reclaimable,
+            "replicas": order.count,
+            "holder": holder.name,
+            "fence": holder.fence,
+        });
+        Request::builder()
+            .method(Method::POST)
+            .uri("/v1/capacity")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("the parts of the request are valid")
+    }
+
+    fn order_answer(&self, status: StatusCode) -> Answer {
+        match status {
+            StatusCode::CONFLICT => Answer::Refused,
+            status if status.is_success() => Answer::Taken,
+            _ => Answer::Unknown,
+        }
+    }
 }
--- a/crates/vaneway-server/src/core/control/protocol.rs
+++ b/crates/vaneway-server/src/core/control/protocol.rs
@@ -4,7 +4,11 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
+pub use vaneway_capacity::Answer;
+pub use vaneway_capacity::Kind;
+pub use vaneway_capacity::Order;
 
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
@@ -36,4 +40,10 @@
 pub trait CloudProtocol: 'static {
     /// A report of the requests of each organisation in a window.
     fn usage_report(&self, holder: &Holder, window: Window, counts: &Counts) -> EndpointRequest;
+
+    /// An order of replicas of a service.
+    fn capacity_order(&self, holder: &Holder, service: &str, order: &Order) -> EndpointRequest;
+
+    /// What an answer to an order means.
+    fn order_answer(&self, status: StatusCode) -> Answer;
 }
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -30,6 +30,7 @@
 use crate::core::control::state::FIRST_INCARNATION;
 use crate::core::control::state::node_id;
 use crate::core::control::store;
+use crate::core::endpoints::upstream::Connections;
 use crate::core::settings::ControlSettings;
 use crate::util::body::CallerBody;
 use crate::util::clock;
@@ -109,6 +110,7 @@
     let control = Rc::new(Control {
         node: RefCell::new(Node::start(config, stored.durable, now)),
         timers: timers.clone(),
+        started: now,
         persist,
         machine: RefCell::default(),
         tickets: RefCell::default(),
@@ -123,7 +125,7 @@
         leads_since: Cell::new(None),
         use_ledger: RefCell::default(),
         clock: RefCell::default(),
-        connections: crate::core::endpoints::upstream::Connections::default(),
+        connections: Connections::reset_on_close(),
         unreadable: Cell::new(0),
         stopping: Cell::new(false),
         settings,
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -73,6 +73,8 @@
     pub settings: ControlSettings,
     /// The timer service.
     pub timers: Timers,
+    /// When this box started.
+    pub started: Instant,
     /// This box's part in the agreement.
     pub node: RefCell<Node>,
     /// The way to the disk.
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -76,9 +76,16 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Link>>>,
+    reset_on_close: bool,
 }
 
 impl Connections {
+    /// Connections that are reset when they are closed, so that what was written and has not
+    /// arrived, for example because the network is cut, never will.
+    pub fn reset_on_close() -> Self {
+        Self { idle: RefCell::default(), reset_on_close: true }
+    }
+
     /// Sends `req` to `addr` and waits for the head of the answer until `head_by`.
     ///
     /// With `fresh`, no idle connection is used: the endpoint may be closing it at this moment,
@@ -179,6 +186,11 @@
                 return Err(ended(attempt, AttemptEvent::Returned, "connecting took too long"));
             }
         };
+        if self.reset_on_close
+            && let Err(error) = stream.reset_on_close()
+        {
+            return Err(ended(attempt, AttemptEvent::Returned, error));
+        }
         Link::open(stream).await.map_err(|error| ended(attempt, AttemptEvent::Returned, error))
     }
 
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -142,6 +142,11 @@
 }
 
 impl Occupancy {
+    /// Tokens of work that has not begun.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
     /// Counts that the work has begun.
     pub fn begun(&mut self) {
         let tokens = std::mem::take(&mut self.tokens);
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -104,6 +104,8 @@
     pub window: Duration,
     /// The cloud's interface, if it wants reports.
     pub cloud: Option<CloudSettings>,
+    /// How replicas are ordered.
+    pub capacity: vaneway_capacity::Policy,
 }
 
 /// The cloud's interface for reports and orders.
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -237,6 +237,7 @@
         data_folder: fields.text("data_folder").into(),
         window: seconds(&mut fields, "usage_window_s", 60.0),
         cloud: fields.optional("cloud").and_then(|place| place.object()).map(cloud),
+        capacity: capacity(fields.section("capacity")),
     };
     if !cluster_listen.is_ipv4() {
         fields.place().report("`cluster_listen` must be an IPv4 address");
@@ -245,6 +246,26 @@
     settings
 }
 
+fn capacity(mut fields: Fields<'_>) -> vaneway_capacity::Policy {
+    let default = vaneway_capacity::Policy::default();
+    let kept = default.demand_kept.as_secs_f64();
+    let distrust = default.distrust.as_secs_f64();
+    let policy = vaneway_capacity::Policy {
+        busy_most: fields.fraction("busy_most", 0.05..=10.0, default.busy_most),
+        busy_scarce: fields.fraction("busy_scarce", 0.05..=10.0, default.busy_scarce),
+        on_demand_least: fields.number("on_demand_least", 0..=1_000, default.on_demand_least.into())
+            as u32,
+        demand_kept: Duration::from_secs_f64(fields.fraction(
+            "demand_kept_s",
+            0.0..=86_400.0,
+            kept,
+        )),
+        distrust: Duration::from_secs_f64(fields.fraction("distrust_s", 0.0..=86_400.0, distrust)),
+    };
+    fields.finish();
+    policy
+}
+
 fn cloud(mut fields: Fields<'_>) -> CloudSettings {
     let duties = texts(&mut fields, "duties");
     let settings = CloudSettings {
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -62,6 +62,8 @@
     windows: BTreeMap<Window, Counts>,
     /// Requests begun before the cluster's time was known.
     early: Vec<(Instant, String)>,
+    /// Tokens of prompts that endpoints of each service had to read.
+    work: BTreeMap<String, u64>,
 }
 
 /// Most requests that wait for the cluster's time.
@@ -96,6 +98,20 @@
         }
     }
 
+    /// Counts work that was given to an endpoint of a service.
+    pub fn add_work(&mut self, service: &str, tokens: u64) {
+        if let Some(known) = self.work.get_mut(service) {
+            *known += tokens;
+        } else {
+            self.work.insert(service.to_owned(), tokens);
+        }
+    }
+
+    /// Work given to endpoints of each service, as it travels.
+    pub fn work(&self) -> Vec<(String, u64)> {
+        self.work.iter().map(|(service, tokens)| (service.clone(), *tokens)).collect()
+    }
+
     /// Requests begun in the latest windows, as they travel.
     pub fn windows(&self) -> Vec<(Window, Counts)> {
         self.windows.iter().map(|(window, counts)| (*window, counts.clone())).collect()
@@ -114,6 +130,8 @@
     pub quotas: QuotaUse,
     /// What is open at endpoints now.
     pub loads: Vec<(InstanceId, Load)>,
+    /// Tokens of prompts that endpoints of each service had to read, since the box started.
+    pub work: Vec<(String, u64)>,
 }
 
 /// Names one start of an entry box.
@@ -125,6 +143,10 @@
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
     slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, f64>>>,
     loads: BTreeMap<EntryStart, BTreeMap<InstanceId, Load>>,
+    /// Work since each entry box started, as last told.
+    work: BTreeMap<EntryStart, BTreeMap<String, u64>>,
+    /// Work told in the latest slots, by service.
+    arrived: BTreeMap<Slot, BTreeMap<String, u64>>,
 }
 
 /// Windows that a control box remembers.
@@ -145,6 +167,12 @@
 /// Windows and slots that another box's time may be ahead.
 const AHEAD_MOST: u64 = 1;
 
+/// Slots over which the demand is measured: a few seconds.
+const DEMAND_SLOTS: u64 = 8;
+
+/// Slots of work that are remembered.
+const DEMAND_SLOTS_KEPT: usize = 16;
+
 impl UseLedger {
     /// Takes a report in; `now` is the cluster's time, beyond which nothing can have been used.
     pub fn merge(&mut self, now: ClusterNow, entry: &EntryStart, report: &UseReport) {
@@ -175,6 +203,28 @@
             self.slots.pop_first();
         }
         self.loads.insert(entry.clone(), report.loads.iter().cloned().collect());
+        self.merge_work(now, entry, &report.work);
+    }
+
+    fn merge_work(&mut self, now: ClusterNow, entry: &EntryStart, work: &[(String, u64)]) {
+        let told = self.work.insert(entry.clone(), work.iter().cloned().collect());
+        // What was done before this box heard of the entry for the first time says nothing of now.
+        let Some(told) = told else { return };
+        for (service, tokens) in work {
+            let new = tokens.saturating_sub(told.get(service).copied().unwrap_or_default());
+            let slot = self.arrived.entry(now.slot).or_default();
+            *slot.entry(service.clone()).or_default() += new;
+        }
+        while self.arrived.len() > DEMAND_SLOTS_KEPT {
+            self.arrived.pop_first();
+        }
+    }
+
+    /// Tokens of prompts a second that endpoints of a service had to read lately.
+    pub fn demand(&self, now: ClusterNow, service: &str) -> f64 {
+        let slots = self.arrived.range(now.slot.saturating_sub(DEMAND_SLOTS)..now.slot);
+        let tokens: u64 = slots.filter_map(|(_, services)| services.get(service)).sum();
+        tokens as f64 / (DEMAND_SLOTS as f64 * vaneway_quota::SLOT.as_secs_f64())
     }
 
     /// Forgets what an entry box that is gone has open.
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -146,6 +146,15 @@
         self.fd.poll_write_with(cx, |socket| socket.send(buf))
     }
 
+    /// Lets the connection be reset when it is closed: bytes that have not arrived are lost.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        self.fd.set_linger(Some(Duration::ZERO))
+    }
+
     /// Lets the connection fail once the peer's box has been silent for about `within`, also
     /// while nothing is being sent. Without it, a connection to a box that lost its power or its
     /// network hangs for minutes.
