--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -261,13 +261,22 @@
         };
         let mut have: u32 =
             wanted.iter().map(|(zone, wanted)| wanted.on_demand + counted(zone, wanted)).sum();
-        for zone in zones {
-            let wanted = wanted.entry(zone.name.clone()).or_default();
-            while have < need && wanted.on_demand + wanted.reclaimable < input.most {
-                wanted.on_demand += 1;
-                have += 1;
+        let mut full = false;
+        while have < need && !full {
+            full = true;
+            for zone in zones {
+                let wanted = wanted.entry(zone.name.clone()).or_default();
+                if have < need && wanted.on_demand + counted(&zone.name, wanted) < input.most {
+                    wanted.on_demand += 1;
+                    have += 1;
+                    full = false;
+                }
             }
         }
+        // Both kinds share the zone's room.
+        for wanted in wanted.values_mut() {
+            wanted.reclaimable = wanted.reclaimable.min(input.most - wanted.on_demand);
+        }
     }
 
     /// Gives an order unless it stands already.
