--- a/crates/vaneway-relay/src/budget.rs
+++ b/crates/vaneway-relay/src/budget.rs
@@ -23,6 +23,13 @@
         Self { balance: cap, gain: percent.saturating_mul(UNIT) / 100, cap }
     }
 
+    /// Changes the share and the reserve; what was saved is kept as far as the reserve allows.
+    pub fn set(&mut self, percent: u32, reserve: u32) {
+        self.cap = reserve.saturating_mul(UNIT);
+        self.gain = percent.saturating_mul(UNIT) / 100;
+        self.balance = self.balance.min(self.cap);
+    }
+
     /// Counts a new request.
     pub fn deposit(&mut self) {
         self.balance = self.balance.saturating_add(self.gain).min(self.cap);
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -73,6 +73,9 @@
 const PARTS_MOST: usize = 4_096;
 const PARTS_KEPT: Duration = Duration::from_secs(30);
 
+/// What a refusal counts against one failure.
+const REFUSAL_WORTH: f64 = 0.5;
+
 /// The endpoints and the chooser.
 #[derive(Debug)]
 pub struct Pool {
@@ -135,6 +138,12 @@
         }
     }
 
+    /// Notes that an endpoint refused a request. It is not suspended for that, since it answers, but
+    /// others are preferred for a while.
+    pub fn refused(&mut self, now: Instant, id: EndpointId) {
+        self.endpoints[id as usize].trouble.add(now, REFUSAL_WORTH);
+    }
+
     /// Marks an endpoint as leaving, to be gone at `gone_at`. A second notice can only bring the
     /// time forward.
     pub fn notice(
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -330,7 +330,9 @@
     ) -> Event {
         match outcome {
             Outcome::Done => self.entry.report(endpoint, EndpointEvent::Answered),
-            Outcome::Refused => {}
+            Outcome::Refused => {
+                self.entry.pool.borrow_mut().refused(Instant::now(), endpoint);
+            }
             // It answers, so it is not lost.
             Outcome::Unknown if self.response.is_some() => {}
             Outcome::NotSent | Outcome::Unknown => {
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -173,6 +173,7 @@
             }
             ToEntry::OthersUse { heard, known, quotas, loads } => {
                 let sharers = Sharers { heard, known };
+                self.entry.share_retries(known);
                 self.entry.others_open(&loads);
                 for (organisation, slots) in &quotas {
                     self.entry.others_took(organisation, slots, sharers);
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -40,6 +40,7 @@
 use crate::core::configuration::RouteTable;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::metrics::Metrics;
+use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
 use crate::core::usage::Used;
 use crate::util::clock;
@@ -49,13 +50,9 @@
 /// Retries that a service's budget holds at most, so that a quiet service can still retry.
 const RETRY_RESERVE: u32 = 20;
 
-/// Retries that a routed service may make for each hundred requests, a little below the share
-/// that operators allow for all boxes together.
-const ROUTED_RETRY_PERCENT: u32 = 15;
-
-/// Retries that one box may make for a routed service on top; all boxes together must stay within
-/// what operators allow on top.
-const ROUTED_RETRY_RESERVE: u32 = 4;
+/// Part of the retries that operators allow which is used; attempts of boxes that died are not
+/// known to those that are started anew.
+const RETRY_PART: f64 = 0.75;
 
 /// Part of what operators allow beyond quotas that is used for bursts.
 const BURST_PART: f64 = 0.5;
@@ -120,8 +117,21 @@
     started: Instant,
     boot: u64,
     next_id: Cell<u64>,
+    /// Retries of a routed service for each hundred requests, and on top.
+    retry_limits: Cell<(u32, u32)>,
+}
+
+/// Retries of one box for each hundred requests, and on top.
+fn retry_limits(follow: &FollowSettings, known: u32) -> (u32, u32) {
+    let allowed = follow.retries;
+    let percent = (allowed.share * RETRY_PART * 100.0) as u32;
+    let reserve = (allowed.slack * RETRY_PART / f64::from(known.max(1))) as u32;
+    (percent, reserve.max(1))
 }
 
+/// Entry boxes that are assumed before any control box has told.
+const ENTRIES_ASSUMED: u32 = 8;
+
 /// What an entry is made of besides its settings.
 #[derive(Debug)]
 pub(crate) struct Parts {
@@ -169,6 +179,8 @@
         let budget = |service: &crate::core::settings::Service| {
             RetryBudget::new(service.retry_percent, RETRY_RESERVE)
         };
+        let follow = settings.follow.as_ref();
+        let limits = follow.map_or((0, 0), |follow| retry_limits(follow, ENTRIES_ASSUMED));
         let names = settings.services.iter().enumerate();
         let service_ids =
             names.map(|(i, service)| (service.name.clone(), i as ServiceId)).collect();
@@ -197,6 +209,7 @@
             started: Instant::now(),
             boot,
             next_id: Cell::new(0),
+            retry_limits: Cell::new(limits),
             settings,
         }
     }
@@ -300,7 +313,8 @@
         let mut budgets = self.budgets.borrow_mut();
         let id = budgets.len() as ServiceId;
         ids.insert(name.to_owned(), id);
-        budgets.push(RetryBudget::new(ROUTED_RETRY_PERCENT, ROUTED_RETRY_RESERVE));
+        let (percent, reserve) = self.retry_limits.get();
+        budgets.push(RetryBudget::new(percent, reserve));
         id
     }
 
@@ -363,6 +377,20 @@
         }
     }
 
+    /// Learns how many entry boxes share what operators allow of retries: each holds its part
+    /// alone, so that the sum keeps in bounds whatever is cut off.
+    pub fn share_retries(&self, known: u32) {
+        let Some(follow) = &self.settings.follow else { return };
+        let limits = retry_limits(follow, known);
+        if self.retry_limits.replace(limits) == limits {
+            return;
+        }
+        let own = self.settings.services.len();
+        for budget in self.budgets.borrow_mut().iter_mut().skip(own) {
+            budget.set(limits.0, limits.1);
+        }
+    }
+
     /// What this box took of each quota in the slots from `first` on.
     pub fn own_quota_use(&self, first: Slot) -> Vec<(String, Vec<(Slot, f64)>)> {
         let quotas = self.quotas.borrow();
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -69,6 +69,17 @@
     pub window: Duration,
     /// What operators allow beyond quotas.
     pub quota: QuotaAllowance,
+    /// What operators allow of retries.
+    pub retries: RetryAllowance,
+}
+
+/// Retries that operators allow a service in a short time, over all entry boxes together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct RetryAllowance {
+    /// For each request.
+    pub share: f64,
+    /// On top.
+    pub slack: f64,
 }
 
 /// What operators allow beyond quotas, since entry boxes admit requests without asking each other.
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -26,6 +26,7 @@
 use super::Platform;
 use super::ProcessSettings;
 use super::QuotaAllowance;
+use super::RetryAllowance;
 use super::Routing;
 use super::Service;
 use super::ServiceKind;
@@ -284,6 +285,7 @@
         seeds: seeds(&mut fields, port),
         window: seconds(&mut fields, "usage_window_s", 60.0),
         quota: quota(fields.section("quota")),
+        retries: retries(fields.section("retries")),
     };
     fields.finish();
     settings
@@ -299,6 +301,15 @@
     allowance
 }
 
+fn retries(mut fields: Fields<'_>) -> RetryAllowance {
+    let allowance = RetryAllowance {
+        share: fields.fraction("share", 0.0..=10.0, 0.1),
+        slack: fields.fraction("slack", 0.0..=1e9, 20.0),
+    };
+    fields.finish();
+    allowance
+}
+
 /// A time in seconds and parts of them.
 fn seconds(fields: &mut Fields<'_>, name: &'static str, default: f64) -> Duration {
     Duration::from_secs_f64(fields.fraction(name, 0.001..=86_400.0, default))
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -146,7 +146,12 @@
         state.behaviour
     };
     if !expected {
-        return answer(StatusCode::MISDIRECTED_REQUEST, &id, &instance, CallerBody::full(Bytes::new()));
+        return answer(
+            StatusCode::MISDIRECTED_REQUEST,
+            &id,
+            &instance,
+            CallerBody::full(Bytes::new()),
+        );
     }
     match behaviour {
         Behaviour::Refuse => {
@@ -201,12 +206,7 @@
     }
 }
 
-fn answer(
-    status: StatusCode,
-    id: &str,
-    instance: &str,
-    body: CallerBody,
-) -> Response<CallerBody> {
+fn answer(status: StatusCode, id: &str, instance: &str, body: CallerBody) -> Response<CallerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     let headers = response.headers_mut();
