--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -34,11 +34,12 @@
 /// Silence after which a connection counts as broken.
 pub const SILENCE_MOST: Duration = Duration::from_millis(1_500);
 
-/// Longest wait for a connection to open.
-pub const CONNECT_WITHIN: Duration = Duration::from_millis(600);
+/// Longest wait for a connection to open: one round trip between regions. A box without power
+/// answers nothing, and when it is back the next try must not be far.
+pub const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 
 /// Pause before a connection that broke is opened again.
-pub const RECONNECT_AFTER: Duration = Duration::from_millis(200);
+pub const RECONNECT_AFTER: Duration = Duration::from_millis(75);
 
 /// A message of an entry box to a control box.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -25,16 +25,16 @@
 use crate::util::logline::Line;
 
 /// Time between a leader's heartbeats.
-pub const HEARTBEAT: Duration = Duration::from_millis(150);
+pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// Shortest silence of a leader before another is sought.
-pub const ELECTION: Duration = Duration::from_millis(900);
+pub const ELECTION: Duration = Duration::from_millis(500);
 
 /// Largest difference in speed between two clocks, in parts of a thousand.
 pub const DRIFT_PER_MILLE: u32 = 10;
 
 /// Longest time between two looks at the agreement's deadline, which can come forward meanwhile.
-const LOOK_EVERY: Duration = Duration::from_millis(75);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// Time between two looks at the members.
 const MAINTAIN_EVERY: Duration = Duration::from_millis(200);
