--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -8,6 +8,7 @@
 use vaneway_agreement::Action;
 use vaneway_agreement::Entry;
 use vaneway_agreement::Event;
+use vaneway_agreement::Index;
 use vaneway_agreement::NodeId;
 use vaneway_agreement::Payload;
 use vaneway_agreement::Role;
@@ -17,11 +18,13 @@
 use crate::core::control::links;
 use crate::core::control::machine::Command;
 use crate::core::control::machine::Effect;
+use crate::core::control::machine::Machine;
 use crate::core::control::membership;
 use crate::core::control::membership::MemberView;
 use crate::core::control::state::Control;
 use crate::core::control::state::Pending;
 use crate::core::control::state::Proposed;
+use crate::core::control::store::Write;
 use crate::util::logline::Line;
 
 /// Time between a leader's heartbeats.
@@ -63,7 +66,7 @@
             links::send_to_node(control, to, &BetweenControl::Agreement { to, message });
         }
         Action::Persist(persist) => {
-            if control.persist.unbounded_send(persist).is_err() {
+            if control.persist.unbounded_send(Write::Persist(persist)).is_err() {
                 log::error!("event=store_task_ended");
             }
         }
@@ -79,9 +82,11 @@
             }
         }
         Action::Commit { entries } => {
+            let before = control.machine.borrow().version();
             for entry in entries {
                 committed(control, entry);
             }
+            configured_since(control, before);
         }
         Action::RoleChanged { role, term } => role_changed(control, role, term),
     }
@@ -122,19 +127,30 @@
 
 fn apply(control: &Rc<Control>, command: Command, index: u64) {
     let effect = control.machine.borrow_mut().apply(command);
-    match effect {
-        Effect::Nothing => {}
-        Effect::Configured => {
-            let held = control.machine.borrow().held().cloned();
-            if let Some(held) = held {
-                Line::new("configuration_agreed")
-                    .with("version", held.configuration.version)
-                    .with("index", index)
-                    .info();
-                links::spread_configuration(control, &held.configuration);
-            }
+    if effect == Effect::Configured
+        && control.persist.unbounded_send(Write::Committed(index)).is_err()
+    {
+        log::error!("event=store_task_ended");
+    }
+}
+
+/// Spreads the configuration in force if it is another than the one before.
+fn configured_since(control: &Control, before: u64) {
+    let held = control.machine.borrow().held().cloned();
+    let Some(held) = held.filter(|held| held.configuration.version > before) else { return };
+    Line::new("configuration_agreed").with("version", held.configuration.version).info();
+    links::spread_configuration(control, &held.configuration);
+}
+
+/// Applies what was committed before this box started, so that entry boxes that start with it need
+/// not wait for a leader. It may be older than the newest, never anything that was not agreed on.
+pub fn apply_committed(machine: &mut Machine, entries: &[Entry], committed: Index) {
+    for entry in entries.iter().filter(|entry| entry.index <= committed) {
+        if let Payload::Command(bytes) = &entry.payload
+            && let Ok(command) = Command::decode(bytes)
+        {
+            machine.apply(command);
         }
-        Effect::UsageFixed(window) => log::debug!("event=usage_fixed window={window}"),
     }
 }
 
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -24,6 +24,7 @@
 use crate::core::control::duties;
 use crate::core::control::group;
 use crate::core::control::links;
+use crate::core::control::machine::Machine;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::ControlProtocol;
 use crate::core::control::state::Control;
@@ -106,13 +107,15 @@
         seed: boot ^ node,
     };
     let now = Instant::now();
+    let mut machine = Machine::default();
+    group::apply_committed(&mut machine, &stored.durable.entries, stored.committed);
     let (persist, queue) = mpsc::unbounded();
     let control = Rc::new(Control {
         node: RefCell::new(Node::start(config, stored.durable, now)),
         timers: timers.clone(),
         started: now,
         persist,
-        machine: RefCell::default(),
+        machine: RefCell::new(machine),
         tickets: RefCell::default(),
         pending: RefCell::default(),
         next_ticket: Cell::new(0),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -17,7 +17,6 @@
 use vaneway_agreement::Index;
 use vaneway_agreement::Node;
 use vaneway_agreement::NodeId;
-use vaneway_agreement::Persist;
 use vaneway_agreement::Term;
 use vaneway_agreement::Ticket;
 use vaneway_registry::Registry;
@@ -26,6 +25,7 @@
 use crate::core::control::links::EntryLink;
 use crate::core::control::links::PeerLink;
 use crate::core::control::machine::Machine;
+use crate::core::control::store::Write;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::settings::ControlSettings;
 use crate::core::usage::ClusterNow;
@@ -78,7 +78,7 @@
     /// This box's part in the agreement.
     pub node: RefCell<Node>,
     /// The way to the disk.
-    pub(crate) persist: mpsc::UnboundedSender<Persist>,
+    pub(crate) persist: mpsc::UnboundedSender<Write>,
     /// What was agreed on, as far as this box knows.
     pub machine: RefCell<Machine>,
     /// Proposals that have no place in the log yet.
--- a/crates/vaneway-server/src/core/control/store.rs
+++ b/crates/vaneway-server/src/core/control/store.rs
@@ -21,6 +21,7 @@
 use serde::Serialize;
 use vaneway_agreement::Durable;
 use vaneway_agreement::Entry;
+use vaneway_agreement::Index;
 use vaneway_agreement::Members;
 use vaneway_agreement::NodeId;
 use vaneway_agreement::Persist;
@@ -42,6 +43,9 @@
     Identity { node: NodeId, first_members: Members },
     /// What the node wants to be durable, in order.
     Persist { term: Term, vote: Option<NodeId>, entries: Vec<Entry> },
+    /// Entries up to this one were committed. Nothing depends on it but how soon a box that starts
+    /// can tell entry boxes a configuration.
+    Committed { index: Index },
 }
 
 /// What a folder holds of a node.
@@ -51,6 +55,17 @@
     pub node: NodeId,
     /// What it must not forget.
     pub durable: Durable,
+    /// Position up to which entries were surely committed.
+    pub committed: Index,
+}
+
+/// What is to be written.
+#[derive(Debug)]
+pub enum Write {
+    /// What the node wants to be durable.
+    Persist(Persist),
+    /// Entries up to this one are committed.
+    Committed(Index),
 }
 
 /// The open file.
@@ -62,7 +77,7 @@
 }
 
 /// What reaches a store's task.
-pub type Queue = mpsc::UnboundedReceiver<Persist>;
+pub type Queue = mpsc::UnboundedReceiver<Write>;
 
 /// Opens the file under `folder`. A folder without one becomes that of the node that `identity`
 /// gives.
@@ -99,7 +114,7 @@
         let (node, first_members) = identity();
         let record = Record::Identity { node, first_members: first_members.clone() };
         end = write_first(&file, folder, &record).wrap_err_with(context)?;
-        Stored { node, durable: Durable::empty(first_members) }
+        Stored { node, durable: Durable::empty(first_members), committed: 0 }
     };
     drop(file);
     let file = compio::fs::OpenOptions::new().write(true).open(&path).await;
@@ -112,13 +127,19 @@
     for record in records {
         match (postcard::from_bytes(record).wrap_err("a record can't be read")?, &mut stored) {
             (Record::Identity { node, first_members }, None) => {
-                stored = Some(Stored { node, durable: Durable::empty(first_members) });
+                let durable = Durable::empty(first_members);
+                stored = Some(Stored { node, durable, committed: 0 });
             }
             (Record::Persist { term, vote, entries }, Some(stored)) => {
                 stored.durable.apply(&Persist { number: 0, term, vote, entries });
             }
+            (Record::Committed { index }, Some(stored)) => {
+                stored.committed = stored.committed.max(index);
+            }
             (Record::Identity { .. }, Some(_)) => eyre::bail!("the file names two nodes"),
-            (Record::Persist { .. }, None) => eyre::bail!("the file does not name its node"),
+            (Record::Persist { .. } | Record::Committed { .. }, None) => {
+                eyre::bail!("the file does not name its node")
+            }
         }
     }
     Ok(stored)
@@ -147,14 +168,19 @@
     pub async fn write_forever(mut self, timers: Timers, mut queue: Queue, durable: impl Fn(u64)) {
         while let Some(first) = queue.next().await {
             let mut batch = Vec::new();
-            let mut number = first.number;
-            batch.extend(encode(&record(first)));
-            while let Ok(persist) = queue.try_recv() {
-                number = persist.number;
-                batch.extend(encode(&record(persist)));
+            let mut last = None;
+            let mut next = Some(first);
+            while let Some(write) = next {
+                if let Write::Persist(persist) = &write {
+                    last = Some(persist.number);
+                }
+                batch.extend(encode(&record(write)));
+                next = queue.try_recv().ok();
             }
             self.write(&timers, batch).await;
-            durable(number);
+            if let Some(number) = last {
+                durable(number);
+            }
         }
     }
 
@@ -190,7 +216,11 @@
     }
 }
 
-fn record(persist: Persist) -> Record {
-    let Persist { term, vote, entries, .. } = persist;
-    Record::Persist { term, vote, entries }
+fn record(write: Write) -> Record {
+    match write {
+        Write::Persist(Persist { term, vote, entries, .. }) => {
+            Record::Persist { term, vote, entries }
+        }
+        Write::Committed(index) => Record::Committed { index },
+    }
 }
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -33,6 +33,27 @@
     assert_eq!(group.configuration()["version"], 3);
 }
 
+/// Entry boxes that start together with the control boxes need not wait for a leader.
+#[test]
+fn box_that_starts_alone_knows_the_configuration_that_was_agreed_on() {
+    let mut group = group(3);
+    group.configure(&empty_configuration(7));
+    let follower = (group.leader() + 1) % 3;
+    group.process(follower).wait_for_log(&["event=configuration_agreed", "version=7"]);
+    // Known to be agreed on here, and written down with the next write at the latest.
+    group.configure(&empty_configuration(9));
+    for i in 0..3 {
+        group.kill(i);
+    }
+    group.start_box(follower, false);
+    let state = group.state(follower);
+    assert_eq!(state["leader"], serde_json::Value::Null);
+    assert!(state["configuration"].as_u64().is_some_and(|version| version >= 7), "{state}");
+    // It can't know whether that is the newest.
+    let read = group.call(follower, "GET", "/v1/configuration", "").unwrap();
+    assert_eq!(read.status, 503);
+}
+
 #[test]
 fn configuration_that_is_wrong_is_refused_with_every_finding() {
     let group = group(1);
