--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -42,6 +42,9 @@
 /// Time after which a box has heard of what another admitted: two tellings and the way.
 const HEARD_AFTER: Duration = Duration::from_millis(350);
 
+/// Requests of one size that another box may admit before this box hears of it.
+const LIKES_UNHEARD: f64 = 2.0;
+
 /// The slot of a time since 1970.
 pub fn slot(time: Duration) -> Slot {
     (time.as_millis() / SLOT.as_millis()) as Slot
@@ -113,7 +116,9 @@
         let share = self.share(now);
         // A request larger than the burst can only ever start from a full bucket.
         let needed = units.min(share.limit.burst);
-        let free = self.level(now) - self.unheard(now, share);
+        // What requests of this size can take too much together is bounded by their size.
+        let likes = units * f64::from(self.sharers.heard) * LIKES_UNHEARD;
+        let free = self.level(now) - self.unheard(now, share).min(likes);
         if free >= needed {
             *self.own.entry(slot(now)).or_default() += units;
             self.latest.push_back((now, units));
