--- a/crates/vaneway-agreement/src/event.rs
+++ b/crates/vaneway-agreement/src/event.rs
@@ -4,9 +4,11 @@
 
 use crate::Entry;
 use crate::Index;
+use crate::Log;
 use crate::Members;
 use crate::Message;
 use crate::NodeId;
+use crate::Snapshot;
 use crate::Term;
 use crate::Ticket;
 
@@ -34,6 +36,8 @@
     CommitOwnTermOnly,
     PersistBeforeReply,
     AppendChecksPrevious,
+    /// A snapshot that is older than what is committed is not taken.
+    InstallChecksCommit,
 }
 
 /// What a node has on its disk.
@@ -43,6 +47,8 @@
     pub term: Term,
     /// Whom it voted for in that term.
     pub vote: Option<NodeId>,
+    /// What stands for the entries before the first of `entries`, if anything does.
+    pub snapshot: Option<Snapshot>,
     /// Its entries.
     pub entries: Vec<Entry>,
     /// Who counts until an entry names others.
@@ -52,18 +58,33 @@
 impl Durable {
     /// The disk of a node that never ran.
     pub fn empty(first_members: Members) -> Self {
-        Self { term: 0, vote: None, entries: Vec::new(), first_members }
+        Self { term: 0, vote: None, snapshot: None, entries: Vec::new(), first_members }
     }
 
     /// Applies what a node asked to be made durable.
     pub fn apply(&mut self, persist: &Persist) {
         self.term = persist.term;
         self.vote = persist.vote;
+        if let Some(snapshot) = &persist.snapshot {
+            let mut log = self.log();
+            log.install(snapshot);
+            self.entries = log.entries().to_vec();
+            self.snapshot = Some(snapshot.clone());
+        }
         if let Some(first) = persist.entries.first() {
-            self.entries.truncate(first.index as usize - 1);
+            let base = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+            self.entries.truncate((first.index - base) as usize - 1);
             self.entries.extend_from_slice(&persist.entries);
         }
     }
+
+    /// The entries as a log.
+    pub fn log(&self) -> Log {
+        match &self.snapshot {
+            Some(snapshot) => Log::behind(snapshot, self.entries.clone()),
+            None => Log::new(self.first_members.clone(), self.entries.clone()),
+        }
+    }
 }
 
 /// What must become durable, in order.
@@ -75,6 +96,9 @@
     pub term: Term,
     /// Its vote in that term.
     pub vote: Option<NodeId>,
+    /// What takes the place of the entries up to its position; those behind it stay if they follow
+    /// from it.
+    pub snapshot: Option<Snapshot>,
     /// Entries that replace everything from the first one's position on.
     pub entries: Vec<Entry>,
 }
@@ -114,6 +138,14 @@
         /// The command.
         command: Vec<u8>,
     },
+    /// The owner's state after the entries up to `index`, which are committed, is `data`: the
+    /// entries are needed no longer.
+    Compact {
+        /// The position.
+        index: Index,
+        /// The owner's state.
+        data: Vec<u8>,
+    },
     /// The owner wants a change of the members.
     Change {
         /// Names the proposal.
@@ -172,6 +204,11 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// The owner's state is that of this snapshot; commits go on behind it.
+    Restore {
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
     /// The node's role changed.
     RoleChanged {
         /// Its role now.
--- a/crates/vaneway-agreement/src/lib.rs
+++ b/crates/vaneway-agreement/src/lib.rs
@@ -34,8 +34,10 @@
 pub use log::Log;
 pub use log::Members;
 pub use log::Payload;
+pub use log::Snapshot;
 pub use message::Append;
 pub use message::AppendReply;
+pub use message::Install;
 pub use message::Message;
 pub use node::Node;
 
--- a/crates/vaneway-agreement/src/log.rs
+++ b/crates/vaneway-agreement/src/log.rs
@@ -58,47 +58,136 @@
     pub payload: Payload,
 }
 
-/// The entries of one node.
+/// The owner's state after the entries up to a position, in place of those entries.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Position of the last entry that it stands for.
+    pub index: Index,
+    /// That entry's term.
+    pub term: Term,
+    /// The members as of that entry.
+    pub members: Members,
+    /// The owner's state.
+    pub data: Vec<u8>,
+}
+
+/// The entries of one node: those behind a snapshot, if it has one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Log {
+    /// Position and term of the last entry that the snapshot stands for; 0 without one.
+    base_index: Index,
+    base_term: Term,
+    /// Who counts until an entry names others.
+    base_members: Members,
     entries: Vec<Entry>,
-    first_members: Members,
 }
 
 impl Log {
     /// A log with these entries; `first_members` count until an entry names others.
     pub fn new(first_members: Members, entries: Vec<Entry>) -> Self {
-        Self { entries, first_members }
+        Self { base_index: 0, base_term: 0, base_members: first_members, entries }
+    }
+
+    /// A log of the entries behind a snapshot.
+    pub fn behind(snapshot: &Snapshot, entries: Vec<Entry>) -> Self {
+        Self {
+            base_index: snapshot.index,
+            base_term: snapshot.term,
+            base_members: snapshot.members.clone(),
+            entries,
+        }
+    }
+
+    /// Position of the last entry that a snapshot stands for; 0 without one.
+    pub fn base_index(&self) -> Index {
+        self.base_index
+    }
+
+    /// Entries that are kept.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
     }
 
     /// Position of the last entry; 0 if there is none.
     pub fn last_index(&self) -> Index {
-        self.entries.len() as Index
+        self.base_index + self.entries.len() as Index
     }
 
     /// Term of the last entry; 0 if there is none.
     pub fn last_term(&self) -> Term {
-        self.entries.last().map_or(0, |entry| entry.term)
+        self.entries.last().map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Place in `entries` of the entry at `index`, which is behind the snapshot.
+    fn place(&self, index: Index) -> usize {
+        (index - self.base_index) as usize - 1
     }
 
-    /// Term of the entry at `index`; 0 before the first, none behind the last.
+    /// Term of the entry at `index`; 0 before the first, none behind the last or where a snapshot
+    /// hides it.
     pub fn term_at(&self, index: Index) -> Option<Term> {
         match index {
-            0 => Some(0),
-            index => self.entries.get(index as usize - 1).map(|entry| entry.term),
+            index if index == self.base_index => Some(self.base_term),
+            index if index < self.base_index => None,
+            index => self.entries.get(self.place(index)).map(|entry| entry.term),
         }
     }
 
-    /// Entries from `index` on, at most `most` of them.
-    pub fn from(&self, index: Index, most: usize) -> &[Entry] {
-        let begin = (index as usize - 1).min(self.entries.len());
-        let end = (begin + most).min(self.entries.len());
-        &self.entries[begin..end]
+    /// Entries from `index` on, at most `most` of them and, behind the first, at most about
+    /// `bytes` of commands. `index` is behind the snapshot.
+    pub fn from(&self, index: Index, most: usize, bytes: usize) -> &[Entry] {
+        let begin = self.place(index.max(self.base_index + 1)).min(self.entries.len());
+        let mut left = bytes;
+        let rest = &self.entries[begin..];
+        let fits = |entry: &&Entry| {
+            let size = match &entry.payload {
+                Payload::Command(command) => command.len(),
+                Payload::Noop | Payload::Members(_) => 0,
+            };
+            left = left.saturating_sub(size);
+            left > 0
+        };
+        let count = rest.iter().take(most).take_while(fits).count();
+        &rest[..count.max(1).min(rest.len())]
     }
 
     /// Entries behind `after` up to and including `to`.
     pub fn between(&self, after: Index, to: Index) -> &[Entry] {
-        &self.entries[after as usize..to as usize]
+        let after = after.max(self.base_index);
+        &self.entries[(after - self.base_index) as usize..(to - self.base_index) as usize]
+    }
+
+    /// Lets a snapshot of `data` stand for the entries up to `index`, which are there.
+    pub fn compact(&mut self, index: Index, data: Vec<u8>) -> Snapshot {
+        let term = self.term_at(index).unwrap_or_default();
+        let members = self.members_at(index).clone();
+        let snapshot = Snapshot { index, term, members, data };
+        self.entries.drain(..(index - self.base_index) as usize);
+        self.base_index = index;
+        self.base_term = term;
+        self.base_members = snapshot.members.clone();
+        snapshot
+    }
+
+    /// Takes a leader's snapshot. Entries behind it stay if they follow from it.
+    pub fn install(&mut self, snapshot: &Snapshot) {
+        let follows = self.term_at(snapshot.index) == Some(snapshot.term);
+        let entries = if follows {
+            self.entries.split_off((snapshot.index - self.base_index) as usize)
+        } else {
+            Vec::new()
+        };
+        *self = Self::behind(snapshot, entries);
+    }
+
+    /// The members as of the entry at `index`.
+    fn members_at(&self, index: Index) -> &Members {
+        let earlier = self.entries.iter().rev().filter(|entry| entry.index <= index);
+        let mut named = earlier.filter_map(|entry| match &entry.payload {
+            Payload::Members(members) => Some(members),
+            Payload::Noop | Payload::Command(_) => None,
+        });
+        named.next().unwrap_or(&self.base_members)
     }
 
     /// Appends an entry.
@@ -111,8 +200,13 @@
     /// Takes a leader's entries: drops what conflicts, appends what is new. Returns the new ones.
     pub fn merge(&mut self, entries: &[Entry]) -> Vec<Entry> {
         for (i, entry) in entries.iter().enumerate() {
+            // What a snapshot stands for is committed, so it is the same.
+            if entry.index <= self.base_index {
+                continue;
+            }
             if self.term_at(entry.index) != Some(entry.term) {
-                self.entries.truncate(entry.index as usize - 1);
+                let kept = self.place(entry.index);
+                self.entries.truncate(kept);
                 self.entries.extend_from_slice(&entries[i..]);
                 return entries[i..].to_vec();
             }
@@ -122,7 +216,7 @@
 
     /// The members that the log names last, committed or not.
     pub fn members(&self) -> &Members {
-        self.last_members().map_or(&self.first_members, |(_, members)| members)
+        self.last_members().map_or(&self.base_members, |(_, members)| members)
     }
 
     /// Position of the last entry that names members; 0 if none does.
--- a/crates/vaneway-agreement/src/message.rs
+++ b/crates/vaneway-agreement/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::Entry;
 use crate::Index;
+use crate::Snapshot;
 use crate::Term;
 
 /// A message between nodes.
@@ -44,8 +45,22 @@
     },
     /// Entries, and a heartbeat.
     Append(Append),
-    /// Answer to [`Message::Append`]; sent once the entries are durable.
+    /// Answer to [`Message::Append`] and [`Message::Install`]; sent once what it answers for is
+    /// durable.
     AppendReply(AppendReply),
+    /// A snapshot for a member that lacks entries which the leader no longer has, and a heartbeat.
+    Install(Install),
+}
+
+/// A leader's snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Install {
+    /// The leader's term.
+    pub term: Term,
+    /// The snapshot.
+    pub snapshot: Snapshot,
+    /// Number of the leader's heartbeat, for its lease.
+    pub round: u64,
 }
 
 /// A leader's entries, and its heartbeat.
@@ -88,6 +103,7 @@
             | Self::VoteReply { term, .. } => *term,
             Self::Append(append) => append.term,
             Self::AppendReply(reply) => reply.term,
+            Self::Install(install) => install.term,
         }
     }
 }
--- a/crates/vaneway-agreement/src/node.rs
+++ b/crates/vaneway-agreement/src/node.rs
@@ -30,6 +30,7 @@
 use crate::Entry;
 use crate::Event;
 use crate::Index;
+use crate::Install;
 use crate::Log;
 use crate::MemberChange;
 use crate::Members;
@@ -40,12 +41,20 @@
 use crate::Refusal;
 use crate::Role;
 use crate::Rule;
+use crate::Snapshot;
 use crate::Term;
 use crate::Ticket;
 
 /// Entries in one message at most.
 const ENTRIES_MOST: usize = 256;
 
+/// Bytes of commands in one message, beyond its first entry: what is not acknowledged is sent again
+/// with every heartbeat.
+const ENTRY_BYTES_MOST: usize = 256 << 10;
+
+/// Time before a snapshot that was not acknowledged is sent again.
+const INSTALL_AGAIN: Duration = Duration::from_secs(1);
+
 /// Entries that a learner may lack when it becomes a voter: what one message brings.
 const CAUGHT_UP_WITHIN: Index = ENTRIES_MOST as Index;
 
@@ -60,6 +69,8 @@
     heard: Option<Instant>,
     /// When the leader first sent it something.
     since: Instant,
+    /// When a snapshot was last sent.
+    installed: Option<Instant>,
 }
 
 /// A message that waits until something is durable.
@@ -77,6 +88,8 @@
     /// Always none in production.
     without: Option<Rule>,
     log: Log,
+    /// What stands for the entries that the log no longer has.
+    snapshot: Option<Snapshot>,
     term: Term,
     vote: Option<NodeId>,
     role: Role,
@@ -102,9 +115,10 @@
 impl Node {
     /// A node that starts at `now` with what is on its disk.
     pub fn start(config: Config, durable: Durable, now: Instant) -> Self {
-        let Durable { term, vote, entries, first_members } = durable;
-        let log = Log::new(first_members, entries);
+        let log = durable.log();
+        let Durable { term, vote, snapshot, .. } = durable;
         let durable = log.last_index();
+        let commit = log.base_index();
         let mut node = Self {
             without: None,
             jitter: config.seed,
@@ -120,7 +134,8 @@
             progress: BTreeMap::new(),
             round: 0,
             rounds: VecDeque::new(),
-            commit: 0,
+            commit,
+            snapshot,
             persist_number: 0,
             persisted_number: 0,
             durable,
@@ -148,6 +163,11 @@
         self.config.id
     }
 
+    /// The latest snapshot, if there is one.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
     /// Its role.
     pub fn role(&self) -> Role {
         self.role
@@ -232,6 +252,7 @@
             Event::Propose { ticket, command } => {
                 self.propose(now, ticket, Payload::Command(command), out);
             }
+            Event::Compact { index, data } => self.compact(index, data, out),
             Event::Change { ticket, change } => match self.changed(change) {
                 Ok(members) => self.propose(now, ticket, Payload::Members(members), out),
                 Err(refusal) => out.push(Action::Refused { ticket, refusal }),
@@ -350,14 +371,27 @@
 
     fn send_entries(&mut self, now: Instant, to: NodeId, out: &mut Vec<Action>) {
         let last = self.log.last_index();
-        let fresh = Progress { next: last.max(1), matched: 0, heard: None, since: now };
+        let fresh =
+            Progress { next: last.max(1), matched: 0, heard: None, since: now, installed: None };
+        let base = self.log.base_index();
         let progress = self.progress.entry(to).or_insert(fresh);
+        if progress.next <= base {
+            let due = progress.installed.is_none_or(|at| now >= at + INSTALL_AGAIN);
+            if let Some(snapshot) = self.snapshot.clone().filter(|_| due) {
+                progress.installed = Some(now);
+                let install = Install { term: self.term, snapshot, round: self.round };
+                out.push(Action::Send { to, message: Message::Install(install) });
+                return;
+            }
+            // A heartbeat only, until the snapshot has arrived.
+            progress.next = base + 1;
+        }
         let prev_index = progress.next - 1;
         let message = Message::Append(Append {
             term: self.term,
             prev_index,
             prev_term: self.log.term_at(prev_index).unwrap_or_default(),
-            entries: self.log.from(progress.next, ENTRIES_MOST).to_vec(),
+            entries: self.log.from(progress.next, ENTRIES_MOST, ENTRY_BYTES_MOST).to_vec(),
             commit: self.commit,
             round: self.round,
         });
@@ -384,6 +418,15 @@
 
     /// Asks for what the node promises to be made durable; returns the request's number.
     fn persist(&mut self, entries: Vec<Entry>, out: &mut Vec<Action>) -> u64 {
+        self.persist_with(None, entries, out)
+    }
+
+    fn persist_with(
+        &mut self,
+        snapshot: Option<Snapshot>,
+        entries: Vec<Entry>,
+        out: &mut Vec<Action>,
+    ) -> u64 {
         self.persist_number += 1;
         let number = self.persist_number;
         if let Some(first) = entries.first() {
@@ -393,9 +436,11 @@
                 persisting.1 = persisting.1.min(first.index - 1);
             }
         }
-        let durable = entries.last().map_or(0, |last| last.index);
+        let installed = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let durable = entries.last().map_or(installed, |last| last.index);
         self.persisting.push_back((number, durable));
-        out.push(Action::Persist(Persist { number, term: self.term, vote: self.vote, entries }));
+        let (term, vote) = (self.term, self.vote);
+        out.push(Action::Persist(Persist { number, term, vote, snapshot, entries }));
         number
     }
 
@@ -460,6 +505,7 @@
             }
             Message::Append(append) => self.appended(now, from, append, out),
             Message::AppendReply(reply) => self.append_replied(now, from, reply, out),
+            Message::Install(install) => self.installed(now, from, install, out),
         }
     }
 
@@ -519,7 +565,10 @@
         self.follow(now, term, Some(from), out);
         self.heard = now;
         self.wait_for_leader(now);
-        let fits = self.log.term_at(prev_index) == Some(prev_term)
+        let base = self.log.base_index();
+        // What this node's snapshot stands for is committed, so the leader has the same.
+        let fits = prev_index < base
+            || self.log.term_at(prev_index) == Some(prev_term)
             || (!self.keeps(Rule::AppendChecksPrevious) && prev_index <= self.log.last_index());
         let mut matched = None;
         if fits {
@@ -528,7 +577,7 @@
             if !new.is_empty() {
                 self.persist(new, out);
             }
-            matched = Some(end);
+            matched = Some(end.max(base));
             self.commit_to(commit.min(end), out);
         }
         let last_index = self.log.last_index();
@@ -536,6 +585,48 @@
         self.send_after(self.persist_number, from, message, out);
     }
 
+    /// Takes a leader's snapshot, unless this node has committed as much.
+    fn installed(&mut self, now: Instant, from: NodeId, install: Install, out: &mut Vec<Action>) {
+        let Install { term, snapshot, round } = install;
+        let mut matched = None;
+        if term >= self.term {
+            self.follow(now, term, Some(from), out);
+            self.heard = now;
+            self.wait_for_leader(now);
+            matched = Some(snapshot.index);
+            if snapshot.index > self.commit || !self.keeps(Rule::InstallChecksCommit) {
+                self.restore(snapshot, out);
+            }
+        }
+        let last_index = self.log.last_index();
+        let reply = AppendReply { term: self.term, matched, last_index, round };
+        self.send_after(self.persist_number, from, Message::AppendReply(reply), out);
+    }
+
+    fn restore(&mut self, snapshot: Snapshot, out: &mut Vec<Action>) {
+        self.log.install(&snapshot);
+        self.commit = snapshot.index;
+        self.snapshot = Some(snapshot.clone());
+        // Entries that did not follow from it are gone.
+        let last = self.log.last_index();
+        self.durable = self.durable.min(last);
+        for persisting in &mut self.persisting {
+            persisting.1 = persisting.1.min(last);
+        }
+        self.persist_with(Some(snapshot.clone()), Vec::new(), out);
+        out.push(Action::Restore { snapshot });
+    }
+
+    /// Drops committed entries for which the owner has its state.
+    fn compact(&mut self, index: Index, data: Vec<u8>, out: &mut Vec<Action>) {
+        if index <= self.log.base_index() || index > self.commit {
+            return;
+        }
+        let snapshot = self.log.compact(index, data);
+        self.snapshot = Some(snapshot.clone());
+        self.persist_with(Some(snapshot), Vec::new(), out);
+    }
+
     fn append_replied(
         &mut self,
         now: Instant,
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -12,6 +12,7 @@
 use vaneway_agreement::NodeId;
 use vaneway_agreement::Payload;
 use vaneway_agreement::Role;
+use vaneway_agreement::Snapshot;
 use vaneway_agreement::Term;
 
 use crate::core::cluster::wire::BetweenControl;
@@ -27,6 +28,9 @@
 use crate::core::control::store::Write;
 use crate::util::logline::Line;
 
+/// Bytes of commands after which a snapshot takes their place.
+const SNAPSHOT_BYTES: usize = 4 << 20;
+
 /// Time between a leader's heartbeats.
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
@@ -58,6 +62,55 @@
     if control.node.borrow().leader().is_some() {
         control.led_at.set(Instant::now());
     }
+    compact(control);
+}
+
+/// Puts a snapshot in place of the entries once there are many of them, or they are large.
+fn compact(control: &Rc<Control>) {
+    let index = {
+        let node = control.node.borrow();
+        let (index, log) = (node.committed(), node.log());
+        let entries = log.between(log.base_index(), index);
+        let bytes: usize = entries.iter().map(size).sum();
+        let due = entries.len() as u64 >= control.settings.snapshot_entries
+            || (bytes >= SNAPSHOT_BYTES && entries.len() > 1);
+        due.then_some(index)
+    };
+    if let Some(index) = index {
+        let data = control.machine.borrow().encode();
+        Line::new("snapshot").with("index", index).with("bytes", data.len()).info();
+        let mut actions = Vec::new();
+        let event = Event::Compact { index, data };
+        control.node.borrow_mut().handle(Instant::now(), event, &mut actions);
+        for action in actions {
+            perform(control, action);
+        }
+    }
+}
+
+fn size(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Command(command) => command.len(),
+        Payload::Noop | Payload::Members(_) => 0,
+    }
+}
+
+/// Takes the state of a leader's snapshot.
+fn restore(control: &Rc<Control>, snapshot: &Snapshot) {
+    let before = control.machine.borrow().version();
+    match Machine::decode(&snapshot.data) {
+        Ok(machine) => {
+            *control.machine.borrow_mut() = machine;
+            Line::new("snapshot_taken").with("index", snapshot.index).info();
+        }
+        Err(error) => {
+            Line::new("snapshot_unreadable")
+                .with("index", snapshot.index)
+                .with("error", error)
+                .error();
+        }
+    }
+    configured_since(control, before);
 }
 
 fn perform(control: &Rc<Control>, action: Action) {
@@ -88,6 +141,7 @@
             }
             configured_since(control, before);
         }
+        Action::Restore { snapshot } => restore(control, &snapshot),
         Action::RoleChanged { role, term } => role_changed(control, role, term),
     }
 }
--- a/crates/vaneway-server/src/core/control/machine.rs
+++ b/crates/vaneway-server/src/core/control/machine.rs
@@ -78,6 +78,13 @@
     usage: BTreeMap<Window, Counts>,
 }
 
+/// The state as a snapshot holds it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Whole<H> {
+    held: Option<H>,
+    usage: BTreeMap<Window, Counts>,
+}
+
 impl Machine {
     /// Applies a command.
     pub fn apply(&mut self, command: Command) -> Effect {
@@ -102,6 +109,26 @@
         }
     }
 
+    /// The state's bytes, for a snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Never: every state can be encoded.
+    pub fn encode(&self) -> Vec<u8> {
+        let whole = Whole { held: self.held.as_deref(), usage: self.usage.clone() };
+        postcard::to_stdvec(&whole).expect("the state can be encoded")
+    }
+
+    /// Reads the state of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are no state, for example one of a later version of this program.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let whole: Whole<Held> = postcard::from_bytes(bytes)?;
+        Ok(Self { held: whole.held.map(Rc::new), usage: whole.usage })
+    }
+
     /// The configuration in force.
     pub fn held(&self) -> Option<&Rc<Held>> {
         self.held.as_ref()
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -107,7 +107,10 @@
         seed: boot ^ node,
     };
     let now = Instant::now();
-    let mut machine = Machine::default();
+    let mut machine = match &stored.durable.snapshot {
+        Some(snapshot) => Machine::decode(&snapshot.data).wrap_err("the snapshot can't be read")?,
+        None => Machine::default(),
+    };
     group::apply_committed(&mut machine, &stored.durable.entries, stored.committed);
     let (persist, queue) = mpsc::unbounded();
     let control = Rc::new(Control {
--- a/crates/vaneway-server/src/core/control/store.rs
+++ b/crates/vaneway-server/src/core/control/store.rs
@@ -3,7 +3,8 @@
 //! Data flow: records are queued; one task appends all that are queued in one write, syncs once,
 //! and reports the number of the last. A write or sync that fails is tried again, from the end of
 //! the last good record, until it succeeds: until then the node promises nothing new, and the
-//! others go on without it. The file's name is synced before the first record counts.
+//! others go on without it. The file's name is synced before the first record counts. A snapshot
+//! is written with all that counts into another file, which takes the place of the first.
 
 use std::fs::File;
 use std::fs::OpenOptions;
@@ -25,6 +26,7 @@
 use vaneway_agreement::Members;
 use vaneway_agreement::NodeId;
 use vaneway_agreement::Persist;
+use vaneway_agreement::Snapshot;
 use vaneway_agreement::Term;
 
 use crate::util::logline::Line;
@@ -33,6 +35,9 @@
 /// The file's name under the data folder.
 const FILE_NAME: &str = "agreement.log";
 
+/// The name under which the file is written anew before it takes the other's place.
+const NEW_FILE_NAME: &str = "agreement.new";
+
 /// Pause before a write that failed is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -42,14 +47,14 @@
     /// The first record: who this node is.
     Identity { node: NodeId, first_members: Members },
     /// What the node wants to be durable, in order.
-    Persist { term: Term, vote: Option<NodeId>, entries: Vec<Entry> },
+    Persist { term: Term, vote: Option<NodeId>, snapshot: Option<Snapshot>, entries: Vec<Entry> },
     /// Entries up to this one were committed. Nothing depends on it but how soon a box that starts
     /// can tell entry boxes a configuration.
     Committed { index: Index },
 }
 
 /// What a folder holds of a node.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Stored {
     /// The node.
     pub node: NodeId,
@@ -71,9 +76,12 @@
 /// The open file.
 #[derive(Debug)]
 pub struct Store {
+    folder: PathBuf,
     path: PathBuf,
     file: compio::fs::File,
     end: u64,
+    /// What the file says, for when it is written anew.
+    stored: Stored,
 }
 
 /// What reaches a store's task.
@@ -119,7 +127,8 @@
     drop(file);
     let file = compio::fs::OpenOptions::new().write(true).open(&path).await;
     let file = file.wrap_err_with(context)?;
-    Ok((stored, Store { path, file, end }))
+    let folder = folder.to_owned();
+    Ok((stored.clone(), Store { folder, path, file, end, stored }))
 }
 
 fn replay(records: &[&[u8]]) -> eyre::Result<Option<Stored>> {
@@ -130,8 +139,8 @@
                 let durable = Durable::empty(first_members);
                 stored = Some(Stored { node, durable, committed: 0 });
             }
-            (Record::Persist { term, vote, entries }, Some(stored)) => {
-                stored.durable.apply(&Persist { number: 0, term, vote, entries });
+            (Record::Persist { term, vote, snapshot, entries }, Some(stored)) => {
+                stored.durable.apply(&Persist { number: 0, term, vote, snapshot, entries });
             }
             (Record::Committed { index }, Some(stored)) => {
                 stored.committed = stored.committed.max(index);
@@ -169,21 +178,72 @@
         while let Some(first) = queue.next().await {
             let mut batch = Vec::new();
             let mut last = None;
+            let mut anew = false;
             let mut next = Some(first);
             while let Some(write) = next {
-                if let Write::Persist(persist) = &write {
-                    last = Some(persist.number);
+                match &write {
+                    Write::Persist(persist) => {
+                        last = Some(persist.number);
+                        anew |= persist.snapshot.is_some();
+                        self.stored.durable.apply(persist);
+                    }
+                    Write::Committed(index) => self.stored.committed = *index,
                 }
                 batch.extend(encode(&record(write)));
                 next = queue.try_recv().ok();
             }
-            self.write(&timers, batch).await;
+            if anew {
+                self.write_anew(&timers).await;
+            } else {
+                self.write(&timers, batch).await;
+            }
             if let Some(number) = last {
                 durable(number);
             }
         }
     }
 
+    /// Writes another file with all that counts, which takes the place of the present one, again
+    /// and again until it succeeds.
+    async fn write_anew(&mut self, timers: &Timers) {
+        let mut failed = false;
+        loop {
+            match self.try_write_anew().await {
+                Ok(()) => break,
+                Err(error) if failed => log::debug!("event=disk_lost error={error:?}"),
+                Err(error) => self.log_lost(&error),
+            }
+            failed = true;
+            timers.sleep(RETRY_AFTER).await;
+        }
+        if failed {
+            Line::new("disk_regained").with("file", self.path.display()).info();
+        }
+    }
+
+    async fn try_write_anew(&mut self) -> io::Result<()> {
+        let Durable { term, vote, snapshot, entries, first_members } = self.stored.durable.clone();
+        let node = self.stored.node;
+        let mut bytes = encode(&Record::Identity { node, first_members });
+        bytes.extend(encode(&Record::Persist { term, vote, snapshot, entries }));
+        bytes.extend(encode(&Record::Committed { index: self.stored.committed }));
+        let end = bytes.len() as u64;
+        let other = self.folder.join(NEW_FILE_NAME);
+        let mut file = compio::fs::File::create(&other).await?;
+        let BufResult(written, _) = file.write_all_at(bytes, 0).await;
+        written?;
+        file.sync_all().await?;
+        compio::fs::rename(&other, &self.path).await?;
+        compio::fs::File::open(&self.folder).await?.sync_all().await?;
+        self.file = file;
+        self.end = end;
+        Ok(())
+    }
+
+    fn log_lost(&self, error: &io::Error) {
+        Line::new("disk_lost").with("file", self.path.display()).with("error", error).error();
+    }
+
     /// Appends and syncs, again and again until it succeeds.
     async fn write(&mut self, timers: &Timers, batch: Vec<u8>) {
         let mut batch = batch;
@@ -199,10 +259,7 @@
                 Ok(()) => break,
                 Err(error) => {
                     if !failed {
-                        Line::new("disk_lost")
-                            .with("file", self.path.display())
-                            .with("error", error)
-                            .error();
+                        self.log_lost(&error);
                     }
                     failed = true;
                     timers.sleep(RETRY_AFTER).await;
@@ -218,8 +275,8 @@
 
 fn record(write: Write) -> Record {
     match write {
-        Write::Persist(Persist { term, vote, entries, .. }) => {
-            Record::Persist { term, vote, entries }
+        Write::Persist(Persist { term, vote, snapshot, entries, .. }) => {
+            Record::Persist { term, vote, snapshot, entries }
         }
         Write::Committed(index) => Record::Committed { index },
     }
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -111,6 +111,8 @@
     pub form_group: bool,
     /// Where durable state is kept.
     pub data_folder: PathBuf,
+    /// Entries of the agreement's log after which a snapshot takes their place.
+    pub snapshot_entries: u64,
     /// Length of an accounting window.
     pub window: Duration,
     /// The cloud's interface, if it wants reports.
--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -24,6 +24,9 @@
 /// How long a group may take for anything that it is asked to do; far beyond what it needs.
 const WITHIN: Duration = Duration::from_secs(40);
 
+/// Entries after which a snapshot takes their place: few, so that all tests meet snapshots.
+const SNAPSHOT_ENTRIES: u64 = 5;
+
 /// How long one call may take.
 const CALL_WITHIN: Duration = Duration::from_secs(2);
 
@@ -38,6 +41,7 @@
     seeds: Vec<SocketAddr>,
     boxes: Vec<Option<Process>>,
     adapter: Option<&'static str>,
+    snapshot_entries: u64,
 }
 
 /// What a box answered.
@@ -83,7 +87,9 @@
         let folder = tempfile::tempdir().expect("a folder");
         let program = program.to_owned();
         let boxes = Vec::new();
-        let mut group = Self { program, folder, network, port, seeds, boxes, adapter };
+        let snapshot_entries = SNAPSHOT_ENTRIES;
+        let mut group =
+            Self { program, folder, network, port, seeds, boxes, adapter, snapshot_entries };
         for i in 0..usize::from(count) {
             group.start_box(i, true);
         }
@@ -121,6 +127,7 @@
             "seeds": seeds,
             "form_group": form_group,
             "data_folder": self.data_folder(i),
+            "snapshot_entries": self.snapshot_entries,
         });
         let folder = self.folder.path();
         let process = match self.adapter {
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -33,6 +33,33 @@
     assert_eq!(group.configuration()["version"], 3);
 }
 
+/// Snapshots come after five entries in these tests.
+#[test]
+fn box_that_missed_more_than_the_log_holds_gets_a_snapshot() {
+    let mut group = group(3);
+    let behind = (group.leader() + 1) % 3;
+    group.kill(behind);
+    for version in 1..=24 {
+        group.configure(&empty_configuration(version));
+    }
+    let leader = group.leader();
+    group.process(leader).wait_for_log(&["event=snapshot ", "index=20"]);
+    group.start_box(behind, false);
+    group.process(behind).wait_for_log(&["event=snapshot_taken"]);
+    group.process(behind).wait_for_log(&["event=configuration_agreed", "version=24"]);
+
+    // All come back from snapshots and what was written behind them.
+    for i in 0..3 {
+        group.kill(i);
+    }
+    for i in 0..3 {
+        group.start_box(i, false);
+    }
+    assert_eq!(group.configuration()["version"], 24);
+    group.configure(&empty_configuration(25));
+    assert_eq!(group.configuration()["version"], 25);
+}
+
 /// Entry boxes that start together with the control boxes need not wait for a leader.
 #[test]
 fn box_that_starts_alone_knows_the_configuration_that_was_agreed_on() {
