--- a/crates/vaneway-server/src/core/control/operations.rs
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -1,10 +1,10 @@
 //! What operators and endpoints ask of a control box, whatever protocol they speak.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use vaneway_agreement::NodeId;
 use vaneway_agreement::Role;
 use vaneway_registry::Report;
 
@@ -28,8 +28,8 @@
 pub enum Refusal {
     /// Another control box leads.
     NotLeader {
-        /// Where it takes calls.
-        leader: SocketAddr,
+        /// Its node.
+        leader: NodeId,
     },
     /// Nobody can tell now; the change may still come into force.
     Unavailable,
@@ -84,9 +84,7 @@
         return Ok(());
     }
     match node.leader() {
-        Some(leader) if leader != node.id() => {
-            Err(Refusal::NotLeader { leader: control.api_address(leader) })
-        }
+        Some(leader) if leader != node.id() => Err(Refusal::NotLeader { leader }),
         _ => Err(Refusal::Unavailable),
     }
 }
--- a/crates/vaneway-server/src/core/control/own.rs
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -49,7 +49,10 @@
 
 /// The product's own interface of a control box.
 #[derive(Debug, Clone, Copy)]
-pub struct OwnControl;
+pub struct OwnControl {
+    /// The port on which all control boxes offer it; none for that of their other calls.
+    pub port: Option<u16>,
+}
 
 impl ControlProtocol for OwnControl {
     async fn serve(&self, control: Rc<Control>, req: Request<Incoming>) -> Response<CallerBody> {
@@ -59,8 +62,8 @@
             return failed(StatusCode::BAD_REQUEST, "the body is too long or broke off");
         };
         match (&head.method, head.uri.path()) {
-            (&Method::PUT, CONFIGURATION) => put(&control, &body).await,
-            (&Method::GET, CONFIGURATION) => get(&control),
+            (&Method::PUT, CONFIGURATION) => self.put(&control, &body).await,
+            (&Method::GET, CONFIGURATION) => self.get(&control),
             (&Method::POST, "/v1/endpoints") => endpoint(&control, &body),
             (&Method::GET, "/v1/state") => {
                 json_response(StatusCode::OK, Bytes::from(control.dump().to_string()))
@@ -77,46 +80,51 @@
     json_response(status, Bytes::from(json!({ "error": message }).to_string()))
 }
 
-fn refused(refusal: &Refusal, path: &str) -> Response<CallerBody> {
-    match refusal {
-        Refusal::NotLeader { leader } => {
-            let mut response = failed(StatusCode::TEMPORARY_REDIRECT, "another box leads");
-            if let Ok(location) = format!("http://{leader}{path}").parse() {
-                response.headers_mut().insert(LOCATION, location);
+impl OwnControl {
+    fn refused(&self, control: &Control, refusal: &Refusal) -> Response<CallerBody> {
+        match refusal {
+            Refusal::NotLeader { leader } => {
+                let mut response = failed(StatusCode::TEMPORARY_REDIRECT, "another box leads");
+                let mut leader = control.api_address(*leader);
+                leader.set_port(self.port.unwrap_or(leader.port()));
+                if let Ok(location) = format!("http://{leader}{CONFIGURATION}").parse() {
+                    response.headers_mut().insert(LOCATION, location);
+                }
+                response
+            }
+            Refusal::Unavailable => {
+                failed(StatusCode::SERVICE_UNAVAILABLE, "no leader is known now, try again")
+            }
+            Refusal::Invalid(findings) => {
+                let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+                let body = json!({ "error": "invalid configuration", "findings": findings });
+                json_response(StatusCode::UNPROCESSABLE_ENTITY, Bytes::from(body.to_string()))
             }
-            response
-        }
-        Refusal::Unavailable => {
-            failed(StatusCode::SERVICE_UNAVAILABLE, "no leader is known now, try again")
-        }
-        Refusal::Invalid(findings) => {
-            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
-            let body = json!({ "error": "invalid configuration", "findings": findings });
-            json_response(StatusCode::UNPROCESSABLE_ENTITY, Bytes::from(body.to_string()))
         }
     }
-}
 
-async fn put(control: &Rc<Control>, body: &[u8]) -> Response<CallerBody> {
-    let configuration: Configuration = match serde_json::from_slice(body) {
-        Ok(configuration) => configuration,
-        Err(error) => return failed(StatusCode::BAD_REQUEST, &error.to_string()),
-    };
-    let version = configuration.version;
-    let document = String::from_utf8_lossy(body).into_owned();
-    match operations::configure(control, Held { configuration, document }).await {
-        Ok(()) => {
-            json_response(StatusCode::OK, Bytes::from(json!({ "accepted": version }).to_string()))
+    async fn put(&self, control: &Rc<Control>, body: &[u8]) -> Response<CallerBody> {
+        let configuration: Configuration = match serde_json::from_slice(body) {
+            Ok(configuration) => configuration,
+            Err(error) => return failed(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let version = configuration.version;
+        let document = String::from_utf8_lossy(body).into_owned();
+        match operations::configure(control, Held { configuration, document }).await {
+            Ok(()) => json_response(
+                StatusCode::OK,
+                Bytes::from(json!({ "accepted": version }).to_string()),
+            ),
+            Err(refusal) => self.refused(control, &refusal),
         }
-        Err(refusal) => refused(&refusal, CONFIGURATION),
     }
-}
 
-fn get(control: &Control) -> Response<CallerBody> {
-    match operations::newest_configuration(control) {
-        Ok(Some(held)) => json_response(StatusCode::OK, Bytes::from(held.document.clone())),
-        Ok(None) => failed(StatusCode::NOT_FOUND, "there is no configuration yet"),
-        Err(refusal) => refused(&refusal, CONFIGURATION),
+    fn get(&self, control: &Control) -> Response<CallerBody> {
+        match operations::newest_configuration(control) {
+            Ok(Some(held)) => json_response(StatusCode::OK, Bytes::from(held.document.clone())),
+            Ok(None) => failed(StatusCode::NOT_FOUND, "there is no configuration yet"),
+            Err(refusal) => self.refused(control, &refusal),
+        }
     }
 }
 
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -25,6 +25,7 @@
 use crate::core::control::group;
 use crate::core::control::links;
 use crate::core::control::machine::Machine;
+use crate::core::control::own::OwnControl;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::ControlProtocol;
 use crate::core::control::state::Control;
@@ -58,7 +59,7 @@
 #[derive(Debug)]
 pub struct RunningControl {
     control: Rc<Control>,
-    server: HttpServer,
+    servers: Vec<HttpServer>,
     /// Dropped to end what runs in the background.
     background: Vec<oneshot::Sender<()>>,
 }
@@ -147,8 +148,16 @@
         .wrap_err_with(|| format!("failed to listen for other boxes on {listen}"))?;
     let listen = control.settings.listen;
     let api = Rc::new(Api { control: Rc::clone(&control), protocol });
-    let server = http_server::bind(listen, timers, api)
+    let server = http_server::bind(listen, timers.clone(), api)
         .wrap_err_with(|| format!("failed to listen for endpoints and operators on {listen}"))?;
+    let mut servers = vec![server];
+    if let Some(listen) = control.settings.operators {
+        let protocol = OwnControl { port: Some(listen.port()) };
+        let api = Rc::new(Api { control: Rc::clone(&control), protocol });
+        let server = http_server::bind(listen, timers, api)
+            .wrap_err_with(|| format!("failed to listen for operators on {listen}"))?;
+        servers.push(server);
+    }
     let background = vec![
         task::spawn_until_dropped(links::accept(Rc::clone(&control), listener)),
         task::spawn_until_dropped(links::keep_peers(Rc::clone(&control))),
@@ -161,12 +170,12 @@
     Line::new("started")
         .with("role", "control")
         .with("name", &control.settings.name)
-        .with("listen", server.address())
+        .with("listen", servers[0].address())
         .with("node", node)
         .with("log", control.node.borrow().log().last_index())
         .with("forms_group", control.settings.form_group)
         .info();
-    Ok(RunningControl { control, server, background })
+    Ok(RunningControl { control, servers, background })
 }
 
 /// Who a box with an empty disk is: one of the first group, or a newcomer that joins.
@@ -198,15 +207,15 @@
 
     /// Where endpoints and operators connect.
     pub fn listen(&self) -> SocketAddr {
-        self.server.address()
+        self.servers[0].address()
     }
 
     /// Stops as planned: acts for the deployment no more, lets calls finish, then ends.
     pub async fn stop(self) {
-        let Self { control, server, background } = self;
+        let Self { control, servers, background } = self;
         control.stopping.set(true);
         Line::new("stopping").with("role", "control").info();
-        server.finish();
+        servers.into_iter().for_each(HttpServer::finish);
         control.timers.sleep(FINISH_WITHIN).await;
         drop(background);
         Line::new("stopped").with("role", "control").info();
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -21,6 +21,7 @@
 use futures_util::stream::unfold;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::http::response;
 use vaneway_relay::Attempt;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
@@ -156,14 +157,30 @@
         limit: usize,
         until: Instant,
     ) -> Result<(StatusCode, Bytes), SendError> {
+        let (head, body) = self.exchange_head(timers, addr, req, limit, until).await?;
+        Ok((head.status, body))
+    }
+
+    /// Like [`Connections::exchange`], with the whole head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connections::exchange`].
+    pub async fn exchange_head(
+        &self,
+        timers: &Timers,
+        addr: SocketAddr,
+        req: EndpointRequest,
+        limit: usize,
+        until: Instant,
+    ) -> Result<(response::Parts, Bytes), SendError> {
         let Answered { response, mut attempt } = self.send(timers, addr, req, false, until).await?;
-        let status = response.status();
-        let mut body = response.into_body();
+        let (head, mut body) = response.into_parts();
         let mut held = BytesMut::new();
         let cause = match timers.until(until, body.read_into(&mut held, limit)).await {
             Some(Ok(true)) => {
                 self.put(addr, body);
-                return Ok((status, held.freeze()));
+                return Ok((head, held.freeze()));
             }
             Some(Ok(false)) => "the answer is too long".to_owned(),
             Some(Err(error)) => error.to_string(),
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -102,6 +102,9 @@
     pub availability_zone: String,
     /// Where endpoints and operators call.
     pub listen: SocketAddr,
+    /// Where operators reach the product's own interface, if that is another address. All control
+    /// boxes use the same port there.
+    pub operators: Option<SocketAddr>,
     /// Where other boxes connect. All control boxes use the same port there.
     pub cluster_listen: SocketAddr,
     /// Control boxes to begin with, by their addresses for other boxes.
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -233,6 +233,7 @@
         name: fields.text("name"),
         availability_zone: fields.text("availability_zone"),
         listen: address(fields.required("listen")),
+        operators: fields.optional("operators").map(|place| address(Some(place))),
         cluster_listen,
         seeds: seeds(&mut fields, cluster_listen.port()),
         form_group: fields.optional("form_group").and_then(|p| p.flag()).unwrap_or(false),
--- /dev/null
+++ b/crates/vaneway-server/src/ops/configuration.rs
@@ -0,0 +1,101 @@
+//! `vanectl apply` and `vanectl config`: puts a configuration in force, and reads the newest.
+//!
+//! They call a control box over HTTP and follow it to the one that leads.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use eyre::WrapErr as _;
+use eyre::bail;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::HOST;
+use hyper::header::LOCATION;
+use serde_json::Value;
+
+use crate::core::endpoints::upstream::Connections;
+use crate::ops::client::Target;
+use crate::util::timers::Timers;
+
+/// Path of the configuration.
+const PATH: &str = "/v1/configuration";
+
+/// Control boxes asked one after the other at most.
+const HOPS_MOST: usize = 3;
+
+/// How long one call may take.
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+
+/// Largest answer that is read.
+const ANSWER_BYTES_MOST: usize = 32 << 20;
+
+/// Puts the configuration in the file at `path` in force and returns one line about it.
+///
+/// # Errors
+///
+/// If the file can't be read, no control box takes it, or with every finding in it.
+pub async fn apply(target: &Target, path: &Path) -> eyre::Result<String> {
+    let context = || format!("failed to read `{}`", path.display());
+    let document = std::fs::read(path).wrap_err_with(context)?;
+    let (status, body) = call(target.address, Method::PUT, document.into()).await?;
+    let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+    if status.is_success() {
+        return Ok(format!("version {} is accepted\n", answer["accepted"]));
+    }
+    let findings = answer["findings"].as_array().cloned().unwrap_or_default();
+    let findings: Vec<&str> = findings.iter().filter_map(Value::as_str).collect();
+    let error = answer["error"].as_str().unwrap_or("no reason given");
+    bail!("the control box answered {status}: {error}\n  {}", findings.join("\n  "))
+}
+
+/// Returns the newest configuration as indented JSON.
+///
+/// # Errors
+///
+/// If no control box can tell it now.
+pub async fn config(target: &Target) -> eyre::Result<String> {
+    let (status, body) = call(target.address, Method::GET, Bytes::new()).await?;
+    let answer: Value = serde_json::from_slice(&body).wrap_err("failed to read the answer")?;
+    if !status.is_success() {
+        bail!("the control box answered {status}: {}", answer["error"]);
+    }
+    Ok(format!("{answer:#}\n"))
+}
+
+/// Calls a control box, and the one that leads if another is asked first.
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    body: Bytes,
+) -> eyre::Result<(StatusCode, Bytes)> {
+    let timers = Timers::spawn();
+    let connections = Connections::default();
+    let mut address = address;
+    for _ in 0..HOPS_MOST {
+        let req = Request::builder()
+            .method(method.clone())
+            .uri(PATH)
+            .header(HOST, address.to_string())
+            .body(Full::new(body.clone()))
+            .wrap_err("failed to write the request")?;
+        let until = Instant::now() + ANSWER_WITHIN;
+        let (head, body) = connections
+            .exchange_head(&timers, address, req, ANSWER_BYTES_MOST, until)
+            .await
+            .wrap_err_with(|| format!("failed to reach the control box at {address}"))?;
+        if head.status != StatusCode::TEMPORARY_REDIRECT {
+            return Ok((head.status, body));
+        }
+        let leader = head.headers.get(LOCATION).and_then(|value| value.to_str().ok());
+        let leader = leader.and_then(|url| url.strip_prefix("http://")?.split('/').next());
+        address = leader
+            .and_then(|leader| leader.parse().ok())
+            .ok_or_else(|| eyre::eyre!("the control box at {address} names no leader"))?;
+    }
+    bail!("the control boxes name each other as leader, try again")
+}
--- a/crates/vaneway-server/src/ops/mod.rs
+++ b/crates/vaneway-server/src/ops/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod client;
+pub mod configuration;
 pub mod dump;
 pub mod endpoints;
 pub mod replicas;
--- a/crates/vaneway-server/src/ops/run.rs
+++ b/crates/vaneway-server/src/ops/run.rs
@@ -65,7 +65,7 @@
     }
 
     fn control(&self) -> OwnControl {
-        OwnControl
+        OwnControl { port: None }
     }
 
     fn cloud(&self) -> OwnCloud {
--- a/src/bin/vanectl/commands/mod.rs
+++ b/src/bin/vanectl/commands/mod.rs
@@ -1,5 +1,7 @@
 //! The subcommands of `vanectl`.
 
+mod apply;
+mod config;
 mod dump;
 mod endpoints;
 mod replicas;
@@ -24,6 +26,8 @@
   endpoints [SERVICE]   List the endpoints as the process sees them
   status                Say how the process is
   dump                  Show the whole state of the process as JSON
+  apply FILE            Put a configuration in force (address of a control box)
+  config                Show the newest configuration (address of a control box)
 
 Options:
       --address ADDR  The operators' address of a process [default: 127.0.0.1:8081]
@@ -104,6 +108,8 @@
             "replicas" => replicas::exec(args).await,
             "endpoints" => endpoints::exec(args).await,
             "status" => status::exec(args).await,
+            "apply" => apply::exec(args).await,
+            "config" => config::exec(args).await,
             "dump" => dump::exec(args).await,
             other => Err(UsageError(format!("no such command: `{other}`")).into()),
         }
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -33,6 +33,41 @@
     assert_eq!(group.configuration()["version"], 3);
 }
 
+fn vanectl(address: std::net::SocketAddr, args: &[&str]) -> (Option<i32>, String, String) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_vanectl"))
+        .args(["--address", &address.to_string()])
+        .args(args)
+        .output()
+        .unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.code(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn operators_apply_and_read_a_configuration_at_any_box() {
+    let group = group(3);
+    let follower = group.address((group.leader() + 1) % 3);
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("configuration.json");
+    std::fs::write(&file, empty_configuration(6).to_string()).unwrap();
+    let file = file.to_str().unwrap();
+    let accepted = (Some(0), "version 6 is accepted\n".to_owned(), String::new());
+    assert_eq!(vanectl(follower, &["apply", file]), accepted);
+    let (code, read, _) = vanectl(follower, &["config"]);
+    let read: serde_json::Value = serde_json::from_str(&read).unwrap();
+    assert_eq!((code, read), (Some(0), empty_configuration(6)));
+
+    let mut wrong = empty_configuration(7);
+    wrong["services"] = serde_json::json!([
+        { "name": "a", "health_path": "", "max_connections": 1, "engine": null, "capacity": null },
+        { "name": "a", "health_path": "", "max_connections": 1, "engine": null, "capacity": null }
+    ]);
+    std::fs::write(file, wrong.to_string()).unwrap();
+    let (code, _, error) = vanectl(follower, &["apply", file]);
+    assert_eq!(code, Some(1));
+    assert!(error.contains("$.services[1].name: another service has this name"), "{error}");
+}
+
 /// Snapshots come after five entries in these tests.
 #[test]
 fn box_that_missed_more_than_the_log_holds_gets_a_snapshot() {
