--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -42,6 +42,9 @@
 /// Time after which a box has heard of what another admitted: two tellings and the way.
 const HEARD_AFTER: Duration = Duration::from_millis(350);
 
+/// Whole slots by which the others' present use is judged.
+const LATEST: u64 = 2;
+
 /// Requests of one size that another box may admit before this box hears of it.
 const LIKES_UNHEARD: f64 = 2.0;
 
@@ -174,8 +177,6 @@
         if !share.whole {
             return 0.0;
         }
-        /// Slots that are looked at.
-        const LATEST: u64 = 2;
         let present = slot(now);
         let latest = self.others.range(present.saturating_sub(LATEST)..present);
         let taken: f64 = latest.map(|(_, units)| units).sum();
--- a/crates/vaneway-server/src/core/control/own.rs
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -81,7 +81,7 @@
 }
 
 impl OwnControl {
-    fn refused(&self, control: &Control, refusal: &Refusal) -> Response<CallerBody> {
+    fn refused(self, control: &Control, refusal: &Refusal) -> Response<CallerBody> {
         match refusal {
             Refusal::NotLeader { leader } => {
                 let mut response = failed(StatusCode::TEMPORARY_REDIRECT, "another box leads");
@@ -103,7 +103,7 @@
         }
     }
 
-    async fn put(&self, control: &Rc<Control>, body: &[u8]) -> Response<CallerBody> {
+    async fn put(self, control: &Rc<Control>, body: &[u8]) -> Response<CallerBody> {
         let configuration: Configuration = match serde_json::from_slice(body) {
             Ok(configuration) => configuration,
             Err(error) => return failed(StatusCode::BAD_REQUEST, &error.to_string()),
@@ -119,7 +119,7 @@
         }
     }
 
-    fn get(&self, control: &Control) -> Response<CallerBody> {
+    fn get(self, control: &Control) -> Response<CallerBody> {
         match operations::newest_configuration(control) {
             Ok(Some(held)) => json_response(StatusCode::OK, Bytes::from(held.document.clone())),
             Ok(None) => failed(StatusCode::NOT_FOUND, "there is no configuration yet"),
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an endpoint of the users' platform, by its published protocol.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -117,7 +118,10 @@
 
 /// The whole stream behind `after`.
 pub fn events(after: u32) -> String {
-    (after + 1..=EVENTS).map(|i| format!("id: {i}\ndata: piece {i}\n\n")).collect()
+    (after + 1..=EVENTS).fold(String::new(), |mut events, i| {
+        write!(events, "id: {i}\ndata: piece {i}\n\n").expect("writing to a string does not fail");
+        events
+    })
 }
 
 async fn handle(
--- /dev/null
+++ b/tests/testsuite/decisions_of_control.rs
@@ -0,0 +1,177 @@
+//! Decisions of control boxes without I/O: members, time, accounting and the configuration's form.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use vaneway_agreement::MemberChange;
+use vaneway_quota::slot;
+use vaneway_server::core::configuration::Configuration;
+use vaneway_server::core::configuration::RouteTable;
+use vaneway_server::core::control::clock::Clock;
+use vaneway_server::core::control::machine::Command;
+use vaneway_server::core::control::machine::Effect;
+use vaneway_server::core::control::machine::Held;
+use vaneway_server::core::control::machine::Machine;
+use vaneway_server::core::control::membership::MemberView;
+use vaneway_server::core::control::membership::next_change;
+use vaneway_server::core::control::state::node_id;
+use vaneway_server::core::usage::ClusterNow;
+use vaneway_server::core::usage::ClusterTime;
+use vaneway_server::core::usage::Counts;
+use vaneway_server::core::usage::UseLedger;
+use vaneway_server::core::usage::Used;
+use vaneway_test_support::control_group::empty_configuration;
+
+fn node(box_number: u8, incarnation: u32) -> u64 {
+    node_id([10, 0, 0, box_number].into(), incarnation)
+}
+
+fn voter(node: u64, silent_ms: u64) -> MemberView {
+    MemberView { node, voter: true, caught_up: true, silent: Duration::from_millis(silent_ms) }
+}
+
+fn learner(node: u64, caught_up: bool) -> MemberView {
+    MemberView { node, voter: false, caught_up, silent: Duration::ZERO }
+}
+
+#[test]
+fn newcomers_learn_then_vote_then_the_node_before_is_taken_out() {
+    let (a, b, c, c2) = (node(1, 1), node(2, 1), node(3, 1), node(3, 7));
+    let lost = [voter(a, 0), voter(b, 10), voter(c, 2_000)];
+    assert_eq!(next_change(a, &lost, &[]), None);
+    assert_eq!(next_change(a, &lost, &[c2]), Some(MemberChange::AddLearner(c2)));
+
+    let learning = [&lost[..], &[learner(c2, false)]].concat();
+    assert_eq!(next_change(a, &learning, &[c2]), None);
+    let learned = [&lost[..], &[learner(c2, true)]].concat();
+    assert_eq!(next_change(a, &learned, &[]), Some(MemberChange::Promote(c2)));
+
+    let voting = [&lost[..], &[voter(c2, 10)]].concat();
+    assert_eq!(next_change(a, &voting, &[]), Some(MemberChange::Remove(c)));
+    assert_eq!(next_change(a, &[voter(a, 0), voter(b, 10), voter(c2, 10)], &[]), None);
+}
+
+#[test]
+fn silent_voter_stays_while_the_others_are_too_few() {
+    let (a, b, c, d) = (node(1, 1), node(2, 1), node(3, 1), node(4, 5));
+    let minutes = 600_000;
+    assert_eq!(next_change(a, &[voter(a, 0), voter(b, 10), voter(c, minutes)], &[]), None);
+    // Replaced by a box at another address.
+    let replaced = [voter(a, 0), voter(b, 10), voter(c, 4_000), voter(d, 10)];
+    assert_eq!(next_change(a, &replaced, &[]), Some(MemberChange::Remove(c)));
+    // Freshly silent, and the leader itself is never taken out.
+    let fresh = [voter(a, 0), voter(b, 10), voter(c, 2_000), voter(d, 10)];
+    assert_eq!(next_change(a, &fresh, &[]), None);
+}
+
+#[test]
+fn one_clock_that_jumps_does_not_move_the_clusters_time() {
+    let start = Instant::now();
+    let epoch = Duration::from_secs(1_000_000);
+    let mut clock = Clock::default();
+    let at = |ms: u64| (start + Duration::from_millis(ms), epoch + Duration::from_millis(ms));
+    for step in 0..40 {
+        let (now, time) = at(step * 500);
+        let jump = Duration::from_secs(if (10..30).contains(&step) { 40 } else { 0 });
+        clock.learn(now, 2, time + Duration::from_millis(20));
+        clock.learn(now, 3, time.saturating_sub(Duration::from_millis(20)));
+        // This box's own clock jumps ahead for ten seconds.
+        let read = clock.read(now, time + jump);
+        assert!(read.abs_diff(time) < Duration::from_millis(50), "{step}: {read:?} {time:?}");
+    }
+}
+
+#[test]
+fn usage_is_counted_in_the_window_in_which_the_work_began() {
+    let start = Instant::now();
+    let length = Duration::from_secs(5);
+    let mut used = Used::default();
+    used.begin(start, "early");
+    used.set_clock(ClusterTime::new(start, Duration::from_secs(104)), length);
+    used.begin(start, "a");
+    used.begin(start + Duration::from_secs(1), "a");
+    used.begin(start + Duration::from_millis(1_001), "b");
+    let counts = |pairs: &[(&str, u64)]| -> Counts {
+        pairs.iter().map(|(name, count)| ((*name).to_owned(), *count)).collect()
+    };
+    let first = counts(&[("a", 1), ("early", 1)]);
+    let second = counts(&[("a", 1), ("b", 1)]);
+    assert_eq!(used.windows(), [(20, first.clone()), (21, second.clone())]);
+
+    // Reports come late, twice and from another start of the box, whose counts add up.
+    let now = ClusterNow { window: 21, slot: slot(Duration::from_secs(106)) };
+    let report = |windows| vaneway_server::core::usage::UseReport { windows, ..Default::default() };
+    let (one, two) = (("entry".to_owned(), 1), ("entry".to_owned(), 2));
+    let mut ledger = UseLedger::default();
+    let whole = report(vec![(20, first.clone()), (21, second.clone())]);
+    ledger.merge(now, &one, &whole);
+    ledger.merge(now, &one, &report(vec![(20, counts(&[("a", 1)]))]));
+    ledger.merge(now, &one, &whole);
+    ledger.merge(now, &two, &report(vec![(21, counts(&[("a", 3)]))]));
+    // A window that the cluster's time has not reached is some box's wrong clock.
+    ledger.merge(now, &two, &report(vec![(40, counts(&[("a", 3)]))]));
+    assert_eq!(ledger.counts(20), first);
+    assert_eq!(ledger.counts(21), counts(&[("a", 4), ("b", 1)]));
+    assert_eq!(ledger.counts(40), counts(&[]));
+}
+
+fn held(version: u64) -> Held {
+    let document = empty_configuration(version).to_string();
+    Held { configuration: serde_json::from_str(&document).unwrap(), document }
+}
+
+#[test]
+fn highest_version_and_first_report_of_a_window_count() {
+    let mut machine = Machine::default();
+    assert_eq!(machine.apply(Command::Configure(held(5))), Effect::Configured);
+    assert_eq!(machine.apply(Command::Configure(held(4))), Effect::Nothing);
+    let mut other = held(5);
+    other.document = "other content under the version in force".to_owned();
+    assert_eq!(machine.apply(Command::Configure(other)), Effect::Nothing);
+    assert_eq!(machine.held().map(|held| held.document.clone()), Some(held(5).document));
+
+    let fix =
+        |count| Command::FixUsage { window: 9, counts: BTreeMap::from([("a".to_owned(), count)]) };
+    assert_eq!(machine.apply(fix(3)), Effect::UsageFixed(9));
+    assert_eq!(machine.apply(fix(4)), Effect::Nothing);
+    assert_eq!(machine.usage()[&9]["a"], 3);
+
+    let again = Machine::decode(&machine.encode()).unwrap();
+    assert_eq!((again.version(), again.usage()), (5, machine.usage()));
+    Machine::decode(b"\xff\xff").unwrap_err();
+}
+
+#[test]
+fn routes_are_found_by_host_and_longest_prefix_and_split_by_weight() {
+    let route = |name: &str, prefix: &str, targets: serde_json::Value| {
+        json!({
+            "name": name, "host": "Maps.example", "prefix": prefix, "kind": "Repeatable",
+            "timeout": { "secs": 1, "nanos": 0 }, "objective": { "secs": 1, "nanos": 0 },
+            "pause_objective": null, "priority": 0, "max_attempts": 1, "public": true,
+            "affine": false, "targets": targets
+        })
+    };
+    let mut configuration = empty_configuration(1);
+    configuration["routes"] = json!([
+        route("short", "/a/", json!([{ "service": "x", "weight": 1 }])),
+        route(
+            "long",
+            "/a/b/",
+            json!([
+                { "service": "x", "weight": 1 }, { "service": "y", "weight": 3 }
+            ])
+        ),
+    ]);
+    let configuration: Configuration = serde_json::from_value(configuration).unwrap();
+    let table = RouteTable::new(configuration);
+    let name = |host: &str, path: &str| table.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("maps.example", "/a/c"), Some("short"));
+    assert_eq!(name("MAPS.example:8080", "/a/b/c"), Some("long"));
+    assert_eq!(name("maps.example", "/ab"), None);
+    assert_eq!(name("other.example", "/a/c"), None);
+    let long = table.route("maps.example", "/a/b/").unwrap();
+    let picked: Vec<_> = (0..8).filter_map(|draw| long.pick(draw)).collect();
+    assert_eq!(picked, ["x", "y", "y", "y", "x", "y", "y", "y"]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,8 @@
 mod claims;
 mod control;
 mod decisions;
+mod decisions_of_control;
+mod deploy;
 mod marks;
 mod operators;
 mod path;
