--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -262,6 +262,11 @@
         };
         let mut have: u32 =
             wanted.iter().map(|(zone, wanted)| wanted.on_demand + counted(zone, wanted)).sum();
+        if zones.iter().any(|zone| !self.is_trusted(now, &zone.name)) {
+            // Another zone may follow, and there would be no time to order then.
+            let next = wanted.iter().map(|(zone, wanted)| counted(zone, wanted)).max();
+            have -= next.unwrap_or_default();
+        }
         let mut full = false;
         while have < need && !full {
             full = true;
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -146,6 +146,21 @@
     assert_eq!(cloud.running(), 7);
 }
 
+/// Found in the incident inc-e581: a third zone was taken back two seconds after the second.
+#[test]
+fn fleet_is_ready_to_lose_one_more_zone_while_reclaimable_ones_are_refused() {
+    let mut cloud = Cloud::new();
+    cloud.pass(Duration::from_secs(12));
+    cloud.refuses_reclaimable = true;
+    cloud.reclaim("a");
+    cloud.pass(START_TAKES + Duration::from_secs(1));
+    cloud.reclaim("b");
+    cloud.pass(START_TAKES + Duration::from_secs(1));
+    cloud.reclaim("c");
+    // Nothing was ordered since, and what the demand needs at least still runs.
+    assert!(cloud.running() >= 2, "{:?}", cloud.input.running);
+}
+
 /// Found on kbd-vaneway, scale-1: reclaimable replicas that the cloud refused held the zones' room.
 #[test]
 fn on_demand_replicas_take_the_room_of_refused_ones() {
