--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -60,8 +60,8 @@
     pub start_takes: Duration,
     /// Replicas that run and are not leaving.
     pub running: BTreeMap<(ZoneName, Kind), u32>,
-    /// Reclaimable replicas that are leaving.
-    pub reclaimed: BTreeMap<ZoneName, u32>,
+    /// Reclaimable replicas that are leaving, on an order or because the cloud takes them back.
+    pub leaving: BTreeMap<ZoneName, u32>,
 }
 
 /// An order: so many replicas of this kind in this zone.
@@ -173,8 +173,19 @@
             plenty: replicas(demand, self.policy.busy_most),
             scarce: replicas(demand, self.policy.busy_scarce),
         };
-        for zone in input.reclaimed.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
+        for zone in input.leaving.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
+            let key = (zone.clone(), Kind::Reclaimable);
+            let runs = input.running.get(&key).copied().unwrap_or_default();
+            let ordered = self.sent.get(&key).map_or(0, |sent| sent.count);
+            if runs >= ordered {
+                // They leave because fewer were ordered.
+                continue;
+            }
             self.distrusted.insert(zone.clone(), now);
+            // Taken back. Whether more are to be had is known only by an order, so it is given again at once.
+            if let Some(sent) = self.sent.get_mut(&(zone.clone(), Kind::Reclaimable)) {
+                sent.answer = Some(Answer::Refused);
+            }
         }
         let wanted = self.wanted(now, input, need);
         let mut orders = Vec::new();
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -123,7 +123,7 @@
 fn input(control: &Control, service: &str, spec: &CapacitySpec, demand: Option<f64>) -> Input {
     let now = Instant::now();
     let mut running = BTreeMap::<(ZoneName, Kind), u32>::new();
-    let mut reclaimed = BTreeMap::<ZoneName, u32>::new();
+    let mut leaving = BTreeMap::<ZoneName, u32>::new();
     for (_, known) in control.registry.borrow().iter() {
         let Some(details) = known.details.as_ref().filter(|d| d.service == service) else {
             continue;
@@ -133,8 +133,8 @@
         let zone = details.availability_zone.clone();
         if known.standing == Standing::Ready && heard {
             *running.entry((zone, kind)).or_default() += 1;
-        } else if kind == Kind::Reclaimable && known.ends_at.is_some_and(|at| now < at) {
-            *reclaimed.entry(zone).or_default() += 1;
+        } else if kind == Kind::Reclaimable && known.standing == Standing::Draining && heard {
+            *leaving.entry(zone).or_default() += 1;
         }
     }
     let zones = spec.prices.iter();
@@ -145,7 +145,7 @@
         most: spec.most,
         start_takes: spec.start_takes,
         running,
-        reclaimed,
+        leaving,
     }
 }
 
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -120,6 +120,8 @@
             .with("replica", &report.instance)
             .with("standing", report.standing.name())
             .with("sequence", report.sequence)
+            .with("reclaimable", report.details.as_ref().is_some_and(|d| d.reclaimable))
+            .with("ends_in_ms", report.ends_in_ms.map_or(-1, |ms| ms as i64))
             .with("direct", direct)
             .info();
     }
