--- a/crates/vaneway-agreement/src/lib.rs
+++ b/crates/vaneway-agreement/src/lib.rs
@@ -11,6 +11,9 @@
 //! durability is held inside the node until [`Event::Persisted`] says so; the owner may sync when
 //! it likes and in batches, but must persist in order.
 //!
+//! Entries for which the owner has its state are replaced by a [`Snapshot`] of it (chapter 5), which
+//! members that lack them get in their place.
+//!
 //! - `event`: what happens and what to do;
 //! - `log`: the entries and the members that they name;
 //! - `message`: what nodes send each other;
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -150,7 +150,7 @@
     }
 }
 
-/// Whom a connection belongs to, once it said so.
+/// Who a connection belongs to, once it said so.
 #[derive(Debug)]
 enum Sender {
     Unknown,
@@ -388,9 +388,15 @@
 /// Gives signs of life to the other control boxes until dropped.
 pub async fn ping_peers(control: Rc<Control>) {
     let mut refreshed_at = Instant::now();
+    let mut unreadable = 0;
     loop {
         control.timers.sleep(PING_EVERY).await;
         send_to_all(&control, &ping());
+        let count = control.unreadable.get();
+        if count > unreadable {
+            Line::new("messages_unreadable").with("since_start", count).warn();
+            unreadable = count;
+        }
         if refreshed_at.elapsed() < REFRESH_EVERY {
             continue;
         }
--- a/crates/vaneway-server/src/lib.rs
+++ b/crates/vaneway-server/src/lib.rs
@@ -6,15 +6,15 @@
 //!
 //! Where things are:
 //!
-//! - [`core`]: the entry: callers' HTTP, attempts at endpoints, notices, the operators' address;
+//! - [`core`]: what entry and control boxes do, by subject;
 //! - [`ops`]: one operation a file, as the programs' subcommands call them;
 //! - [`util`]: helpers that know nothing of the product;
 //! - [`proto`]: the operators' schema, generated from `proto/`;
 //! - the packages in `crates/`: decisions without I/O that others can embed.
 //!
-//! Data flow of a request: `core::callers::front` reads it and finds its organisation and service,
-//! `core::calls::model_call` or `core::calls::call` drives a `vaneway_relay::Relay` for it, which asks
-//! `vaneway_route::Pool` for endpoints and `core::endpoints::upstream` for attempts, until the caller has
+//! Data flow of a request: a [`core::callers::protocol::CallerProtocol`] reads it and finds its
+//! organisation and service, [`core::calls`] drives a `vaneway_relay::Relay` for it, which asks
+//! `vaneway_route::Pool` for endpoints and [`core::endpoints`] for attempts, until the caller has
 //! the whole answer or one clear error.
 
 pub mod core;
