--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -121,7 +121,10 @@
             .with("standing", report.standing.name())
             .with("sequence", report.sequence)
             .with("reclaimable", report.details.as_ref().is_some_and(|d| d.reclaimable))
-            .with("ends_in_ms", report.ends_in_ms.map_or(-1, |ms| ms as i64))
+            .with(
+                "ends_in_ms",
+                report.ends_in_ms.map_or_else(|| "unknown".to_owned(), |ms| ms.to_string()),
+            )
             .with("direct", direct)
             .info();
     }
