--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod decisions;
 mod decisions_of_control;
 mod deploy;
+mod event_streams;
 mod marks;
 mod operators;
 mod path;
