--- a/crates/vaneway-agreement/src/log.rs
+++ b/crates/vaneway-agreement/src/log.rs
@@ -47,6 +47,16 @@
     Members(Members),
 }
 
+impl Payload {
+    /// Bytes of the owner's command; 0 for the other payloads, which are small.
+    pub fn command_bytes(&self) -> usize {
+        match self {
+            Self::Command(command) => command.len(),
+            Self::Noop | Self::Members(_) => 0,
+        }
+    }
+}
+
 /// One entry.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Entry {
@@ -140,11 +150,7 @@
         let mut left = bytes;
         let rest = &self.entries[begin..];
         let fits = |entry: &&Entry| {
-            let size = match &entry.payload {
-                Payload::Command(command) => command.len(),
-                Payload::Noop | Payload::Members(_) => 0,
-            };
-            left = left.saturating_sub(size);
+            left = left.saturating_sub(entry.payload.command_bytes());
             left > 0
         };
         let count = rest.iter().take(most).take_while(fits).count();
--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -182,8 +182,9 @@
                 continue;
             }
             self.distrusted.insert(zone.clone(), now);
-            // Taken back. Whether more are to be had is known only by an order, so it is given again at once.
-            if let Some(sent) = self.sent.get_mut(&(zone.clone(), Kind::Reclaimable)) {
+            // Taken back. Whether more are to be had is known only by an order, so it is given
+            // again at once.
+            if let Some(sent) = self.sent.get_mut(&key) {
                 sent.answer = Some(Answer::Refused);
             }
         }
--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -37,7 +37,7 @@
 
 /// Time after which a part is no longer taken as kept: in it an endpoint under load reads more than
 /// its memory holds.
-const PART_KEPT: Duration = Duration::from_secs(20);
+pub(crate) const PART_KEPT: Duration = Duration::from_secs(20);
 
 /// How sure it is that the endpoint with the highest weight has a part that this box has not seen
 /// there.
@@ -54,20 +54,15 @@
     query: &Query<'_>,
 ) -> Option<EndpointId> {
     let shared = query.work.map_or(&[][..], Work::shared);
-    let placed: Vec<(PartId, Option<EndpointId>)> = shared
-        .iter()
-        .map(|part| {
-            let first = candidates.iter().copied();
-            (part.id, first.max_by_key(|id| rendezvous_weight(part.id, &endpoints[*id as usize])))
-        })
-        .collect();
+    let weight = |part: PartId, id: EndpointId| rendezvous_weight(part, &endpoints[id as usize]);
+    let place = |part: PartId| candidates.iter().copied().max_by_key(|id| weight(part, *id));
+    let placed: Vec<Option<EndpointId>> = shared.iter().map(|part| place(part.id)).collect();
     let cost = |id: EndpointId| {
         let endpoint = &endpoints[id as usize];
         let prompt = query.work.map_or(0.0, |work| f64::from(work.prompt_tokens));
         let mut kept = 0.0;
-        for (part, (_, place)) in shared.iter().zip(&placed) {
-            let seen = endpoint.parts.get(&part.id).is_some_and(|at| now < *at + PART_KEPT);
-            let belief = match (seen, *place == Some(id)) {
+        for (part, place) in shared.iter().zip(&placed) {
+            let belief = match (is_kept(endpoint, part.id, now), *place == Some(id)) {
                 (true, _) => 1.0,
                 (false, true) => PLACED_BELIEF,
                 (false, false) => 0.0,
@@ -79,16 +74,22 @@
         let failures = endpoint.trouble.value(now) * FAILURE_TOKENS;
         open_work(endpoint, now) + (prompt - kept).max(0.0) + distance + failures
     };
-    candidates.iter().copied().min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
+    let costs = candidates.iter().map(|id| (*id, cost(*id)));
+    costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
 }
 
 /// Tokens of a prompt that an endpoint has yet to read.
 pub(crate) fn unread(endpoint: &Endpoint, work: &Work, now: Instant) -> u64 {
-    let seen = |id: PartId| endpoint.parts.get(&id).is_some_and(|at| now < *at + PART_KEPT);
-    let kept: u32 = work.shared().iter().filter(|part| seen(part.id)).map(|part| part.tokens).sum();
+    let kept = work.shared().iter().filter(|part| is_kept(endpoint, part.id, now));
+    let kept: u32 = kept.map(|part| part.tokens).sum();
     u64::from(work.prompt_tokens.saturating_sub(kept))
 }
 
+/// Whether this box has seen a part at an endpoint so lately that it is taken as kept.
+fn is_kept(endpoint: &Endpoint, part: PartId, now: Instant) -> bool {
+    endpoint.parts.get(&part).is_some_and(|at| now < *at + PART_KEPT)
+}
+
 /// The work open at an endpoint.
 fn open_work(endpoint: &Endpoint, now: Instant) -> f64 {
     let known = endpoint.others_told.is_some_and(|told| now < told + OTHERS_KNOWN);
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -69,9 +69,8 @@
 /// Notice assumed when the platform names none, the shortest that clouds give in practice.
 const NOTICE_DEFAULT: Duration = Duration::from_secs(5);
 
-/// Prompt parts remembered of one endpoint before old ones are dropped, and for how long.
+/// Prompt parts remembered of one endpoint before those that no longer count are dropped.
 const PARTS_MOST: usize = 4_096;
-const PARTS_KEPT: Duration = Duration::from_secs(30);
 
 /// What a refusal counts against one failure.
 const REFUSAL_WORTH: f64 = 0.5;
@@ -256,7 +255,7 @@
             endpoint.parts.insert(part.id, now);
         }
         if endpoint.parts.len() > PARTS_MOST {
-            endpoint.parts.retain(|_, at| now < *at + PARTS_KEPT);
+            endpoint.parts.retain(|_, at| now < *at + expected::PART_KEPT);
         }
         tokens
     }
--- a/crates/vaneway-server/src/core/callers/ready.rs
+++ b/crates/vaneway-server/src/core/callers/ready.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -22,10 +21,6 @@
 /// Largest head of a question.
 const HEADER_BYTES: usize = 8 << 10;
 
-/// How long a question's head may take, and how long its connection may rest.
-const HEAD_WITHIN: Duration = Duration::from_secs(5);
-const IDLE_WITHIN: Duration = Duration::from_secs(30);
-
 struct Ready(Rc<Entry>);
 
 /// Starts to answer on `listen`: 200 while the box takes requests, else 503.
@@ -57,12 +52,6 @@
     }
 
     fn limits(&self) -> ConnectionLimits {
-        ConnectionLimits {
-            header_bytes: HEADER_BYTES,
-            header_within: HEAD_WITHIN,
-            idle_within: IDLE_WITHIN,
-        }
+        ConnectionLimits::of_calls(HEADER_BYTES)
     }
-
-    fn connections(&self, _count: usize) {}
 }
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -81,12 +81,11 @@
     req: Request<Incoming>,
 ) -> Result<Response<CallerBody>, ApiError> {
     let received = Instant::now();
-    let (request, limits) = match admit(entry, head, req, received).await {
+    let (request, limits, units) = match admit(entry, head, req, received).await {
         Ok(admitted) => admitted,
         Err(error) => return Err(refused(entry, &head.id, error)),
     };
     let organisation = request.organisation.clone();
-    let units = quota_units(entry, &organisation, head.work.as_ref());
     let answer = call::call(Rc::clone(entry), protocol.endpoints(), request, limits).await;
     if let Err(error) = &answer
         && error.run == RunState::NotRun
@@ -96,13 +95,13 @@
     answer
 }
 
-/// Checks a request, reads its body and charges its organisation.
+/// Checks a request, reads its body and charges its organisation; returns also the units charged.
 async fn admit(
     entry: &Rc<Entry>,
     head: &CallerHead,
     req: Request<Incoming>,
     received: Instant,
-) -> Result<(CallRequest, CallLimits), ApiError> {
+) -> Result<(CallRequest, CallLimits, u64), ApiError> {
     let table = entry.table().ok_or_else(|| {
         ApiError::not_now("no_configuration", "this entry box has no configuration yet")
     })?;
@@ -116,7 +115,7 @@
     let body_bytes = table.configuration().limits.body_bytes;
     let body = own::read_body(entry, body, body_bytes).await?;
     let name = organisation.map_or("", |organisation| organisation.name.as_str());
-    let units = quota_units(entry, name, head.work.as_ref());
+    let units = quota_units(organisation, head.work.as_ref());
     entry.charge(name, units).map_err(|wait| over_quota(name, wait))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let service = route.pick(hash(&head.id)).unwrap_or_default();
@@ -135,7 +134,7 @@
         prefix: if route.affine { head.work.as_ref().map_or(0, prefix) } else { 0 },
         work: head.work.clone(),
     };
-    Ok((request, limits(route, head.time_left, received)))
+    Ok((request, limits(route, head.time_left, received), units))
 }
 
 fn organisation<'a>(
@@ -159,12 +158,8 @@
 }
 
 /// What a request counts against its organisation's quota.
-fn quota_units(entry: &Entry, organisation: &str, work: Option<&Work>) -> u64 {
-    let table = entry.table();
-    let spec = table.as_ref().and_then(|table| {
-        table.configuration().organisations.iter().find(|spec| spec.name == organisation)
-    });
-    match (spec.map(|spec| spec.unit), work) {
+fn quota_units(organisation: Option<&OrganisationSpec>, work: Option<&Work>) -> u64 {
+    match (organisation.map(|spec| spec.unit), work) {
         (Some(QuotaUnit::Tokens { .. }), Some(work)) => {
             u64::from(work.prompt_tokens) + u64::from(work.max_tokens)
         }
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -35,6 +35,7 @@
 use crate::core::usage::ClusterTime;
 use crate::core::usage::UseReport;
 use crate::util::frames;
+use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
 use crate::util::logline::Line;
 use crate::util::socket;
@@ -49,16 +50,11 @@
     /// Control boxes to which a connection is kept.
     kept: RefCell<BTreeSet<SocketAddr>>,
     /// Connections that are open.
-    open: RefCell<BTreeMap<SocketAddr, Rc<Connection>>>,
+    open: RefCell<BTreeMap<SocketAddr, Outgoing>>,
     /// Round trip of the exchange that gave the present estimate of the cluster's time, and when.
     clock_from: Cell<Option<(Duration, Instant)>>,
 }
 
-#[derive(Debug, Default)]
-struct Connection {
-    outgoing: Outgoing,
-}
-
 /// How old an estimate of the cluster's time may be before a worse one replaces it.
 const CLOCK_KEPT: Duration = Duration::from_secs(20);
 
@@ -79,24 +75,22 @@
     loop {
         follower.entry.timers.sleep(USE_EVERY).await;
         round += 1;
-        let report = follower.report(round);
+        let report = Encoded::new(&ToControl::Entry(FromEntry::Use(follower.report(round))));
         let ping = pinged.elapsed() >= PING_EVERY;
         if ping {
             pinged = Instant::now();
         }
-        for connection in follower.open.borrow().values() {
-            connection.send(FromEntry::Use(report.clone()));
+        for outgoing in follower.open.borrow().values() {
+            outgoing.send_encoded(&report);
             if ping {
-                connection.send(FromEntry::Ping { sent_us: follower.steady_us() });
+                send(outgoing, FromEntry::Ping { sent_us: follower.steady_us() });
             }
         }
     }
 }
 
-impl Connection {
-    fn send(&self, message: FromEntry) {
-        self.outgoing.send(&ToControl::Entry(message));
-    }
+fn send(outgoing: &Outgoing, message: FromEntry) {
+    outgoing.send(&ToControl::Entry(message));
 }
 
 impl Follower {
@@ -111,8 +105,8 @@
             compio::runtime::spawn(async move { follower.keep_one(address).await }).detach();
         }
         for address in before.difference(&wanted) {
-            if let Some(connection) = self.open.borrow().get(address) {
-                connection.outgoing.close();
+            if let Some(outgoing) = self.open.borrow().get(address) {
+                outgoing.close();
             }
         }
     }
@@ -121,43 +115,31 @@
     async fn keep_one(self: Rc<Self>, address: SocketAddr) {
         let timers = self.entry.timers.clone();
         while self.kept.borrow().contains(&address) {
-            let until = Instant::now() + CONNECT_WITHIN;
-            match timers.until(until, socket::connect(address)).await {
-                Some(Ok(stream)) => self.run(address, stream).await,
-                Some(Err(error)) => {
+            match socket::connect_within(&timers, address, CONNECT_WITHIN).await {
+                Ok(stream) => self.run(address, stream).await,
+                Err(error) => {
                     log::debug!("event=control_unreachable address={address} error={error:?}");
                 }
-                None => log::debug!("event=control_unreachable address={address} error=timeout"),
             }
             timers.sleep(RECONNECT_AFTER).await;
         }
     }
 
     async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
-        if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
-            log::warn!("event=socket_option_failed error={error:?}");
-        }
-        let connection = Rc::new(Connection::default());
-        connection.send(FromEntry::Hello {
-            name: self.entry.settings.name.clone(),
-            boot: self.entry.boot(),
-        });
-        connection.send(FromEntry::Leaving(self.leaving()));
-        connection.send(FromEntry::Ping { sent_us: self.steady_us() });
-        self.open.borrow_mut().insert(address, Rc::clone(&connection));
+        let outgoing = Outgoing::default();
+        let name = self.entry.settings.name.clone();
+        send(&outgoing, FromEntry::Hello { name, boot: self.entry.boot() });
+        send(&outgoing, FromEntry::Leaving(self.leaving()));
+        send(&outgoing, FromEntry::Ping { sent_us: self.steady_us() });
+        self.open.borrow_mut().insert(address, outgoing.clone());
         Line::new("control_connected").with("address", address).info();
-        let on_frame = |frame: &[u8]| {
-            match frames::decode::<ToEntry>(frame) {
-                Some(message) => self.received(message),
-                None => self.entry.metrics.datagrams_dropped.inc(),
-            }
-            true
+        let on_frame = |frame: &[u8]| match frames::decode::<ToEntry>(frame) {
+            Some(message) => self.received(message),
+            None => self.entry.metrics.datagrams_dropped.inc(),
         };
         let timers = &self.entry.timers;
-        let ended =
-            frames::drive(timers, &stream, &connection.outgoing, SILENCE_MOST, on_frame).await;
+        let why = frames::drive(timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
         self.open.borrow_mut().remove(&address);
-        let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
         Line::new("control_lost").with("address", address).with("why", why).info();
     }
 
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -21,7 +21,6 @@
 use crate::core::control::duties;
 use crate::core::control::duties::CallEnd;
 use crate::core::control::protocol::CloudProtocol;
-use crate::core::control::protocol::Holder;
 use crate::core::control::state::Control;
 use crate::core::settings::CloudSettings;
 use crate::util::logline::Line;
@@ -156,9 +155,7 @@
     service: &str,
     order: &Order,
 ) -> Answer {
-    let fence = control.node.borrow().term();
-    let holder = Holder { name: control.settings.name.clone(), fence };
-    let req = protocol.capacity_order(&holder, service, order);
+    let req = protocol.capacity_order(&control.holder(), service, order);
     match duties::call(control, cloud, req).await {
         CallEnd::Answered(status) => protocol.order_answer(status),
         CallEnd::Unknown => Answer::Unknown,
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -20,7 +20,6 @@
 use crate::core::control::group;
 use crate::core::control::machine::Command;
 use crate::core::control::protocol::CloudProtocol;
-use crate::core::control::protocol::Holder;
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
@@ -160,14 +159,13 @@
         if !holds_duty(control) {
             return;
         }
-        let fence = control.node.borrow().term();
-        let holder = Holder { name: control.settings.name.clone(), fence };
+        let holder = control.holder();
         let req = protocol.usage_report(&holder, window, &counts);
         let taken = call(control, cloud, req).await.is_success();
         Line::new("usage_report")
             .with("window", window)
             .with("requests", counts.values().sum::<u64>())
-            .with("fence", fence)
+            .with("fence", holder.fence)
             .with("taken", taken)
             .info();
         if taken {
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -54,24 +54,34 @@
 
 /// Applies an event and carries out what it brings.
 pub fn step(control: &Rc<Control>, event: Event) {
+    let committed = handle(control, event);
+    if control.node.borrow().leader().is_some() {
+        control.led_at.set(Instant::now());
+    }
+    if committed {
+        compact(control);
+    }
+}
+
+/// Applies an event and carries out what it brings; returns whether entries were committed.
+fn handle(control: &Rc<Control>, event: Event) -> bool {
     let mut actions = Vec::new();
     control.node.borrow_mut().handle(Instant::now(), event, &mut actions);
+    let committed = actions.iter().any(|action| matches!(action, Action::Commit { .. }));
     for action in actions {
         perform(control, action);
     }
-    if control.node.borrow().leader().is_some() {
-        control.led_at.set(Instant::now());
-    }
-    compact(control);
+    committed
 }
 
-/// Puts a snapshot in place of the entries once there are many of them, or they are large.
+/// Puts a snapshot in place of the committed entries once there are many of them, or they are
+/// large.
 fn compact(control: &Rc<Control>) {
     let index = {
         let node = control.node.borrow();
         let (index, log) = (node.committed(), node.log());
         let entries = log.between(log.base_index(), index);
-        let bytes: usize = entries.iter().map(size).sum();
+        let bytes: usize = entries.iter().map(|entry| entry.payload.command_bytes()).sum();
         let due = entries.len() as u64 >= control.settings.snapshot_entries
             || (bytes >= SNAPSHOT_BYTES && entries.len() > 1);
         due.then_some(index)
@@ -79,19 +89,7 @@
     if let Some(index) = index {
         let data = control.machine.borrow().encode();
         Line::new("snapshot").with("index", index).with("bytes", data.len()).info();
-        let mut actions = Vec::new();
-        let event = Event::Compact { index, data };
-        control.node.borrow_mut().handle(Instant::now(), event, &mut actions);
-        for action in actions {
-            perform(control, action);
-        }
-    }
-}
-
-fn size(entry: &Entry) -> usize {
-    match &entry.payload {
-        Payload::Command(command) => command.len(),
-        Payload::Noop | Payload::Members(_) => 0,
+        handle(control, Event::Compact { index, data });
     }
 }
 
@@ -116,13 +114,9 @@
 fn perform(control: &Rc<Control>, action: Action) {
     match action {
         Action::Send { to, message } => {
-            links::send_to_node(control, to, &BetweenControl::Agreement { to, message });
-        }
-        Action::Persist(persist) => {
-            if control.persist.unbounded_send(Write::Persist(persist)).is_err() {
-                log::error!("event=store_task_ended");
-            }
+            links::send_to_node(control, to, BetweenControl::Agreement { to, message });
         }
+        Action::Persist(persist) => store(control, Write::Persist(persist)),
         Action::Proposed { ticket, term, index } => {
             if let Some(tx) = control.tickets.borrow_mut().remove(&ticket) {
                 control.pending.borrow_mut().insert(index, Pending { term, tx });
@@ -157,12 +151,11 @@
                 .with("learners", list(members.learners))
                 .info();
         }
-        Payload::Command(bytes) => match Command::decode(&bytes) {
-            Ok(command) => apply(control, command, index),
-            Err(error) => {
-                Line::new("command_unreadable").with("index", index).with("error", error).error();
+        Payload::Command(bytes) => {
+            if let Some(command) = decode(index, &bytes) {
+                apply(control, command, index);
             }
-        },
+        }
     }
     let pending = control.pending.borrow_mut().remove(&index);
     if let Some(pending) = pending {
@@ -181,13 +174,29 @@
 
 fn apply(control: &Rc<Control>, command: Command, index: u64) {
     let effect = control.machine.borrow_mut().apply(command);
-    if effect == Effect::Configured
-        && control.persist.unbounded_send(Write::Committed(index)).is_err()
-    {
+    if effect == Effect::Configured {
+        store(control, Write::Committed(index));
+    }
+}
+
+/// Queues a write to the disk.
+fn store(control: &Control, write: Write) {
+    if control.persist.unbounded_send(write).is_err() {
         log::error!("event=store_task_ended");
     }
 }
 
+/// Reads a command of the log; none, with a log line, if it is in no known form.
+fn decode(index: Index, bytes: &[u8]) -> Option<Command> {
+    match Command::decode(bytes) {
+        Ok(command) => Some(command),
+        Err(error) => {
+            Line::new("command_unreadable").with("index", index).with("error", error).error();
+            None
+        }
+    }
+}
+
 /// Spreads the configuration in force if it is another than the one before.
 fn configured_since(control: &Control, before: u64) {
     let held = control.machine.borrow().held().cloned();
@@ -201,7 +210,7 @@
 pub fn apply_committed(machine: &mut Machine, entries: &[Entry], committed: Index) {
     for entry in entries.iter().filter(|entry| entry.index <= committed) {
         if let Payload::Command(bytes) = &entry.payload
-            && let Ok(command) = Command::decode(bytes)
+            && let Some(command) = decode(entry.index, bytes)
         {
             machine.apply(command);
         }
@@ -235,7 +244,7 @@
         if leads {
             change_members(&control);
         } else if !is_member(&control) || control.led_at.get().elapsed() > JOIN_AFTER {
-            links::send_to_all(&control, &BetweenControl::Join);
+            links::send_to_all(&control, BetweenControl::Join);
         }
     }
 }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -31,6 +31,7 @@
 use crate::core::usage::EntryStart;
 use crate::util::clock;
 use crate::util::frames;
+use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
 use crate::util::logline::Line;
 use crate::util::socket;
@@ -66,36 +67,42 @@
 }
 
 /// Sends a message to a node, if there is a connection to its box.
-pub fn send_to_node(control: &Control, node: NodeId, message: &BetweenControl) {
+pub fn send_to_node(control: &Control, node: NodeId, message: BetweenControl) {
     let address = control.cluster_address(node);
     if let Some(peer) = control.peers.borrow().get(&address) {
-        peer.send(message);
+        peer.send(&Encoded::new(&ToControl::Control(message)));
     }
 }
 
 /// Sends a message to every control box that is known.
-pub fn send_to_all(control: &Control, message: &BetweenControl) {
+pub fn send_to_all(control: &Control, message: BetweenControl) {
+    let message = Encoded::new(&ToControl::Control(message));
     for peer in control.peers.borrow().values() {
-        peer.send(message);
+        peer.send(&message);
     }
 }
 
 impl PeerLink {
-    fn send(&self, message: &BetweenControl) {
+    fn send(&self, message: &Encoded) {
         if let Some(outgoing) = &*self.outgoing.borrow() {
-            outgoing.send(&ToControl::Control(message.clone()));
+            outgoing.send_encoded(message);
         }
     }
 }
 
-/// Tells every entry box of a configuration.
-pub fn spread_configuration(control: &Control, configuration: &Configuration) {
-    let message = ToEntry::Configuration(configuration.clone());
+/// Sends a message to every entry box that is connected.
+fn send_to_entries(control: &Control, message: &ToEntry) {
+    let message = Encoded::new(message);
     for entry in control.entries.borrow().values() {
-        entry.outgoing.send(&message);
+        entry.outgoing.send_encoded(&message);
     }
 }
 
+/// Tells every entry box of a configuration.
+pub fn spread_configuration(control: &Control, configuration: &Configuration) {
+    send_to_entries(control, &ToEntry::Configuration(configuration.clone()));
+}
+
 /// Takes reports of endpoints in and spreads what is news; `direct` if an endpoint told this box.
 pub fn learn_endpoints(control: &Control, reports: &[Report], direct: bool) {
     let now = Instant::now();
@@ -128,28 +135,15 @@
             .with("direct", direct)
             .info();
     }
-    let message = ToEntry::Registry(news.clone());
-    for entry in control.entries.borrow().values() {
-        entry.outgoing.send(&message);
-    }
-    send_to_all(control, &BetweenControl::Registry(news));
+    send_to_entries(control, &ToEntry::Registry(news.clone()));
+    send_to_all(control, BetweenControl::Registry(news));
 }
 
 /// Accepts connections until dropped.
 pub async fn accept(control: Rc<Control>, listener: SocketListener) {
-    /// Pause after a failed accept, which mostly means that descriptors ran out.
-    const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
     loop {
-        match listener.accept().await {
-            Ok(stream) => {
-                let control = Rc::clone(&control);
-                compio::runtime::spawn(async move { serve(control, stream).await }).detach();
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed error={error:?}");
-                control.timers.sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = listener.accept_next(&control.timers).await;
+        compio::runtime::spawn(serve(Rc::clone(&control), stream)).detach();
     }
 }
 
@@ -162,9 +156,6 @@
 }
 
 async fn serve(control: Rc<Control>, stream: SocketStream) {
-    if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
-        log::warn!("event=socket_option_failed error={error:?}");
-    }
     let outgoing = Outgoing::default();
     let mut sender = Sender::Unknown;
     let on_frame = |frame: &[u8]| {
@@ -173,13 +164,11 @@
         } else {
             control.unreadable.update(|count| count + 1);
         }
-        true
     };
-    let ended = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
+    let why = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
     if let Sender::Entry { link, start } = sender {
         control.entries.borrow_mut().remove(&link);
         control.use_ledger.borrow_mut().remove_loads(&start);
-        let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
         Line::new("entry_lost").with("entry", start.0).with("why", why).info();
     }
 }
@@ -282,9 +271,7 @@
         round += 1;
         let now_boxes = control_boxes(&control);
         if boxes != now_boxes {
-            for link in control.entries.borrow().values() {
-                link.outgoing.send(&ToEntry::ControlBoxes(now_boxes.clone()));
-            }
+            send_to_entries(&control, &ToEntry::ControlBoxes(now_boxes.clone()));
         }
         boxes = now_boxes;
         tell_use(&control, round.is_multiple_of(TELL_ALL_EVERY));
@@ -346,22 +333,15 @@
 async fn keep_peer(control: Rc<Control>, address: SocketAddr) {
     let wanted = || control.peers.borrow().contains_key(&address);
     while wanted() {
-        let until = Instant::now() + CONNECT_WITHIN;
-        match control.timers.until(until, socket::connect(address)).await {
-            Some(Ok(stream)) => run_peer(&control, address, stream).await,
-            Some(Err(error)) => {
-                log::debug!("event=peer_unreachable address={address} error={error:?}");
-            }
-            None => log::debug!("event=peer_unreachable address={address} error=timeout"),
+        match socket::connect_within(&control.timers, address, CONNECT_WITHIN).await {
+            Ok(stream) => run_peer(&control, address, stream).await,
+            Err(error) => log::debug!("event=peer_unreachable address={address} error={error:?}"),
         }
         control.timers.sleep(RECONNECT_AFTER).await;
     }
 }
 
 async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
-    if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
-        log::warn!("event=socket_option_failed error={error:?}");
-    }
     let outgoing = Outgoing::default();
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
@@ -378,13 +358,11 @@
             Some(_) => {}
             None => control.unreadable.update(|count| count + 1),
         }
-        true
     };
-    let ended = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
+    let why = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
     if let Some(peer) = control.peers.borrow().get(&address) {
         *peer.outgoing.borrow_mut() = None;
     }
-    let why = ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string());
     Line::new("peer_lost").with("address", address).with("why", why).info();
 }
 
@@ -394,7 +372,7 @@
     let mut unreadable = 0;
     loop {
         control.timers.sleep(PING_EVERY).await;
-        send_to_all(&control, &ping());
+        send_to_all(&control, ping());
         let count = control.unreadable.get();
         if count > unreadable {
             Line::new("messages_unreadable").with("since_start", count).warn();
@@ -411,7 +389,8 @@
             let reports = refreshed.iter().filter_map(|id| registry.report(refreshed_at, id));
             let reports: Vec<Report> = reports.collect();
             if !reports.is_empty() {
-                peer.send(&BetweenControl::Registry(reports));
+                let message = ToControl::Control(BetweenControl::Registry(reports));
+                peer.send(&Encoded::new(&message));
             }
         }
     }
--- a/crates/vaneway-server/src/core/control/own.rs
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -12,9 +12,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -22,7 +20,6 @@
 use hyper::body::Incoming;
 use hyper::header::LOCATION;
 use serde_json::json;
-use vaneway_capacity::Answer;
 use vaneway_capacity::Kind;
 use vaneway_capacity::Order;
 use vaneway_registry::Report;
@@ -35,15 +32,13 @@
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::ControlProtocol;
 use crate::core::control::protocol::Holder;
+use crate::core::control::protocol::read_body;
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::usage::Counts;
 use crate::core::usage::Window;
 use crate::util::body::CallerBody;
 
-/// Largest body of a call.
-const BODY_BYTES_MOST: usize = 16 << 20;
-
 /// Where the configuration is put and read.
 const CONFIGURATION: &str = "/v1/configuration";
 
@@ -57,8 +52,7 @@
 impl ControlProtocol for OwnControl {
     async fn serve(&self, control: Rc<Control>, req: Request<Incoming>) -> Response<CallerBody> {
         let (head, body) = req.into_parts();
-        let body = Limited::new(body, BODY_BYTES_MOST).collect().await;
-        let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
+        let Some(body) = read_body(body).await else {
             return failed(StatusCode::BAD_REQUEST, "the body is too long or broke off");
         };
         match (&head.method, head.uri.path()) {
@@ -169,12 +163,4 @@
             .body(Full::new(Bytes::from(body.to_string())))
             .expect("the parts of the request are valid")
     }
-
-    fn order_answer(&self, status: StatusCode) -> Answer {
-        match status {
-            StatusCode::CONFLICT => Answer::Refused,
-            status if status.is_success() => Answer::Taken,
-            _ => Answer::Unknown,
-        }
-    }
 }
--- a/crates/vaneway-server/src/core/control/protocol.rs
+++ b/crates/vaneway-server/src/core/control/protocol.rs
@@ -2,6 +2,10 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Collected;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -16,6 +20,14 @@
 use crate::core::usage::Window;
 use crate::util::body::CallerBody;
 
+/// Largest body of a call: above the largest configuration that operators send.
+const BODY_BYTES_MOST: usize = 16 << 20;
+
+/// Reads the body of a call; none if it is too long or breaks off.
+pub async fn read_body(body: Incoming) -> Option<Bytes> {
+    Limited::new(body, BODY_BYTES_MOST).collect().await.ok().map(Collected::to_bytes)
+}
+
 /// What endpoints and operators speak.
 pub trait ControlProtocol: 'static {
     /// Answers one request.
@@ -44,6 +56,12 @@
     /// An order of replicas of a service.
     fn capacity_order(&self, holder: &Holder, service: &str, order: &Order) -> EndpointRequest;
 
-    /// What an answer to an order means.
-    fn order_answer(&self, status: StatusCode) -> Answer;
+    /// What an answer to an order means: a conflict is a refusal, unless the cloud speaks otherwise.
+    fn order_answer(&self, status: StatusCode) -> Answer {
+        match status {
+            StatusCode::CONFLICT => Answer::Refused,
+            status if status.is_success() => Answer::Taken,
+            _ => Answer::Unknown,
+        }
+    }
 }
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -48,10 +48,6 @@
 /// Largest head of a call.
 const HEADER_BYTES: usize = 16 << 10;
 
-/// How long a call's head may take, and how long its connection may rest.
-const HEAD_WITHIN: Duration = Duration::from_secs(5);
-const IDLE_WITHIN: Duration = Duration::from_secs(30);
-
 /// How long a planned stop lets calls finish.
 const FINISH_WITHIN: Duration = Duration::from_millis(1_200);
 
@@ -75,14 +71,8 @@
     }
 
     fn limits(&self) -> ConnectionLimits {
-        ConnectionLimits {
-            header_bytes: HEADER_BYTES,
-            header_within: HEAD_WITHIN,
-            idle_within: IDLE_WITHIN,
-        }
+        ConnectionLimits::of_calls(HEADER_BYTES)
     }
-
-    fn connections(&self, _count: usize) {}
 }
 
 /// Starts a control box on the current loop.
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -25,6 +25,7 @@
 use crate::core::control::links::EntryLink;
 use crate::core::control::links::PeerLink;
 use crate::core::control::machine::Machine;
+use crate::core::control::protocol::Holder;
 use crate::core::control::store::Write;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::settings::ControlSettings;
@@ -147,6 +148,11 @@
         lease && node.log().term_at(node.committed()) == Some(node.term())
     }
 
+    /// In whose name this box calls the cloud now.
+    pub fn holder(&self) -> Holder {
+        Holder { name: self.settings.name.clone(), fence: self.node.borrow().term() }
+    }
+
     /// The whole state as JSON.
     pub fn dump(&self) -> Value {
         let node = self.node.borrow();
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -195,14 +195,8 @@
         addr: SocketAddr,
         attempt: &mut Attempt,
     ) -> Result<Link, SendError> {
-        let within = Instant::now() + CONNECT_WITHIN;
-        let stream = match timers.until(within, socket::connect(addr)).await {
-            Some(Ok(stream)) => stream,
-            Some(Err(error)) => return Err(ended(attempt, AttemptEvent::Returned, error)),
-            None => {
-                return Err(ended(attempt, AttemptEvent::Returned, "connecting took too long"));
-            }
-        };
+        let stream = socket::connect_within(timers, addr, CONNECT_WITHIN).await;
+        let stream = stream.map_err(|error| ended(attempt, AttemptEvent::Returned, error))?;
         if self.reset_on_close
             && let Err(error) = stream.reset_on_close()
         {
--- a/crates/vaneway-server/src/util/http_server.rs
+++ b/crates/vaneway-server/src/util/http_server.rs
@@ -40,9 +40,6 @@
 use crate::util::timers::Sleep;
 use crate::util::timers::Timers;
 
-/// Pause after a failed accept, which mostly means that descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Smallest read buffer that hyper accepts.
 const HEADER_BYTES_LEAST: usize = 8_192;
 
@@ -57,6 +54,17 @@
     pub idle_within: Duration,
 }
 
+impl ConnectionLimits {
+    /// Limits for short questions and calls of the deployment's own, with heads of at most
+    /// `header_bytes`.
+    pub fn of_calls(header_bytes: usize) -> Self {
+        /// How long a head may take, and how long a connection may rest.
+        const HEAD_WITHIN: Duration = Duration::from_secs(5);
+        const IDLE_WITHIN: Duration = Duration::from_secs(30);
+        Self { header_bytes, header_within: HEAD_WITHIN, idle_within: IDLE_WITHIN }
+    }
+}
+
 /// Answers requests.
 pub trait Handler: 'static {
     /// Answers one request.
@@ -68,8 +76,8 @@
     /// Limits of a connection that is opened now.
     fn limits(&self) -> ConnectionLimits;
 
-    /// Learns that the number of open connections changed.
-    fn connections(&self, count: usize);
+    /// Learns that the number of open connections changed, which most handlers need not know.
+    fn connections(&self, _count: usize) {}
 }
 
 /// A listening address.
@@ -120,21 +128,15 @@
 ) {
     let open = Rc::new(Cell::new(0));
     loop {
-        let accepted = listener.accept().fuse();
+        let accepted = listener.accept_next(&timers).fuse();
         let mut finished = finish.clone();
         futures_util::pin_mut!(accepted);
         futures_util::select_biased! {
             _ = finished => return,
-            accepted = accepted => match accepted {
-                Ok(stream) => {
-                    let count = ConnectionCount::new(Rc::clone(&open), Rc::clone(&handler));
-                    let serving = serve(stream, timers.clone(), count, finish.clone());
-                    compio::runtime::spawn(serving).detach();
-                }
-                Err(error) => {
-                    log::warn!("event=accept_failed error={error:?}");
-                    timers.sleep(ACCEPT_PAUSE).await;
-                }
+            stream = accepted => {
+                let count = ConnectionCount::new(Rc::clone(&open), Rc::clone(&handler));
+                let serving = serve(stream, timers.clone(), count, finish.clone());
+                compio::runtime::spawn(serving).detach();
             }
         }
     }
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -14,6 +14,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use compio::runtime::fd::PollFd;
 use hyper::rt::ReadBufCursor;
@@ -23,6 +24,7 @@
 use socket2::Type;
 
 use crate::util::http_server::Activity;
+use crate::util::timers::Timers;
 
 /// A connected socket.
 #[derive(Debug)]
@@ -38,6 +40,9 @@
 /// Connections that wait to be accepted at most.
 const BACKLOG: i32 = 1_024;
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// A listening socket.
 ///
 /// The event loop's own would create and close sockets on helper threads, where one thread is to
@@ -79,6 +84,20 @@
         addr.as_socket().ok_or_else(|| io::Error::from(io::ErrorKind::AddrNotAvailable))
     }
 
+    /// Waits for the next connection. After a failure, which mostly means that descriptors ran
+    /// out, it tries again a little later.
+    pub async fn accept_next(&self, timers: &Timers) -> SocketStream {
+        loop {
+            match self.accept().await {
+                Ok(stream) => return stream,
+                Err(error) => {
+                    log::warn!("event=accept_failed error={error:?}");
+                    timers.sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
     /// Waits for the next connection.
     ///
     /// # Errors
@@ -113,6 +132,21 @@
     }
 }
 
+/// Connects to `addr`, or gives up after `within`.
+///
+/// # Errors
+///
+/// The operating system's; `TimedOut` if it took too long.
+pub async fn connect_within(
+    timers: &Timers,
+    addr: SocketAddr,
+    within: Duration,
+) -> io::Result<SocketStream> {
+    let connected = timers.until(Instant::now() + within, connect(addr)).await;
+    connected
+        .unwrap_or_else(|| Err(io::Error::new(io::ErrorKind::TimedOut, "connecting took too long")))
+}
+
 impl SocketStream {
     /// Prepares a socket. Chunks are small and must leave at once, so
     /// Nagle's algorithm is off.
