--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -127,6 +127,10 @@
     pub others_told: Option<Instant>,
     /// Recent failures, each worth 1 at first and less with time.
     pub trouble: Fading,
+    /// Answers that arrive from there piece by piece.
+    pub arriving: u32,
+    /// When bytes of such an answer last came.
+    pub heard: Option<Instant>,
     /// Prompt parts that requests of this box brought there, and when last.
     pub parts: BTreeMap<PartId, Instant>,
 }
@@ -186,6 +190,8 @@
             others: Load::default(),
             others_told: None,
             trouble: Fading::default(),
+            arriving: 0,
+            heard: None,
             parts: BTreeMap::new(),
         }
     }
@@ -196,6 +202,12 @@
         state && self.suspended_until.is_none_or(|until| until <= now)
     }
 
+    /// How long nothing has come of the answers that should be arriving; none if there are none.
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let heard = self.heard.filter(|_| self.arriving > 0)?;
+        Some(now.saturating_duration_since(heard))
+    }
+
     /// Whether there is room for one more request.
     pub fn has_room(&self) -> bool {
         self.open < self.spec.max_open
--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -7,7 +7,8 @@
 //! - a little for each open request, which makes every step of a batch longer;
 //! - the request's own prompt, less the parts that the endpoint has probably kept;
 //! - the way to another availability zone;
-//! - its recent failures.
+//! - its recent failures;
+//! - whether its answers have stopped arriving.
 //!
 //! Parts that this box has seen there lately are taken as kept. Of others the endpoint with the
 //! highest rendezvous weight is taken to have them, since every entry box, asked for the same
@@ -25,6 +26,7 @@
 use crate::Query;
 use crate::Work;
 use crate::policy::rendezvous_weight;
+use crate::silence::SilentZones;
 
 /// What each open request adds.
 const REQUEST_TOKENS: f64 = 150.0;
@@ -35,6 +37,10 @@
 /// What one recent failure costs.
 const FAILURE_TOKENS: f64 = 4_000.0;
 
+/// What an endpoint costs that seems to be out of reach: more than any queue that is worth waiting
+/// in.
+const SILENCE_TOKENS: f64 = 40_000.0;
+
 /// Time after which a part is no longer taken as kept: in it an endpoint under load reads more than
 /// its memory holds.
 pub(crate) const PART_KEPT: Duration = Duration::from_secs(20);
@@ -57,6 +63,7 @@
     let weight = |part: PartId, id: EndpointId| rendezvous_weight(part, &endpoints[id as usize]);
     let place = |part: PartId| candidates.iter().copied().max_by_key(|id| weight(part, *id));
     let placed: Vec<Option<EndpointId>> = shared.iter().map(|part| place(part.id)).collect();
+    let silent_zones = SilentZones::of(endpoints, now);
     let cost = |id: EndpointId| {
         let endpoint = &endpoints[id as usize];
         let prompt = query.work.map_or(0.0, |work| f64::from(work.prompt_tokens));
@@ -72,7 +79,8 @@
         let distance =
             if endpoint.spec.availability_zone == query.home { 0.0 } else { DISTANCE_TOKENS };
         let failures = endpoint.trouble.value(now) * FAILURE_TOKENS;
-        open_work(endpoint, now) + (prompt - kept).max(0.0) + distance + failures
+        let silence = if silent_zones.covers(endpoint, now) { SILENCE_TOKENS } else { 0.0 };
+        open_work(endpoint, now) + (prompt - kept).max(0.0) + distance + failures + silence
     };
     let costs = candidates.iter().map(|id| (*id, cost(*id)));
     costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -14,6 +14,7 @@
 mod expected;
 mod policy;
 mod pool;
+mod silence;
 
 pub use endpoint::Endpoint;
 pub use endpoint::EndpointAction;
@@ -32,3 +33,4 @@
 pub use pool::Effect;
 pub use pool::Pool;
 pub use pool::Query;
+pub use silence::SILENT_AFTER;
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -19,6 +19,7 @@
 use crate::endpoint_chart;
 use crate::expected;
 use crate::policy::Chooser;
+use crate::silence::SilentZones;
 
 /// What a request needs of the endpoint to be chosen.
 #[derive(Debug, Clone, Copy)]
@@ -260,16 +261,33 @@
         tokens
     }
 
-    /// Counts that the work of an attempt has begun; `tokens` as [`Pool::begin`] returned them.
-    pub fn begun(&mut self, id: EndpointId, tokens: u64) {
-        self.endpoints[id as usize].open_tokens -= tokens;
+    /// Counts that the answer of an attempt begins to arrive; `tokens` as [`Pool::begin`] returned
+    /// them.
+    pub fn begun(&mut self, now: Instant, id: EndpointId, tokens: u64) {
+        let endpoint = &mut self.endpoints[id as usize];
+        endpoint.open_tokens -= tokens;
+        endpoint.arriving += 1;
+        endpoint.heard = Some(now);
+    }
+
+    /// Notes that a piece of an answer arrived from an endpoint.
+    pub fn heard(&mut self, now: Instant, id: EndpointId) {
+        self.endpoints[id as usize].heard = Some(now);
     }
 
-    /// Counts an attempt that ended, with `tokens` of work that had not begun.
-    pub fn end(&mut self, id: EndpointId, tokens: u64) {
+    /// Counts an attempt that ended, with `tokens` of work that had not begun; `arriving` if its
+    /// answer had begun to arrive.
+    pub fn end(&mut self, id: EndpointId, tokens: u64, arriving: bool) {
         let endpoint = &mut self.endpoints[id as usize];
         endpoint.open -= 1;
         endpoint.open_tokens -= tokens;
+        endpoint.arriving -= u32::from(arriving);
+    }
+
+    /// Whether an endpoint seems to be out of reach: its answers have stopped arriving, or there
+    /// are none and those of all others in its availability zone have.
+    pub fn is_silent(&self, now: Instant, id: EndpointId) -> bool {
+        SilentZones::of(&self.endpoints, now).covers(self.get(id), now)
     }
 
     /// Learns what the other entry boxes have open at an endpoint.
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -12,6 +12,7 @@
 
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
@@ -43,6 +44,7 @@
 use vaneway_relay::request_chart;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
+use vaneway_route::SILENT_AFTER;
 
 use crate::core::callers::api_error::ApiError;
 use crate::core::calls::call_events::CallEvents;
@@ -63,6 +65,9 @@
 use crate::util::outbox::outbox;
 use crate::util::timers::Sleep;
 
+/// Time between two looks whether an endpoint that owes an answer is out of reach.
+const SILENCE_LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// Limits of one call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallLimits {
@@ -499,10 +504,17 @@
         let req = protocol.request(&request, Sending { to: &spec, left, after });
         let head_by = Instant::now() + limits.head_within;
         let fresh = entry.settings.routing.fresh_for_at_most_once && !request.repeatable;
-        let sent = entry.connections.send(&entry.timers, spec.address, req, fresh, head_by).await;
+        let sent = entry.connections.send(&entry.timers, spec.address, req, fresh, head_by);
+        let sent = unless_silent(&entry, endpoint, request.repeatable, sent).await;
         let Answered { response, attempt } = match sent {
-            Ok(answered) => answered,
-            Err(SendError { outcome, cause }) => return (Item::ended(outcome, cause), Stage::Over),
+            Some(Ok(answered)) => answered,
+            Some(Err(SendError { outcome, cause })) => {
+                return (Item::ended(outcome, cause), Stage::Over);
+            }
+            None => {
+                let cause = "other answers of the endpoint or its zone have stopped arriving";
+                return (Item::ended(Outcome::Unknown, cause), Stage::Over);
+            }
         };
         let (head, body) = response.into_parts();
         let item = match protocol.judge(&request, &head) {
@@ -546,12 +558,36 @@
     }
 }
 
+/// Waits for `work`, the beginning of an answer; none if meanwhile its endpoint seems to be out of
+/// reach and the request may be sent to another one.
+async fn unless_silent<T>(
+    entry: &Entry,
+    endpoint: EndpointId,
+    repeatable: bool,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    if !repeatable {
+        return Some(work.await);
+    }
+    let mut work = pin!(work);
+    let mut look_at = Instant::now() + SILENT_AFTER;
+    loop {
+        if let Some(done) = entry.timers.until(look_at, work.as_mut()).await {
+            return Some(done);
+        }
+        let now = Instant::now();
+        if entry.pool.borrow().is_silent(now, endpoint) {
+            return None;
+        }
+        look_at = now + SILENCE_LOOK_EVERY;
+    }
+}
+
 async fn next_event<E>(mut reading: Box<Reading>) -> (Item, Stage<E>) {
     let broken = loop {
         if let Some(event) = reading.cutter.next_event() {
-            if !std::mem::replace(&mut reading.begun, true) {
-                reading.occupancy.begun();
-            }
+            reading.begun = true;
+            reading.occupancy.heard();
             return (Item::Event(event), Stage::Reading(reading));
         }
         let limits = &reading.limits;
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -33,8 +33,13 @@
 use crate::util::socket;
 use crate::util::timers::Timers;
 
-/// Longest wait for a connection to open: far more than a crossing of availability zones takes.
-const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+/// Longest wait for a connection to open: far more than a crossing of regions takes. An opening
+/// packet that is lost is sent again only after a second, and another endpoint is asked sooner.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+
+/// Silence after which a connection on which something should arrive is given up: above what a
+/// packet that was lost and sent again takes.
+const SILENCE_MOST: Duration = Duration::from_secs(1);
 
 /// Most idle connections kept for one endpoint.
 const IDLE_MOST: usize = 64;
@@ -197,6 +202,9 @@
     ) -> Result<Link, SendError> {
         let stream = socket::connect_within(timers, addr, CONNECT_WITHIN).await;
         let stream = stream.map_err(|error| ended(attempt, AttemptEvent::Returned, error))?;
+        if let Err(error) = stream.fail_when_silent(SILENCE_MOST) {
+            return Err(ended(attempt, AttemptEvent::Returned, error));
+        }
         if self.reset_on_close
             && let Err(error) = stream.reset_on_close()
         {
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -150,6 +150,8 @@
     endpoint: EndpointId,
     /// Tokens of work that has not begun.
     tokens: u64,
+    /// Whether its answer arrives piece by piece.
+    arriving: bool,
 }
 
 impl Occupancy {
@@ -158,16 +160,21 @@
         self.tokens
     }
 
-    /// Counts that the work has begun.
-    pub fn begun(&mut self) {
-        let tokens = std::mem::take(&mut self.tokens);
-        self.entry.pool.borrow_mut().begun(self.endpoint, tokens);
+    /// Counts that a piece of the answer arrived, and with the first that the work has begun.
+    pub fn heard(&mut self) {
+        let now = Instant::now();
+        let mut pool = self.entry.pool.borrow_mut();
+        if std::mem::replace(&mut self.arriving, true) {
+            pool.heard(now, self.endpoint);
+        } else {
+            pool.begun(now, self.endpoint, std::mem::take(&mut self.tokens));
+        }
     }
 }
 
 impl Drop for Occupancy {
     fn drop(&mut self) {
-        self.entry.pool.borrow_mut().end(self.endpoint, self.tokens);
+        self.entry.pool.borrow_mut().end(self.endpoint, self.tokens, self.arriving);
     }
 }
 
@@ -440,7 +447,7 @@
         work: Option<&Work>,
     ) -> Occupancy {
         let tokens = self.pool.borrow_mut().begin(Instant::now(), endpoint, tokens, work);
-        Occupancy { entry: Rc::clone(self), endpoint, tokens }
+        Occupancy { entry: Rc::clone(self), endpoint, tokens, arriving: false }
     }
 
     /// Address of an endpoint.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod property;
 mod quota;
 mod registry;
+mod routing;
 mod schema;
 mod settings;
 mod standins;
--- /dev/null
+++ b/tests/testsuite/routing.rs
@@ -0,0 +1,102 @@
+//! The choice among endpoints by expected work, without I/O.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use vaneway_route::Choice;
+use vaneway_route::EndpointId;
+use vaneway_route::EndpointSpec;
+use vaneway_route::Policy;
+use vaneway_route::Pool;
+use vaneway_route::Query;
+use vaneway_route::SILENT_AFTER;
+
+const SERVICE: u32 = 0;
+
+/// A pool of endpoints, each named after its availability zone.
+struct Fleet {
+    pool: Pool,
+    now: Instant,
+}
+
+impl Fleet {
+    fn in_zones(zones: &[&str]) -> Self {
+        let spec = |(i, zone): (usize, &&str)| EndpointSpec {
+            name: format!("{zone}-{i}"),
+            service: SERVICE,
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000 + i as u16)),
+            availability_zone: (*zone).to_owned(),
+            box_name: format!("box-{i}"),
+            reclaimable: false,
+            max_open: 100,
+        };
+        let specs = zones.iter().enumerate().map(spec).collect();
+        Self { pool: Pool::new(specs, Policy::ExpectedWork, 1), now: Instant::now() }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    /// A stream from an endpoint begins.
+    fn stream_from(&mut self, endpoint: EndpointId) {
+        let tokens = self.pool.begin(self.now, endpoint, 0, None);
+        self.pool.begun(self.now, endpoint, tokens);
+    }
+
+    fn choose(&mut self, home: &str) -> Choice {
+        let query = Query { service: SERVICE, home, avoid: &[], prefix: 0, work: None };
+        self.pool.choose(self.now, query)
+    }
+}
+
+#[test]
+fn endpoint_whose_answers_stop_gets_no_work_while_another_answers() {
+    let mut fleet = Fleet::in_zones(&["a", "b"]);
+    fleet.stream_from(0);
+    fleet.stream_from(1);
+    fleet.pass(SILENT_AFTER);
+    fleet.pool.heard(fleet.now, 1);
+    assert!(fleet.pool.is_silent(fleet.now, 0));
+    assert_eq!(fleet.choose("a"), Choice::Endpoint(1));
+    fleet.pool.heard(fleet.now, 0);
+    assert!(!fleet.pool.is_silent(fleet.now, 0));
+    assert_eq!(fleet.choose("a"), Choice::Endpoint(0));
+}
+
+#[test]
+fn zone_whose_answers_all_stop_gets_no_work_even_where_nothing_was_to_arrive() {
+    let mut fleet = Fleet::in_zones(&["a", "a", "b"]);
+    fleet.stream_from(0);
+    fleet.stream_from(2);
+    fleet.pass(SILENT_AFTER);
+    fleet.pool.heard(fleet.now, 2);
+    assert!(fleet.pool.is_silent(fleet.now, 1), "nothing moves in its zone");
+    assert_eq!(fleet.choose("a"), Choice::Endpoint(2));
+}
+
+#[test]
+fn endpoint_is_not_silent_while_another_of_its_zone_answers() {
+    let mut fleet = Fleet::in_zones(&["a", "a", "b"]);
+    fleet.stream_from(0);
+    fleet.stream_from(1);
+    fleet.pass(SILENT_AFTER);
+    fleet.pool.heard(fleet.now, 1);
+    assert!(fleet.pool.is_silent(fleet.now, 0));
+    assert!(!fleet.pool.is_silent(fleet.now, 1));
+    fleet.pool.end(0, 0, true);
+    assert!(
+        !fleet.pool.is_silent(fleet.now, 0),
+        "nothing should be arriving, and its zone answers"
+    );
+}
+
+#[test]
+fn box_that_stood_still_itself_chooses_as_before() {
+    let mut fleet = Fleet::in_zones(&["a", "b"]);
+    fleet.stream_from(0);
+    fleet.stream_from(1);
+    fleet.pass(Duration::from_secs(10));
+    assert_eq!(fleet.choose("b"), Choice::Endpoint(1), "all are silent alike");
+}
