--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -148,6 +148,10 @@
             ToEntry::Pong { sent_us, time_us } => self.learn_time(sent_us, time_us),
             ToEntry::Configuration(configuration) => self.entry.configure(configuration),
             ToEntry::Registry(reports) => registered::apply(&self.entry, &reports),
+            ToEntry::Remembered { endpoints, left_ms } => {
+                let left = Duration::from_millis(left_ms);
+                registered::remember(&self.entry, &endpoints, left);
+            }
             ToEntry::ControlBoxes(addresses) => {
                 if !addresses.is_empty() {
                     self.keep(&addresses);
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -77,6 +77,13 @@
     Configuration(Configuration),
     /// News of endpoints.
     Registry(Vec<Report>),
+    /// Endpoints that were ready before all boxes went down.
+    Remembered {
+        /// The endpoints.
+        endpoints: Vec<Report>,
+        /// Milliseconds in which they count unless they are heard of.
+        left_ms: u64,
+    },
     /// The control boxes, by the addresses for other boxes.
     ControlBoxes(Vec<SocketAddr>),
     /// What the other entry boxes use, as this control box knows.
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -27,6 +27,7 @@
 use crate::core::cluster::wire::USE_EVERY;
 use crate::core::configuration::Configuration;
 use crate::core::control::group;
+use crate::core::control::remembered;
 use crate::core::control::state::Control;
 use crate::core::usage::EntryStart;
 use crate::util::clock;
@@ -208,6 +209,10 @@
     }
     let reports = control.registry.borrow().reports(Instant::now());
     outgoing.send(&ToEntry::Registry(reports));
+    if let Some(left) = remembered::left(control) {
+        let endpoints = control.remembered.borrow().clone();
+        outgoing.send(&ToEntry::Remembered { endpoints, left_ms: left.as_millis() as u64 });
+    }
     let entry = EntryLink { start: start.clone(), outgoing: outgoing.clone() };
     control.entries.borrow_mut().insert(link, Rc::new(entry));
     Sender::Entry { link, start }
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -8,6 +8,7 @@
 //! - [`links`]: connections with entry boxes and other control boxes;
 //! - [`duties`]: what the leader does towards the cloud;
 //! - [`capacity`]: orders of replicas;
+//! - [`remembered`]: endpoints that a control box remembers over a loss of power;
 //! - [`clock`]: the cluster's time;
 //! - [`operations`]: what operators and endpoints ask for, whatever protocol they speak;
 //! - [`protocol`]: what they speak, and [`own`], the product's own;
@@ -23,6 +24,7 @@
 pub mod operations;
 pub mod own;
 pub mod protocol;
+pub mod remembered;
 pub mod running;
 pub mod state;
 pub mod store;
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/remembered.rs
@@ -0,0 +1,134 @@
+//! Endpoints that a control box remembers over a loss of power.
+//!
+//! Why: after all boxes went down together, endpoints become known again only with their next
+//! heartbeats, over a second or more in which every request is refused though the endpoints are
+//! well. So each control box keeps a file of the endpoints that were ready, and tells it to entry
+//! boxes that start together with it. A request names the instance that it is meant for, so one
+//! that went to an address that another endpoint has now is not run.
+//!
+//! What is remembered may be out of date: an endpoint may have said that it drains, and everyone
+//! who heard it may be down. It therefore counts only until heartbeats must have come again
+//! (the setting `remembered_ms`), and nothing waits for the file to be written.
+
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use vaneway_registry::Report;
+use vaneway_registry::Standing;
+
+use crate::core::control::state::Control;
+use crate::util::clock;
+use crate::util::durable_file;
+use crate::util::logline::Line;
+
+/// The file's name under the data folder.
+const FILE_NAME: &str = "endpoints.log";
+
+/// Time between two looks whether the file must be written anew.
+const WRITE_EVERY: Duration = Duration::from_millis(500);
+
+/// Pause after a write that failed.
+const RETRY_AFTER: Duration = Duration::from_secs(3);
+
+/// Age from which on the file says nothing of the present. It is measured by the box's time of
+/// day, which may be wrong by seconds.
+const AGE_MOST: Duration = Duration::from_mins(1);
+
+/// The file's only record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Record {
+    /// When it was written, since 1970.
+    written: Duration,
+    /// The endpoints that were ready.
+    endpoints: Vec<Report>,
+}
+
+/// What the file says; nothing if there is none, or it is damaged or old, which is logged.
+pub(super) fn load(control: &Control) -> Vec<Report> {
+    match read(control) {
+        Ok(endpoints) => endpoints,
+        Err(why) => {
+            Line::new("endpoints_not_remembered").with("why", why).info();
+            Vec::new()
+        }
+    }
+}
+
+fn path(control: &Control) -> PathBuf {
+    control.settings.data_folder.join(FILE_NAME)
+}
+
+fn read(control: &Control) -> Result<Vec<Report>, String> {
+    let bytes = match std::fs::read(path(control)) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+        read => read.map_err(|error| format!("the file can't be read: {error}"))?,
+    };
+    let recovered = vaneway_log::recover(&bytes).map_err(|error| error.to_string())?;
+    let record = recovered.records.first().ok_or("the file has no whole record")?;
+    let record: Record = postcard::from_bytes(record).map_err(|error| error.to_string())?;
+    let age = clock::since_epoch().abs_diff(record.written);
+    if age > AGE_MOST {
+        return Err(format!("the file was written {} s ago", age.as_secs()));
+    }
+    Ok(record.endpoints)
+}
+
+/// How long remembered endpoints still count; none if they do no more.
+pub(super) fn left(control: &Control) -> Option<Duration> {
+    let left = control.settings.remembered_for.checked_sub(control.started.elapsed());
+    left.filter(|left| !left.is_zero())
+}
+
+/// Writes the endpoints that are ready whenever they have changed, until dropped.
+pub(super) async fn keep(control: Rc<Control>) {
+    let mut written = None;
+    loop {
+        control.timers.sleep(WRITE_EVERY).await;
+        if left(&control).is_some() {
+            // What was there before is worth more than what has been heard of until now.
+            continue;
+        }
+        let endpoints = ready(&control);
+        let stands = |(known, at): &(Vec<Report>, Instant)| {
+            *known == endpoints && at.elapsed() < AGE_MOST / 2
+        };
+        if written.as_ref().is_some_and(stands) {
+            continue;
+        }
+        match write(&control, endpoints.clone()).await {
+            Ok(()) => {
+                Line::new("endpoints_written").with("count", endpoints.len()).info();
+                written = Some((endpoints, Instant::now()));
+            }
+            Err(error) => {
+                Line::new("endpoints_not_written").with("error", error).warn();
+                control.timers.sleep(RETRY_AFTER).await;
+            }
+        }
+    }
+}
+
+/// The endpoints that are ready, without what changes with every heartbeat.
+fn ready(control: &Control) -> Vec<Report> {
+    let mut endpoints = control.registry.borrow().reports(Instant::now());
+    endpoints.retain(|report| report.standing == Standing::Ready && report.details.is_some());
+    for report in &mut endpoints {
+        report.age_ms = 0;
+        report.sequence = 0;
+    }
+    endpoints
+}
+
+async fn write(control: &Control, endpoints: Vec<Report>) -> io::Result<()> {
+    let record = Record { written: clock::since_epoch(), endpoints };
+    let payload = postcard::to_stdvec(&record).map_err(io::Error::other)?;
+    let mut framed = Vec::with_capacity(payload.len() + vaneway_log::HEADER_BYTES);
+    vaneway_log::append(&mut framed, &payload);
+    durable_file::replace(&path(control), framed).await?;
+    Ok(())
+}
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -28,6 +28,7 @@
 use crate::core::control::own::OwnControl;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::ControlProtocol;
+use crate::core::control::remembered;
 use crate::core::control::state::Control;
 use crate::core::control::state::FIRST_INCARNATION;
 use crate::core::control::state::node_id;
@@ -121,6 +122,7 @@
         joining: RefCell::default(),
         led_at: Cell::new(now),
         leads_since: Cell::new(None),
+        remembered: RefCell::default(),
         use_ledger: RefCell::default(),
         clock: RefCell::default(),
         connections: Connections::reset_on_close(),
@@ -128,6 +130,8 @@
         stopping: Cell::new(false),
         settings,
     });
+    let endpoints = remembered::load(&control);
+    control.remembered.replace(endpoints);
     let persisted = Rc::clone(&control);
     let writing = store.write_forever(timers.clone(), queue, move |number| {
         group::step(&persisted, Event::Persisted { number });
@@ -155,6 +159,7 @@
         task::spawn_until_dropped(links::tell_entries(Rc::clone(&control))),
         task::spawn_until_dropped(group::run_timers(Rc::clone(&control))),
         task::spawn_until_dropped(group::maintain(Rc::clone(&control))),
+        task::spawn_until_dropped(remembered::keep(Rc::clone(&control))),
         task::spawn_until_dropped(duties::run(Rc::clone(&control), cloud)),
     ];
     Line::new("started")
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -20,6 +20,7 @@
 use vaneway_agreement::Term;
 use vaneway_agreement::Ticket;
 use vaneway_registry::Registry;
+use vaneway_registry::Report;
 
 use crate::core::control::clock::Clock;
 use crate::core::control::links::EntryLink;
@@ -102,6 +103,8 @@
     pub(crate) led_at: Cell<Instant>,
     /// When this node began to lead.
     pub(crate) leads_since: Cell<Option<Instant>>,
+    /// Endpoints that were ready before this box started, as its disk says.
+    pub(crate) remembered: RefCell<Vec<Report>>,
     /// What the entry boxes told of their requests.
     pub use_ledger: RefCell<UseLedger>,
     /// The cluster's time.
--- a/crates/vaneway-server/src/core/control/store.rs
+++ b/crates/vaneway-server/src/core/control/store.rs
@@ -29,15 +29,13 @@
 use vaneway_agreement::Snapshot;
 use vaneway_agreement::Term;
 
+use crate::util::durable_file;
 use crate::util::logline::Line;
 use crate::util::timers::Timers;
 
 /// The file's name under the data folder.
 const FILE_NAME: &str = "agreement.log";
 
-/// The name under which the file is written anew before it takes the other's place.
-const NEW_FILE_NAME: &str = "agreement.new";
-
 /// Pause before a write that failed is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -76,7 +74,6 @@
 /// The open file.
 #[derive(Debug)]
 pub struct Store {
-    folder: PathBuf,
     path: PathBuf,
     file: compio::fs::File,
     end: u64,
@@ -127,8 +124,7 @@
     drop(file);
     let file = compio::fs::OpenOptions::new().write(true).open(&path).await;
     let file = file.wrap_err_with(context)?;
-    let folder = folder.to_owned();
-    Ok((stored.clone(), Store { folder, path, file, end, stored }))
+    Ok((stored.clone(), Store { path, file, end, stored }))
 }
 
 fn replay(records: &[&[u8]]) -> eyre::Result<Option<Stored>> {
@@ -228,14 +224,7 @@
         bytes.extend(encode(&Record::Persist { term, vote, snapshot, entries }));
         bytes.extend(encode(&Record::Committed { index: self.stored.committed }));
         let end = bytes.len() as u64;
-        let other = self.folder.join(NEW_FILE_NAME);
-        let mut file = compio::fs::File::create(&other).await?;
-        let BufResult(written, _) = file.write_all_at(bytes, 0).await;
-        written?;
-        file.sync_all().await?;
-        compio::fs::rename(&other, &self.path).await?;
-        compio::fs::File::open(&self.folder).await?.sync_all().await?;
-        self.file = file;
+        self.file = durable_file::replace(&self.path, bytes).await?;
         self.end = end;
         Ok(())
     }
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -4,6 +4,7 @@
 //! endpoint joins the pool; one that drains or ends gets no new work; what runs there goes on until
 //! its connection breaks, since endpoints that leave finish what they have.
 
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +14,7 @@
 use vaneway_registry::Known;
 use vaneway_registry::Report;
 use vaneway_registry::Standing;
+use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
 
@@ -25,6 +27,9 @@
 /// Requests that an endpoint queues for each one that it works on; more are not sent there.
 const QUEUED_A_SLOT: u32 = 2;
 
+/// Time after its start in which an entry box may not have heard of all endpoints yet.
+const STARTED_WITHIN: Duration = Duration::from_secs(10);
+
 /// Applies reports of a control box.
 pub fn apply(entry: &Entry, reports: &[Report]) {
     let now = Instant::now();
@@ -39,6 +44,44 @@
     }
 }
 
+/// Uses endpoints that were ready before all boxes went down, unless this box has heard of any
+/// since; those that are not heard of within `left` are used no more.
+pub fn remember(entry: &Rc<Entry>, reports: &[Report], left: Duration) {
+    if entry.up() > STARTED_WITHIN {
+        return;
+    }
+    let unknown = |report: &&Report| {
+        let heard_of = entry.registry.borrow().get(&report.instance).is_some();
+        !heard_of && !entry.registered.borrow().contains_key(&report.instance)
+    };
+    let reports: Vec<&Report> = reports.iter().filter(unknown).collect();
+    let mut added = Vec::new();
+    for report in reports {
+        let Some(details) = &report.details else { continue };
+        added.push((report.instance.clone(), add(entry, &report.instance, details)));
+    }
+    if added.is_empty() {
+        return;
+    }
+    Line::new("endpoints_remembered").with("count", added.len()).info();
+    let entry = Rc::clone(entry);
+    let forgetting = async move {
+        entry.timers.sleep(left).await;
+        added.into_iter().for_each(|(instance, endpoint)| forget(&entry, &instance, endpoint));
+    };
+    compio::runtime::spawn(forgetting).detach();
+}
+
+/// Uses a remembered endpoint no more if nothing was heard of it.
+fn forget(entry: &Entry, instance: &InstanceId, endpoint: EndpointId) {
+    if entry.registry.borrow().get(instance).is_some() {
+        return;
+    }
+    Line::new("endpoint_not_heard_of").with("replica", instance).info();
+    entry.registered.borrow_mut().remove(instance);
+    entry.report(endpoint, EndpointEvent::Removed);
+}
+
 fn apply_news(entry: &Entry, instance: &InstanceId, known: &Known) {
     let registered = entry.registered.borrow().get(instance).copied();
     let endpoint = match (registered, &known.details) {
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -116,6 +116,8 @@
     pub data_folder: PathBuf,
     /// Entries of the agreement's log after which a snapshot takes their place.
     pub snapshot_entries: u64,
+    /// How long after its start a control box names endpoints that only its disk remembers.
+    pub remembered_for: Duration,
     /// Length of an accounting window.
     pub window: Duration,
     /// The cloud's interface, if it wants reports.
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -239,6 +239,7 @@
         form_group: fields.optional("form_group").and_then(|p| p.flag()).unwrap_or(false),
         data_folder: fields.text("data_folder").into(),
         snapshot_entries: fields.number("snapshot_entries", 1..=1_000_000, 256),
+        remembered_for: millis(&mut fields, "remembered_ms", ANY_TIME, 2_500),
         window: seconds(&mut fields, "usage_window_s", 60.0),
         cloud: fields.optional("cloud").and_then(|place| place.object()).map(cloud),
         capacity: capacity(fields.section("capacity")),
--- a/crates/vaneway-server/src/util/mod.rs
+++ b/crates/vaneway-server/src/util/mod.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod clock;
 pub mod command_line;
+pub mod durable_file;
 pub mod findings;
 pub mod frames;
 pub mod http_server;
--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -27,6 +27,9 @@
 /// Entries after which a snapshot takes their place: few, so that all tests meet snapshots.
 const SNAPSHOT_ENTRIES: u64 = 5;
 
+/// How long remembered endpoints count: longer than the boxes of a test take to start.
+const REMEMBERED: Duration = Duration::from_secs(6);
+
 /// How long one call may take.
 const CALL_WITHIN: Duration = Duration::from_secs(2);
 
@@ -128,6 +131,7 @@
             "form_group": form_group,
             "data_folder": self.data_folder(i),
             "snapshot_entries": self.snapshot_entries,
+            "remembered_ms": REMEMBERED.as_millis() as u64,
         });
         let folder = self.folder.path();
         let process = match self.adapter {
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -332,3 +332,30 @@
     let Setup { entry, .. } = setup;
     assert_eq!(entry.wait(), Some(0));
 }
+
+#[test]
+fn endpoints_are_remembered_over_a_loss_of_all_boxes_until_they_must_have_been_heard_of() {
+    let Setup { mut control, entry, endpoints } = Setup::start();
+    control.process(0).wait_for_log(&["event=endpoints_written", "count=2"]);
+    entry.kill();
+    control.kill(0);
+    control.start_box(0, false);
+    let setup = Setup { entry: control.start_entry("entry-1"), control, endpoints };
+    setup.entry.wait_for_log(&["event=configured", "version=1"]);
+    setup.entry.wait_for_log(&["event=endpoints_remembered", "count=2"]);
+    let send = |id: &str| {
+        block_on(async {
+            let sent = headers(id, "900");
+            setup.caller().send_with(Method::POST, "/once/x", &sent, "b").await.status
+        })
+    };
+    assert_eq!((send("first"), setup.runs("first")), (200, 1));
+    setup.beat(&setup.endpoints[0], "ready", 2);
+    setup.entry.wait_for_log(&["event=endpoint_not_heard_of", "replica=i-b"]);
+    for i in 0..4 {
+        assert_eq!(send(&format!("q{i}")), 200);
+    }
+    let later: u32 = (0..4).map(|i| setup.endpoints[0].runs(&format!("q{i}"))).sum();
+    assert_eq!(later, 4, "only the endpoint that was heard of gets work");
+    assert!(!setup.entry.log().contains("event=endpoint_not_heard_of replica=i-a"));
+}
