--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -67,7 +67,9 @@
     let entry = Rc::clone(entry);
     let forgetting = async move {
         entry.timers.sleep(left).await;
-        added.into_iter().for_each(|(instance, endpoint)| forget(&entry, &instance, endpoint));
+        for (instance, endpoint) in added {
+            forget(&entry, &instance, endpoint);
+        }
     };
     compio::runtime::spawn(forgetting).detach();
 }
--- a/crates/vaneway-server/src/util/logline.rs
+++ b/crates/vaneway-server/src/util/logline.rs
@@ -1,12 +1,22 @@
 //! One line of key=value pairs for each event.
+//!
+//! Lines are bounded for each kind of event and never wait for their reader; see
+//! [`log_output`](crate::util::log_output).
 
+use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::io::Write as _;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use env_logger::Env;
 use env_logger::Target;
+use log::Level;
+
+use crate::util::log_output::Budgets;
+use crate::util::log_output::Output;
+use crate::util::log_output::Stdout;
 
 /// Environment variable that sets the log level, for example `VANEWAY_LOG=debug`.
 pub const LEVEL_VARIABLE: &str = "VANEWAY_LOG";
@@ -15,7 +25,7 @@
 pub fn init() {
     let env = Env::new().filter_or(LEVEL_VARIABLE, "info,compio=warn,hyper=warn,cyper=warn");
     let mut builder = env_logger::Builder::from_env(env);
-    builder.target(Target::Stdout);
+    builder.target(Target::Pipe(Box::new(Output::new(Stdout))));
     builder.format(|out, record| {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let level = record.level().as_str().to_ascii_lowercase();
@@ -35,12 +45,20 @@
 /// assert_eq!(line, r#"event=stopped open=3 why="drain deadline""#);
 /// ```
 #[derive(Debug, Clone)]
-pub struct Line(String);
+pub struct Line {
+    kind: String,
+    text: String,
+}
+
+thread_local! {
+    /// Lines of each kind that this thread logged; all of a process's work is on one.
+    static BUDGETS: RefCell<Budgets> = RefCell::default();
+}
 
 impl Line {
     /// A line for `event`.
     pub fn new(event: &str) -> Self {
-        Self(format!("event={event}"))
+        Self { kind: event.to_owned(), text: format!("event={event}") }
     }
 
     /// Adds a pair; a value with blanks or quotes is quoted.
@@ -53,9 +71,9 @@
         let value = value.to_string();
         let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n', '\t']);
         let written = if plain {
-            write!(self.0, " {key}={value}")
+            write!(self.text, " {key}={value}")
         } else {
-            write!(self.0, " {key}={value:?}")
+            write!(self.text, " {key}={value:?}")
         };
         written.expect("writing to a string does not fail");
         self
@@ -63,21 +81,32 @@
 
     /// The line's text.
     pub fn build(self) -> String {
-        self.0
+        self.text
     }
 
     /// Logs the line at level `info`.
     pub fn info(self) {
-        log::info!("{}", self.0);
+        self.log(Level::Info);
     }
 
     /// Logs the line at level `warn`.
     pub fn warn(self) {
-        log::warn!("{}", self.0);
+        self.log(Level::Warn);
     }
 
     /// Logs the line at level `error`.
     pub fn error(self) {
-        log::error!("{}", self.0);
+        self.log(Level::Error);
+    }
+
+    fn log(self, level: Level) {
+        let now = Instant::now();
+        let admission = BUDGETS.with_borrow_mut(|budgets| budgets.admit(now, &self.kind));
+        for (kind, count) in admission.left_out {
+            log::warn!("event=log_lines_left_out kind={kind} count={count}");
+        }
+        if admission.written {
+            log::log!(level, "{}", self.text);
+        }
     }
 }
--- a/crates/vaneway-server/src/util/mod.rs
+++ b/crates/vaneway-server/src/util/mod.rs
@@ -7,6 +7,7 @@
 pub mod findings;
 pub mod frames;
 pub mod http_server;
+pub mod log_output;
 pub mod logline;
 pub mod outbox;
 pub mod socket;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod decisions_of_control;
 mod deploy;
 mod event_streams;
+mod logs;
 mod marks;
 mod operators;
 mod path;
