--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -14,7 +14,6 @@
 use vaneway_registry::Known;
 use vaneway_registry::Report;
 use vaneway_registry::Standing;
-use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
 
@@ -74,14 +73,15 @@
     compio::runtime::spawn(forgetting).detach();
 }
 
-/// Uses a remembered endpoint no more if nothing was heard of it.
+/// Gives a remembered endpoint no more work if nothing was heard of it. What it has may finish, since
+/// it answers, and if it is heard of later it is a new one here.
 fn forget(entry: &Entry, instance: &InstanceId, endpoint: EndpointId) {
     if entry.registry.borrow().get(instance).is_some() {
         return;
     }
     Line::new("endpoint_not_heard_of").with("replica", instance).info();
     entry.registered.borrow_mut().remove(instance);
-    entry.report(endpoint, EndpointEvent::Removed);
+    entry.change(|pool, now, out| pool.notice(now, endpoint, now + FINISH_WITHIN, out));
 }
 
 fn apply_news(entry: &Entry, instance: &InstanceId, known: &Known) {
