--- a/crates/vaneway-server/src/util/log_output.rs
+++ b/crates/vaneway-server/src/util/log_output.rs
@@ -29,7 +29,7 @@
 pub const WAITING_MOST: usize = 256 << 10;
 
 /// Bytes that a pipe takes without waiting once it says that it can take some (`PIPE_BUF`).
-const AT_ONCE: usize = 4_096;
+pub const AT_ONCE: usize = 4_096;
 
 /// Lines of each kind in the present second.
 #[derive(Debug, Default)]
