--- a/crates/vaneway-log/src/lib.rs
+++ b/crates/vaneway-log/src/lib.rs
@@ -44,6 +44,17 @@
     file.extend_from_slice(payload);
 }
 
+/// One record, for a file that holds no other yet or to be appended as it is.
+///
+/// # Panics
+///
+/// As [`append`].
+pub fn record(payload: &[u8]) -> Vec<u8> {
+    let mut framed = Vec::with_capacity(HEADER_BYTES + payload.len());
+    append(&mut framed, payload);
+    framed
+}
+
 /// What a file holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Recovered<'a> {
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -491,8 +491,6 @@
     attempt: vaneway_relay::Attempt,
     cutter: EventCutter,
     limits: CallLimits,
-    /// Whether its first event has come.
-    begun: bool,
     occupancy: Occupancy,
 }
 
@@ -525,7 +523,6 @@
                         addr: spec.address,
                         cutter: EventCutter::default(),
                         limits,
-                        begun: false,
                         occupancy,
                         entry,
                         body,
@@ -586,12 +583,12 @@
 async fn next_event<E>(mut reading: Box<Reading>) -> (Item, Stage<E>) {
     let broken = loop {
         if let Some(event) = reading.cutter.next_event() {
-            reading.begun = true;
             reading.occupancy.heard();
             return (Item::Event(event), Stage::Reading(reading));
         }
         let limits = &reading.limits;
-        let within = if reading.begun { limits.pause_within } else { limits.head_within };
+        let within =
+            if reading.occupancy.is_arriving() { limits.pause_within } else { limits.head_within };
         let until = Instant::now() + within;
         let timers = reading.entry.timers.clone();
         match timers.until(until, reading.body.data()).await {
--- a/crates/vaneway-server/src/core/calls/claims.rs
+++ b/crates/vaneway-server/src/core/calls/claims.rs
@@ -39,6 +39,7 @@
 
 use crate::core::settings::ClaimSettings;
 use crate::util::clock;
+use crate::util::durable_file;
 use crate::util::logline::Line;
 
 /// The ledger can't be written any more.
@@ -130,7 +131,7 @@
     let (generation, mut ledger) = load_snapshot(&snapshot_path(folder))?;
     let path = log_path(folder, generation);
     let context = || format!("failed to read `{}`", path.display());
-    let bytes = read_or_empty(&path).wrap_err_with(context)?;
+    let bytes = durable_file::read(&path).wrap_err_with(context)?.unwrap_or_default();
     let recovered = vaneway_log::recover(&bytes).wrap_err_with(context)?;
     for record in &recovered.records {
         ledger.apply(Command::decode(record).wrap_err_with(context)?);
@@ -146,24 +147,17 @@
     let file = OpenOptions::new().write(true).create(true).truncate(false).open(&path)?;
     file.set_len(end)?;
     file.sync_all()?;
-    sync_folder(folder)?;
+    durable_file::sync_folder(folder)?;
     drop(file);
     let file = open_for_writing(&path).await?;
     Line::new("claims_opened").with("keys", ledger.len()).with("generation", generation).info();
     Ok((ledger, LogFile { folder: folder.to_owned(), file, generation, end, _lock: lock }))
 }
 
-fn read_or_empty(path: &Path) -> io::Result<Vec<u8>> {
-    match std::fs::read(path) {
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Vec::new()),
-        read => read,
-    }
-}
-
 /// The generation and ledger of a snapshot; those of the beginning if there is none.
 fn load_snapshot(path: &Path) -> eyre::Result<(u64, Ledger)> {
     let context = || format!("failed to read `{}`", path.display());
-    let bytes = read_or_empty(path).wrap_err_with(context)?;
+    let bytes = durable_file::read(path).wrap_err_with(context)?.unwrap_or_default();
     if bytes.is_empty() {
         return Ok((0, Ledger::new()));
     }
@@ -180,10 +174,6 @@
     compio::fs::OpenOptions::new().write(true).open(path).await
 }
 
-fn sync_folder(folder: &Path) -> io::Result<()> {
-    File::open(folder)?.sync_all()
-}
-
 async fn write_forever(
     shared: Rc<Shared>,
     mut log: LogFile,
@@ -251,16 +241,13 @@
     let mut bytes = Vec::new();
     vaneway_log::append(&mut bytes, &generation.to_le_bytes());
     vaneway_log::append(&mut bytes, &shared.ledger.borrow().encode());
-    let temporary = log.folder.join("claims.snapshot.new");
-    std::fs::write(&temporary, &bytes)?;
-    File::open(&temporary)?.sync_all()?;
-    std::fs::rename(&temporary, snapshot_path(&log.folder))?;
-    sync_folder(&log.folder)?;
+    let count = bytes.len();
+    durable_file::replace(&snapshot_path(&log.folder), bytes).await?;
     let old = log_path(&log.folder, log.generation);
     log.file = open_for_writing(&path).await?;
     log.generation = generation;
     log.end = 0;
-    Line::new("snapshot").with("generation", generation).with("bytes", bytes.len()).info();
+    Line::new("snapshot").with("generation", generation).with("bytes", count).info();
     // A log that stays behind is never read again.
     if let Err(error) = std::fs::remove_file(&old) {
         log::warn!("event=old_log_stays file={} error={error:?}", old.display());
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -19,10 +19,9 @@
 use vaneway_registry::Report;
 use vaneway_registry::Standing;
 
-use crate::core::cluster::wire::CONNECT_WITHIN;
+use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::PING_EVERY;
-use crate::core::cluster::wire::RECONNECT_AFTER;
 use crate::core::cluster::wire::SILENCE_MOST;
 use crate::core::cluster::wire::SLOTS_TOLD;
 use crate::core::cluster::wire::TELL_ALL_EVERY;
@@ -113,16 +112,9 @@
 
     /// Opens a connection again and again while it is wanted.
     async fn keep_one(self: Rc<Self>, address: SocketAddr) {
-        let timers = self.entry.timers.clone();
-        while self.kept.borrow().contains(&address) {
-            match socket::connect_within(&timers, address, CONNECT_WITHIN).await {
-                Ok(stream) => self.run(address, stream).await,
-                Err(error) => {
-                    log::debug!("event=control_unreachable address={address} error={error:?}");
-                }
-            }
-            timers.sleep(RECONNECT_AFTER).await;
-        }
+        let wanted = || self.kept.borrow().contains(&address);
+        let run = async |stream| self.run(address, stream).await;
+        keep_connected(&self.entry.timers, address, wanted, run).await;
     }
 
     async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -14,11 +14,10 @@
 use vaneway_registry::InstanceId;
 use vaneway_registry::Report;
 
+use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::wire::BetweenControl;
-use crate::core::cluster::wire::CONNECT_WITHIN;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::PING_EVERY;
-use crate::core::cluster::wire::RECONNECT_AFTER;
 use crate::core::cluster::wire::SILENCE_MOST;
 use crate::core::cluster::wire::SLOTS_TOLD;
 use crate::core::cluster::wire::TELL_ALL_EVERY;
@@ -35,7 +34,6 @@
 use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
 use crate::util::logline::Line;
-use crate::util::socket;
 use crate::util::socket::SocketListener;
 use crate::util::socket::SocketStream;
 
@@ -337,13 +335,8 @@
 
 async fn keep_peer(control: Rc<Control>, address: SocketAddr) {
     let wanted = || control.peers.borrow().contains_key(&address);
-    while wanted() {
-        match socket::connect_within(&control.timers, address, CONNECT_WITHIN).await {
-            Ok(stream) => run_peer(&control, address, stream).await,
-            Err(error) => log::debug!("event=peer_unreachable address={address} error={error:?}"),
-        }
-        control.timers.sleep(RECONNECT_AFTER).await;
-    }
+    let run = async |stream| run_peer(&control, address, stream).await;
+    keep_connected(&control.timers, address, wanted, run).await;
 }
 
 async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
--- a/crates/vaneway-server/src/core/control/own.rs
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -19,6 +19,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::LOCATION;
+use serde_json::Value;
 use serde_json::json;
 use vaneway_capacity::Kind;
 use vaneway_capacity::Order;
@@ -136,16 +137,20 @@
 #[derive(Debug, Clone, Copy)]
 pub struct OwnCloud;
 
+fn call(path: &str, body: &Value) -> EndpointRequest {
+    Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("the parts of the request are valid")
+}
+
 impl CloudProtocol for OwnCloud {
     fn usage_report(&self, holder: &Holder, window: Window, counts: &Counts) -> EndpointRequest {
         let body = json!({
             "window": window, "counts": counts, "holder": holder.name, "fence": holder.fence,
         });
-        Request::builder()
-            .method(Method::POST)
-            .uri("/v1/usage")
-            .body(Full::new(Bytes::from(body.to_string())))
-            .expect("the parts of the request are valid")
+        call("/v1/usage", &body)
     }
 
     fn capacity_order(&self, holder: &Holder, service: &str, order: &Order) -> EndpointRequest {
@@ -157,10 +162,6 @@
             "holder": holder.name,
             "fence": holder.fence,
         });
-        Request::builder()
-            .method(Method::POST)
-            .uri("/v1/capacity")
-            .body(Full::new(Bytes::from(body.to_string())))
-            .expect("the parts of the request are valid")
+        call("/v1/capacity", &body)
     }
 }
--- a/crates/vaneway-server/src/core/control/remembered.rs
+++ b/crates/vaneway-server/src/core/control/remembered.rs
@@ -64,10 +64,9 @@
 }
 
 fn read(control: &Control) -> Result<Vec<Report>, String> {
-    let bytes = match std::fs::read(path(control)) {
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
-        read => read.map_err(|error| format!("the file can't be read: {error}"))?,
-    };
+    let bytes = durable_file::read(&path(control));
+    let bytes = bytes.map_err(|error| format!("the file can't be read: {error}"))?;
+    let Some(bytes) = bytes else { return Ok(Vec::new()) };
     let recovered = vaneway_log::recover(&bytes).map_err(|error| error.to_string())?;
     let record = recovered.records.first().ok_or("the file has no whole record")?;
     let record: Record = postcard::from_bytes(record).map_err(|error| error.to_string())?;
@@ -127,8 +126,6 @@
 async fn write(control: &Control, endpoints: Vec<Report>) -> io::Result<()> {
     let record = Record { written: clock::since_epoch(), endpoints };
     let payload = postcard::to_stdvec(&record).map_err(io::Error::other)?;
-    let mut framed = Vec::with_capacity(payload.len() + vaneway_log::HEADER_BYTES);
-    vaneway_log::append(&mut framed, &payload);
-    durable_file::replace(&path(control), framed).await?;
+    durable_file::replace(&path(control), vaneway_log::record(&payload)).await?;
     Ok(())
 }
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -53,12 +53,11 @@
         let heard_of = entry.registry.borrow().get(&report.instance).is_some();
         !heard_of && !entry.registered.borrow().contains_key(&report.instance)
     };
-    let reports: Vec<&Report> = reports.iter().filter(unknown).collect();
-    let mut added = Vec::new();
-    for report in reports {
-        let Some(details) = &report.details else { continue };
-        added.push((report.instance.clone(), add(entry, &report.instance, details)));
-    }
+    let added = reports.iter().filter(unknown).filter_map(|report| {
+        let endpoint = add(entry, &report.instance, report.details.as_ref()?);
+        Some((report.instance.clone(), endpoint))
+    });
+    let added: Vec<_> = added.collect();
     if added.is_empty() {
         return;
     }
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -160,6 +160,11 @@
         self.tokens
     }
 
+    /// Whether a piece of the answer has arrived.
+    pub fn is_arriving(&self) -> bool {
+        self.arriving
+    }
+
     /// Counts that a piece of the answer arrived, and with the first that the work has begun.
     pub fn heard(&mut self) {
         let now = Instant::now();
--- a/crates/vaneway-server/src/util/durable_file.rs
+++ b/crates/vaneway-server/src/util/durable_file.rs
@@ -1,6 +1,7 @@
-//! Files that are replaced as a whole, so that after a loss of power either the one before or the
-//! new one is there.
+//! Files that survive a loss of power. One that is replaced as a whole is then either the one before
+//! or the new one.
 
+use std::fs::File;
 use std::io;
 use std::path::Path;
 
@@ -10,6 +11,27 @@
 /// Ending of the name under which a file is written before it takes the other's place.
 const NEW_ENDING: &str = "new";
 
+/// The bytes of a file, if there is one.
+///
+/// # Errors
+///
+/// The operating system's.
+pub fn read(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    match std::fs::read(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        read => read.map(Some),
+    }
+}
+
+/// Makes the names of a folder's files durable.
+///
+/// # Errors
+///
+/// The operating system's.
+pub fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
 /// Replaces the file `path` by one with `bytes` and returns it, open for writing. Once this has
 /// succeeded, the file and its name are durable.
 ///
--- a/crates/vaneway-server/src/util/logline.rs
+++ b/crates/vaneway-server/src/util/logline.rs
@@ -7,13 +7,12 @@
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use env_logger::Env;
 use env_logger::Target;
 use log::Level;
 
+use crate::util::clock;
 use crate::util::log_output::Budgets;
 use crate::util::log_output::Output;
 use crate::util::log_output::Stdout;
@@ -27,7 +26,7 @@
     let mut builder = env_logger::Builder::from_env(env);
     builder.target(Target::Pipe(Box::new(Output::new(Stdout))));
     builder.format(|out, record| {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = clock::since_epoch();
         let level = record.level().as_str().to_ascii_lowercase();
         let millis = since.subsec_millis();
         writeln!(out, "time={}.{millis:03} level={level} {}", since.as_secs(), record.args())
@@ -45,10 +44,10 @@
 /// assert_eq!(line, r#"event=stopped open=3 why="drain deadline""#);
 /// ```
 #[derive(Debug, Clone)]
-pub struct Line {
-    kind: String,
-    text: String,
-}
+pub struct Line(String);
+
+/// What every line begins with, before its kind.
+const EVENT: &str = "event=";
 
 thread_local! {
     /// Lines of each kind that this thread logged; all of a process's work is on one.
@@ -58,7 +57,7 @@
 impl Line {
     /// A line for `event`.
     pub fn new(event: &str) -> Self {
-        Self { kind: event.to_owned(), text: format!("event={event}") }
+        Self(format!("{EVENT}{event}"))
     }
 
     /// Adds a pair; a value with blanks or quotes is quoted.
@@ -71,9 +70,9 @@
         let value = value.to_string();
         let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n', '\t']);
         let written = if plain {
-            write!(self.text, " {key}={value}")
+            write!(self.0, " {key}={value}")
         } else {
-            write!(self.text, " {key}={value:?}")
+            write!(self.0, " {key}={value:?}")
         };
         written.expect("writing to a string does not fail");
         self
@@ -81,7 +80,13 @@
 
     /// The line's text.
     pub fn build(self) -> String {
-        self.text
+        self.0
+    }
+
+    /// The kind of event.
+    fn kind(&self) -> &str {
+        let text = &self.0[EVENT.len()..];
+        text.split_once(' ').map_or(text, |(kind, _)| kind)
     }
 
     /// Logs the line at level `info`.
@@ -101,12 +106,12 @@
 
     fn log(self, level: Level) {
         let now = Instant::now();
-        let admission = BUDGETS.with_borrow_mut(|budgets| budgets.admit(now, &self.kind));
+        let admission = BUDGETS.with_borrow_mut(|budgets| budgets.admit(now, self.kind()));
         for (kind, count) in admission.left_out {
             log::warn!("event=log_lines_left_out kind={kind} count={count}");
         }
         if admission.written {
-            log::log!(level, "{}", self.text);
+            log::log!(level, "{}", self.0);
         }
     }
 }
