--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -125,7 +125,7 @@
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
     let passes = |name: &&HeaderName| {
-        !own.contains(name)
+        !own.iter().any(|own| is_same_name(own, name))
             && !HOP_HEADERS.contains(name)
             && !named.iter().any(|listed| listed == name.as_str())
     };
@@ -136,6 +136,12 @@
     headers.keys().filter(passes).fold(builder, add)
 }
 
+/// Whether two names may be taken for the same header: some servers read an underscore as a hyphen.
+fn is_same_name(a: &HeaderName, b: &HeaderName) -> bool {
+    let folded = |name: &HeaderName| name.as_str().replace('_', "-");
+    a == b || (b.as_str().contains('_') && folded(a) == folded(b))
+}
+
 /// Takes the headers of one connection out of an answer.
 pub fn remove_hop_headers(headers: &mut HeaderMap) {
     for name in HOP_HEADERS {
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -155,6 +155,50 @@
     assert!(left <= 900, "{left}");
 }
 
+/// Headers by which the system tells endpoints what to do with memory, versions and places.
+const OF_THE_SYSTEM: [&str; 6] =
+    ["x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "kv-fetch", "x-expect-version"];
+
+#[test]
+fn header_of_the_system_never_passes_from_a_caller_however_it_is_spelled() {
+    let setup = Setup::start();
+    let spelled = |name: &str| {
+        let mixed: String = name
+            .char_indices()
+            .map(|(i, c)| if i % 2 == 0 { c.to_ascii_uppercase() } else { c })
+            .collect();
+        [name.to_owned(), mixed, name.replace('-', "_"), name.to_ascii_uppercase()]
+    };
+    let names: Vec<String> = OF_THE_SYSTEM.iter().flat_map(|name| spelled(name)).collect();
+    let statuses = block_on(async {
+        let mut statuses = Vec::new();
+        for (i, name) in names.iter().enumerate() {
+            let id = format!("q{i}");
+            // Once, doubled, and as a header of the connection.
+            let once = [(&**name, "1")];
+            let doubled = [(&**name, "1"), (&**name, "forged")];
+            let named = [(&**name, "1"), ("connection", &**name)];
+            for (path, mut sent, own) in [
+                ("/once/x", headers(&id, "900"), &once[..]),
+                ("/stream/x", stream_headers(&id), &doubled[..]),
+                ("/stream/x", stream_headers(&id), &named[..]),
+            ] {
+                sent.extend(own);
+                let answer = setup.caller().send_with(Method::POST, path, &sent, "b").await;
+                statuses.push(answer.status);
+            }
+        }
+        statuses
+    });
+    assert_eq!(statuses, vec![200; 3 * names.len()]);
+    let seen: Vec<_> = setup.endpoints.iter().flat_map(WireEndpoint::seen).collect();
+    assert_eq!(seen.len(), 3 * names.len());
+    let passed = seen.iter().flat_map(|seen| seen.headers.keys());
+    let forged: Vec<_> =
+        passed.filter(|name| OF_THE_SYSTEM.contains(&&*name.replace('_', "-"))).collect();
+    assert_eq!(forged, Vec::<&String>::new());
+}
+
 #[test]
 fn request_that_is_not_allowed_never_reaches_an_endpoint() {
     let setup = Setup::start();
