--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -135,8 +135,7 @@
     let call = Call {
         events: CallEvents::new(open, &entry.timers, plan.deadline),
         relay: Relay::new(plan),
-        reply: Reply { tx: Some(tx), head: None, outbox: None },
-        response: None,
+        reply: Reply { tx: Some(tx), answer: Answer::Nothing },
         failure: None,
         stalled: None,
         began: false,
@@ -157,25 +156,39 @@
     error
 }
 
+/// The answer as far as it is there. A later attempt takes the place of an earlier one, unless
+/// events are under way to the caller already.
+enum Answer {
+    Nothing,
+    /// An endpoint's own failure, for the caller if no other endpoint does better.
+    Failed(Response<CallerBody>),
+    Whole(Response<CallerBody>),
+    /// Head of an event stream, which the caller gets with its first event.
+    Head(response::Parts),
+    /// Events are under way to the caller.
+    Events(Outbox),
+}
+
 /// The way to the caller.
 struct Reply {
     tx: Option<oneshot::Sender<Result<Response<CallerBody>, ApiError>>>,
-    /// Head of the first event stream, which the caller gets with its first event.
-    head: Option<response::Parts>,
-    outbox: Option<Outbox>,
+    answer: Answer,
 }
 
 impl Reply {
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        match (&mut self.tx, &self.outbox) {
+        match (&mut self.tx, &self.answer) {
             (Some(tx), _) => tx.poll_canceled(cx),
-            (None, Some(outbox)) => outbox.poll_gone(cx),
-            (None, None) => Poll::Pending,
+            (None, Answer::Events(outbox)) => outbox.poll_gone(cx),
+            (None, _) => Poll::Pending,
         }
     }
 
     fn poll_room(&self, cx: &mut Context<'_>) -> Poll<()> {
-        self.outbox.as_ref().map_or(Poll::Ready(()), |outbox| outbox.poll_room(cx))
+        match &self.answer {
+            Answer::Events(outbox) => outbox.poll_room(cx),
+            _ => Poll::Ready(()),
+        }
     }
 
     fn send(&mut self, answer: Result<Response<CallerBody>, ApiError>) {
@@ -185,13 +198,30 @@
         }
     }
 
+    /// Takes the head of an event stream; the first one stays.
+    fn begin(&mut self, head: response::Parts) {
+        if matches!(self.answer, Answer::Nothing | Answer::Failed(_)) {
+            self.answer = Answer::Head(head);
+        }
+    }
+
+    /// Takes an endpoint's failure, unless the caller has events already.
+    fn fail(&mut self, response: Response<CallerBody>) {
+        if !matches!(self.answer, Answer::Events(_)) {
+            self.answer = Answer::Failed(response);
+        }
+    }
+
     fn push(&mut self, limit: usize, bytes: &[u8]) {
-        if let Some(head) = self.head.take() {
-            let (outbox, body) = outbox(limit);
-            self.outbox = Some(outbox);
-            self.send(Ok(Response::from_parts(head, CallerBody::Fed(body))));
+        match std::mem::replace(&mut self.answer, Answer::Nothing) {
+            Answer::Head(head) => {
+                let (outbox, body) = outbox(limit);
+                self.answer = Answer::Events(outbox);
+                self.send(Ok(Response::from_parts(head, CallerBody::Fed(body))));
+            }
+            answer => self.answer = answer,
         }
-        if let Some(outbox) = &self.outbox {
+        if let Answer::Events(outbox) = &self.answer {
             outbox.push(bytes);
         }
     }
@@ -205,7 +235,6 @@
     events: CallEvents,
     relay: Relay,
     reply: Reply,
-    response: Option<Response<CallerBody>>,
     failure: Option<Failure>,
     /// Runs while the caller takes nothing.
     stalled: Option<Sleep>,
@@ -288,10 +317,8 @@
     fn received(&mut self, attempt: AttemptId, endpoint: EndpointId, item: Item) -> Event {
         match item {
             Item::Head(mut head) => {
-                if self.reply.tx.is_some() && self.reply.head.is_none() {
-                    self.protocol.pass_headers(&mut head.headers);
-                    self.reply.head = Some(head);
-                }
+                self.protocol.pass_headers(&mut head.headers);
+                self.reply.begin(head);
                 Event::Head { attempt }
             }
             Item::Event(RawEvent { number, bytes }) => {
@@ -309,13 +336,14 @@
                 if self.relay.splice().opened() {
                     return Event::Answered { attempt };
                 }
-                self.response = Some(response);
+                self.reply.answer = Answer::Whole(response);
                 Event::Ended { attempt, outcome: Outcome::Done }
             }
             Item::Failed(response) => {
                 let cause = format!("the endpoint answered {}", response.status().as_u16());
-                self.response = Some(response);
-                self.ended(attempt, endpoint, Outcome::Unknown, &cause)
+                self.reply.fail(response);
+                // It answers, so it is not lost.
+                self.note_end(attempt, endpoint, Outcome::Unknown, &cause)
             }
             Item::Ended { outcome, cause, replaced } => {
                 if replaced {
@@ -338,12 +366,21 @@
             Outcome::Refused => {
                 self.entry.pool.borrow_mut().refused(Instant::now(), endpoint);
             }
-            // It answers, so it is not lost.
-            Outcome::Unknown if self.response.is_some() => {}
             Outcome::NotSent | Outcome::Unknown => {
                 self.entry.report(endpoint, EndpointEvent::Failed);
             }
         }
+        self.note_end(attempt, endpoint, outcome, cause)
+    }
+
+    /// Counts and logs the end of an attempt.
+    fn note_end(
+        &mut self,
+        attempt: AttemptId,
+        endpoint: EndpointId,
+        outcome: Outcome,
+        cause: &str,
+    ) -> Event {
         if outcome == Outcome::Unknown {
             self.count_begun();
         }
@@ -443,25 +480,26 @@
             (None, state) => state.name(),
         };
         self.entry.metrics.requests.with_label_values(&[&self.request.service_name, end]).inc();
-        if self.failure.is_some() && self.reply.tx.is_some() && self.response.is_some() {
+        match (self.failure, std::mem::replace(&mut self.reply.answer, Answer::Nothing)) {
             // What an endpoint said of its failure goes before what this box can say.
-            self.failure = None;
-        }
-        if let Some(failure) = self.failure {
-            self.events.log_failure(&self.request.id, failure, self.relay.moves().attempts);
-            // An answer that has begun is cut off when the outbox is dropped unfinished.
-            self.reply.send(Err(ApiError::failed(failure)));
-        } else if let Some(response) = self.response.take() {
-            self.reply.send(Ok(response));
-        } else if let Some(outbox) = self.reply.outbox.take() {
-            outbox.finish();
-        } else if let Some(head) = self.reply.head.take() {
+            (_, Answer::Failed(response)) | (None, Answer::Whole(response)) => {
+                self.reply.send(Ok(response));
+            }
+            (None, Answer::Events(outbox)) => outbox.finish(),
             // A stream that ended without an event.
-            let body = CallerBody::full(bytes::Bytes::new());
-            self.reply.send(Ok(Response::from_parts(head, body)));
-        } else {
-            let failure = Failure { kind: FailureKind::OutcomeUnknown, run: RunState::Unknown };
-            self.reply.send(Err(ApiError::failed(failure)));
+            (None, Answer::Head(head)) => {
+                let body = CallerBody::full(bytes::Bytes::new());
+                self.reply.send(Ok(Response::from_parts(head, body)));
+            }
+            (None, Answer::Nothing) => {
+                let failure = Failure { kind: FailureKind::OutcomeUnknown, run: RunState::Unknown };
+                self.reply.send(Err(ApiError::failed(failure)));
+            }
+            // An answer that has begun is cut off, since its outbox is dropped unfinished.
+            (Some(failure), _) => {
+                self.events.log_failure(&self.request.id, failure, self.relay.moves().attempts);
+                self.reply.send(Err(ApiError::failed(failure)));
+            }
         }
     }
 }
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -36,6 +36,10 @@
     BreakAfter(u32),
     /// Begins streams and never goes on.
     Hang,
+    /// Runs streams and answers with 500 and a body that comes piece by piece.
+    FailStream,
+    /// Begins streams and breaks the connection before the first event.
+    EndEarly,
 }
 
 /// A request as the endpoint got it.
@@ -167,6 +171,23 @@
         Behaviour::Fail => {
             answer(StatusCode::INTERNAL_SERVER_ERROR, &id, &instance, CallerBody::full(body))
         }
+        Behaviour::FailStream => {
+            let (tx, rx) = outbox(STREAM_BYTES);
+            tx.push(&body);
+            tx.finish();
+            answer(StatusCode::INTERNAL_SERVER_ERROR, &id, &instance, CallerBody::Fed(rx))
+        }
+        Behaviour::EndEarly => {
+            let (tx, rx) = outbox(STREAM_BYTES);
+            tx.push(b"id: 1\n");
+            // Time for the head and a part of the event to arrive.
+            compio::runtime::spawn(async move {
+                compio::time::sleep(std::time::Duration::from_millis(50)).await;
+                drop(tx);
+            })
+            .detach();
+            answer(StatusCode::OK, &id, &instance, CallerBody::Fed(rx))
+        }
         Behaviour::LoseAnswer => {
             let (tx, rx) = outbox(STREAM_BYTES);
             drop(tx);
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -309,6 +309,51 @@
     assert_eq!((seen.len(), after), (2, vec![&"4".to_owned()]));
 }
 
+#[test]
+fn stream_is_whole_whenever_its_second_attempt_is() {
+    let ways = [
+        Behaviour::Fail,
+        Behaviour::Refuse,
+        Behaviour::LoseAnswer,
+        Behaviour::AnswerAnother,
+        Behaviour::FailStream,
+        Behaviour::EndEarly,
+        Behaviour::BreakAfter(1),
+        Behaviour::BreakAfter(9),
+    ];
+    for first in ways {
+        let setup = Setup::start();
+        setup.first_misbehaves(first);
+        let answers = block_on(async {
+            let mut answers = Vec::new();
+            // Enough that some go to the first endpoint first, however they are placed.
+            for i in 0..12 {
+                let id = format!("q{i}");
+                let sent = stream_headers(&id);
+                let caller = setup.caller();
+                let answer = caller.send_with(Method::POST, "/stream/x", &sent, "prompt").await;
+                let body = String::from_utf8_lossy(&answer.body).into_owned();
+                answers.push((answer.status, answer.whole, body));
+            }
+            answers
+        });
+        assert_eq!(answers, vec![(200, true, events(0)); 12], "{first:?}");
+        assert!(!setup.endpoints[0].seen().is_empty(), "{first:?} was met");
+    }
+}
+
+#[test]
+fn failure_after_a_failure_is_told_as_the_endpoint_told_it() {
+    let setup = Setup::start();
+    setup.behave(Behaviour::Fail);
+    let answer = block_on(async {
+        let sent = stream_headers("q");
+        setup.caller().send_with(Method::POST, "/stream/x", &sent, "prompt").await
+    });
+    assert_eq!((answer.status, answer.whole, setup.runs("q")), (500, true, 2));
+    assert!(answer.body == b"prompt"[..], "the endpoint's body");
+}
+
 #[test]
 fn stream_that_may_run_once_is_cut_off_where_its_endpoint_broke_it_off() {
     let setup = Setup::start();
