--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -96,6 +96,9 @@
     pub busy_scarce: f64,
     /// On-demand replicas that are always kept.
     pub on_demand_least: u32,
+    /// Availability zones whose reclaimable replicas may be lost at once, or one soon after the
+    /// other, without an order: the next reclaim may come before what was ordered has started.
+    pub zones_spare: u32,
     /// How long the highest demand counts.
     pub demand_kept: Duration,
     /// Time after a refusal or a reclaim in which none are counted on.
@@ -108,6 +111,7 @@
             busy_most: 0.5,
             busy_scarce: 0.9,
             on_demand_least: 2,
+            zones_spare: 1,
             demand_kept: Duration::from_secs(20),
             distrust: Duration::from_secs(3),
         }
@@ -133,6 +137,8 @@
     policy: Policy,
     /// The highest demands of late, the latest last; each is higher than all behind it.
     demands: Vec<(Instant, f64)>,
+    /// Demand while none is known.
+    assumed: Option<f64>,
     sent: BTreeMap<(ZoneName, Kind), Sent>,
     /// When reclaimable replicas were last refused or taken back in a zone.
     distrusted: BTreeMap<ZoneName, Instant>,
@@ -163,12 +169,18 @@
 impl Planner {
     /// A planner that has ordered nothing.
     pub fn new(policy: Policy) -> Self {
-        Self { policy, demands: Vec::new(), sent: BTreeMap::new(), distrusted: BTreeMap::new() }
+        Self {
+            policy,
+            demands: Vec::new(),
+            assumed: None,
+            sent: BTreeMap::new(),
+            distrusted: BTreeMap::new(),
+        }
     }
 
     /// What to order now.
     pub fn plan(&mut self, now: Instant, input: &Input) -> Vec<Order> {
-        let Some(demand) = self.highest_demand(now, input.demand) else { return Vec::new() };
+        let demand = self.highest_demand(now, input);
         let need = Need {
             plenty: replicas(demand, self.policy.busy_most),
             scarce: replicas(demand, self.policy.busy_scarce),
@@ -218,13 +230,16 @@
         }
     }
 
-    /// The highest demand of late.
-    fn highest_demand(&mut self, now: Instant, demand: Option<f64>) -> Option<f64> {
-        let demand = demand?;
+    /// The highest demand of late. While none is known, the fleet that ran at first is taken to be
+    /// what the load needs.
+    fn highest_demand(&mut self, now: Instant, input: &Input) -> f64 {
+        let running: u32 = input.running.values().sum();
+        let assumed = *self.assumed.get_or_insert(f64::from(running) * self.policy.busy_most);
+        let demand = input.demand.unwrap_or(assumed);
         let kept = self.policy.demand_kept;
         self.demands.retain(|(at, higher)| now < *at + kept && *higher > demand);
         self.demands.push((now, demand));
-        self.demands.first().map(|(_, highest)| *highest)
+        self.demands.first().map_or(demand, |(_, highest)| *highest)
     }
 
     fn is_trusted(&self, now: Instant, zone: &str) -> bool {
@@ -243,8 +258,9 @@
             let zone = zones[(i % count) as usize];
             wanted.entry(zone.name.clone()).or_default().on_demand += 1;
         }
-        // Enough is left when any one zone's are lost.
-        let spread = (need.plenty - base).div_ceil(count.saturating_sub(1).max(1));
+        // Enough is left when the zones that may be lost are.
+        let left = count.saturating_sub(self.policy.zones_spare).max(1);
+        let spread = (need.plenty - base).div_ceil(left);
         for wanted in wanted.values_mut() {
             let least = input.least.saturating_sub(wanted.on_demand);
             let room = input.most.saturating_sub(wanted.on_demand);
--- /dev/null
+++ b/crates/vaneway-engine/src/demand.rs
@@ -0,0 +1,75 @@
+//! How many replicas a load keeps busy.
+
+use crate::Speeds;
+
+/// Most of an engine's time that is taken to go into reading when its pace is corrected for it;
+/// above it the pace says nothing of an engine that only generates.
+const READING_MOST: f64 = 0.8;
+
+/// Work that arrives in a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Rates {
+    /// Runs.
+    pub runs: f64,
+    /// Prompt tokens of these.
+    pub prompt: f64,
+    /// Prompt tokens that must be read.
+    pub unread: f64,
+}
+
+/// What one replica has, as the configuration says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineSize {
+    /// Runs at once.
+    pub places: u32,
+    /// Tokens that its memory holds; 0 if unknown.
+    pub memory: u64,
+}
+
+/// Replicas that a load keeps busy, by what keeps them busy.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Demand {
+    /// Reading prompts.
+    pub reading: f64,
+    /// Generating, with every place of a replica taken.
+    pub generating: f64,
+    /// Holding prompts in memory.
+    pub memory: f64,
+}
+
+impl Demand {
+    /// Replicas in all. Reading and generating take turns at an engine, so they add up; memory is
+    /// held meanwhile.
+    pub fn replicas(&self) -> f64 {
+        (self.reading + self.generating).max(self.memory)
+    }
+
+    /// What most of it comes from, for the log.
+    pub fn binding(&self) -> &'static str {
+        if self.memory > self.reading + self.generating {
+            "memory"
+        } else if self.reading > self.generating {
+            "reading"
+        } else {
+            "generating"
+        }
+    }
+}
+
+impl Speeds {
+    /// The replicas that `rates` keep busy, where `running` replicas serve now.
+    pub fn demand(&self, rates: Rates, size: EngineSize, running: u32) -> Demand {
+        let reading = rates.unread * self.token;
+        // The pace that was seen holds the reading of other prompts between events.
+        let read_part = (reading / f64::from(running.max(1))).min(READING_MOST);
+        let alone = self.pause * (1.0 - read_part);
+        let generating = rates.runs * self.pauses * alone / f64::from(size.places.max(1));
+        let held_for = self.first + self.pauses * self.pause;
+        let memory = if size.memory == 0 {
+            0.0
+        } else {
+            rates.prompt * held_for / size.memory as f64
+        };
+        Demand { reading, generating, memory }
+    }
+}
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -417,10 +417,9 @@
             Start::Fresh => None,
             Start::Resume { after } | Start::Continue { after } => Some(after),
         };
-        let occupancy = self.entry.occupy(endpoint, 1, self.request.work.as_ref());
-        if self.request.work.is_some() {
-            let mut used = self.entry.used.borrow_mut();
-            used.add_work(&self.request.service_name, occupancy.tokens());
+        let mut occupancy = self.entry.occupy(endpoint, 1, self.request.work.as_ref());
+        if let Some(work) = &self.request.work {
+            occupancy.watch(&self.request.service_name, work.prompt_tokens.into());
         }
         let sending = Attempt {
             occupancy,
@@ -646,7 +645,8 @@
         let event = RawEvent { number: None, bytes: rest };
         return (Item::Event(event), Stage::Reading(reading));
     }
-    let Reading { entry, addr, body, mut attempt, .. } = *reading;
+    let Reading { entry, addr, body, mut attempt, mut occupancy, .. } = *reading;
+    occupancy.ended();
     let outcome = attempt.handle(AttemptEvent::End).unwrap_or(Outcome::Done);
     entry.connections.put(addr, body);
     (Item::ended(outcome, ""), Stage::Over)
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -177,7 +177,7 @@
             windows,
             quotas: self.entry.own_quota_use(first),
             loads: self.entry.open_loads(),
-            work: self.entry.used.borrow().work(),
+            work: self.entry.used.borrow_mut().work(),
         }
     }
 
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -12,12 +12,12 @@
 use vaneway_capacity::Planner;
 use vaneway_capacity::Zone;
 use vaneway_capacity::ZoneName;
+use vaneway_engine::Demand;
+use vaneway_engine::EngineSize;
 use vaneway_registry::Standing;
 
 use crate::core::configuration::CapacitySpec;
-use crate::core::configuration::Configuration;
-use crate::core::configuration::OrganisationSpec;
-use crate::core::configuration::QuotaUnit;
+use crate::core::configuration::ServiceSpec;
 use crate::core::control::duties;
 use crate::core::control::duties::CallEnd;
 use crate::core::control::protocol::CloudProtocol;
@@ -25,29 +25,16 @@
 use crate::core::settings::CloudSettings;
 use crate::util::logline::Line;
 
-/// Tokens of prompts that an engine reads in a second, between the tokens of other requests. The
-/// users' sheets give 32.4 a millisecond for the engine alone.
-const ENGINE_TOKENS_A_SECOND: f64 = 29_000.0;
-
-/// Part of what quotas allow that is taken for the demand before any was measured: organisations
-/// rarely use all, and engines keep much of the prompts.
-const QUOTA_DEMAND: f64 = 0.25;
-
 /// Silence after which a replica no longer counts as running.
 const HEARD_WITHIN: Duration = Duration::from_secs(5);
 
 /// Time after the start of a control box before it knows all replicas by their heartbeats.
 const KNOWS_AFTER: Duration = Duration::from_secs(3);
 
-/// Time after the first work before the demand that was measured stands alone.
-const MEASURED_AFTER: Duration = Duration::from_secs(4);
-
 /// The planners of the services for which replicas may be ordered.
 #[derive(Debug, Default)]
 pub struct Orders {
     planners: BTreeMap<String, Planner>,
-    /// When the first demand was measured.
-    demand_since: Option<Instant>,
 }
 
 impl Orders {
@@ -65,8 +52,9 @@
         let configuration = &held.configuration;
         for service in &configuration.services {
             let Some(spec) = &service.capacity else { continue };
-            let demand = self.demand(control, configuration, &service.name);
-            let input = input(control, &service.name, spec, demand);
+            let mut input = input(control, &service.name, spec);
+            let seen = demand(control, service, input.running.values().sum());
+            input.demand = seen.map(|demand| demand.replicas());
             let planner = self.planners.entry(service.name.clone());
             let planner = planner.or_insert_with(|| Planner::new(control.settings.capacity));
             for order in planner.plan(Instant::now(), &input) {
@@ -79,47 +67,39 @@
                     .with("availability_zone", &order.zone)
                     .with("kind", format!("{:?}", order.kind))
                     .with("count", order.count)
-                    .with("demand", format!("{:.2}", input.demand.unwrap_or_default()))
+                    .with("demand", seen.map_or("unknown".to_owned(), describe))
                     .with("answer", format!("{answer:?}"))
                     .info();
                 planner.answered(Instant::now(), &order, answer);
             }
         }
     }
+}
 
-    /// The demand for a service in replicas: measured, or by the quotas before there is any.
-    fn demand(
-        &mut self,
-        control: &Control,
-        configuration: &Configuration,
-        service: &str,
-    ) -> Option<f64> {
-        let now = control.now();
-        let tokens = control.use_ledger.borrow().demand(now, service);
-        if tokens > 0.0 {
-            self.demand_since.get_or_insert_with(Instant::now);
-        }
-        let measured = self.demand_since.is_some_and(|since| since.elapsed() > MEASURED_AFTER);
-        let tokens = if measured {
-            tokens
-        } else {
-            tokens.max(quota_tokens(&configuration.organisations)? * QUOTA_DEMAND)
-        };
-        Some(tokens / ENGINE_TOKENS_A_SECOND)
-    }
+/// The demand for a service; none while too little was seen of its engines.
+fn demand(control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
+    let engine = service.engine.as_ref()?;
+    let ledger = control.use_ledger.borrow();
+    let speeds = ledger.speeds(&service.name);
+    let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
+    let rates = ledger.rates(control.now(), &service.name);
+    speeds.are_known().then(|| speeds.demand(rates, size, running))
 }
 
-/// Tokens a second that all organisations may use; none if one has no limit in tokens.
-fn quota_tokens(organisations: &[OrganisationSpec]) -> Option<f64> {
-    let rates = organisations.iter().map(|organisation| match organisation.unit {
-        QuotaUnit::Tokens { .. } => organisation.rate,
-        QuotaUnit::Requests => None,
-    });
-    let rates: Option<Vec<f64>> = rates.collect();
-    rates.filter(|rates| !rates.is_empty()).map(|rates| rates.iter().sum())
+/// A demand for the log: replicas, and what keeps them busy.
+fn describe(demand: Demand) -> String {
+    format!(
+        "{:.2},reading:{:.2},generating:{:.2},memory:{:.2},binding:{}",
+        demand.replicas(),
+        demand.reading,
+        demand.generating,
+        demand.memory,
+        demand.binding(),
+    )
 }
 
-fn input(control: &Control, service: &str, spec: &CapacitySpec, demand: Option<f64>) -> Input {
+/// What runs of a service and what may be ordered; the demand is filled in later.
+fn input(control: &Control, service: &str, spec: &CapacitySpec) -> Input {
     let now = Instant::now();
     let mut running = BTreeMap::<(ZoneName, Kind), u32>::new();
     let mut leaving = BTreeMap::<ZoneName, u32>::new();
@@ -138,7 +118,7 @@
     }
     let zones = spec.prices.iter();
     Input {
-        demand,
+        demand: None,
         zones: zones.map(|(name, price)| Zone { name: name.clone(), price: *price }).collect(),
         least: spec.least,
         most: spec.most,
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -11,6 +11,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use vaneway_engine::Observer;
+use vaneway_engine::Rates;
+use vaneway_engine::Run;
+use vaneway_engine::Speeds;
+use vaneway_engine::Totals;
 use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Slot;
 use vaneway_registry::InstanceId;
@@ -62,8 +67,8 @@
     windows: BTreeMap<Window, Counts>,
     /// Requests begun before the cluster's time was known.
     early: Vec<(Instant, String)>,
-    /// Tokens of prompts that endpoints of each service had to read.
-    work: BTreeMap<String, u64>,
+    /// What was seen of the engines of each service.
+    engines: BTreeMap<String, Observer>,
 }
 
 /// Most requests that wait for the cluster's time.
@@ -98,18 +103,30 @@
         }
     }
 
-    /// Counts work that was given to an endpoint of a service.
-    pub fn add_work(&mut self, service: &str, tokens: u64) {
-        if let Some(known) = self.work.get_mut(service) {
-            *known += tokens;
-        } else {
-            self.work.insert(service.to_owned(), tokens);
+    /// Counts a run that begins at an engine of a service.
+    pub fn begin_run(&mut self, service: &str, prompt: u64, unread: u64) {
+        self.engine(service).begin(prompt, unread);
+    }
+
+    /// Takes in what was seen of a run.
+    pub fn observe_run(&mut self, service: &str, run: &Run) {
+        self.engine(service).observe(run);
+    }
+
+    fn engine(&mut self, service: &str) -> &mut Observer {
+        if !self.engines.contains_key(service) {
+            self.engines.insert(service.to_owned(), Observer::default());
         }
+        self.engines.get_mut(service).expect("it was inserted")
     }
 
-    /// Work given to endpoints of each service, as it travels.
-    pub fn work(&self) -> Vec<(String, u64)> {
-        self.work.iter().map(|(service, tokens)| (service.clone(), *tokens)).collect()
+    /// Work given to the engines of each service, and how fast they were seen to be, as it travels.
+    pub fn work(&mut self) -> Vec<(String, EngineUse)> {
+        let engines = self.engines.iter_mut().map(|(service, observer)| {
+            let seen = EngineUse { totals: observer.totals(), speeds: observer.speeds() };
+            (service.clone(), seen)
+        });
+        engines.collect()
     }
 
     /// Requests begun in the latest windows, as they travel.
@@ -121,6 +138,15 @@
 /// Quota units of each organisation by slot.
 pub type QuotaUse = Vec<(String, Vec<(Slot, f64)>)>;
 
+/// What one entry box tells of the engines of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineUse {
+    /// Work given to them since the box started.
+    pub totals: Totals,
+    /// How fast they were seen to be.
+    pub speeds: Speeds,
+}
+
 /// What one entry box tells of its requests.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct UseReport {
@@ -130,8 +156,8 @@
     pub quotas: QuotaUse,
     /// What is open at endpoints now.
     pub loads: Vec<(InstanceId, Load)>,
-    /// Tokens of prompts that endpoints of each service had to read, since the box started.
-    pub work: Vec<(String, u64)>,
+    /// What was seen of the engines of each service.
+    pub work: Vec<(String, EngineUse)>,
 }
 
 /// Names one start of an entry box.
@@ -143,10 +169,10 @@
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
     slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, f64>>>,
     loads: BTreeMap<EntryStart, BTreeMap<InstanceId, Load>>,
-    /// Work since each entry box started, as last told.
-    work: BTreeMap<EntryStart, BTreeMap<String, u64>>,
+    /// What each entry box last told of the engines of each service.
+    work: BTreeMap<EntryStart, BTreeMap<String, EngineUse>>,
     /// Work told in the latest slots, by service.
-    arrived: BTreeMap<Slot, BTreeMap<String, u64>>,
+    arrived: BTreeMap<Slot, BTreeMap<String, Totals>>,
 }
 
 /// Windows that a control box remembers.
@@ -206,25 +232,39 @@
         self.merge_work(now, entry, &report.work);
     }
 
-    fn merge_work(&mut self, now: ClusterNow, entry: &EntryStart, work: &[(String, u64)]) {
+    fn merge_work(&mut self, now: ClusterNow, entry: &EntryStart, work: &[(String, EngineUse)]) {
         let told = self.work.insert(entry.clone(), work.iter().cloned().collect());
         // What was done before this box heard of the entry for the first time says nothing of now.
         let Some(told) = told else { return };
-        for (service, tokens) in work {
-            let new = tokens.saturating_sub(told.get(service).copied().unwrap_or_default());
+        for (service, seen) in work {
+            let before = told.get(service).copied().unwrap_or_default();
             let slot = self.arrived.entry(now.slot).or_default();
-            *slot.entry(service.clone()).or_default() += new;
+            *slot.entry(service.clone()).or_default() += seen.totals.since(before.totals);
         }
         while self.arrived.len() > DEMAND_SLOTS_KEPT {
             self.arrived.pop_first();
         }
     }
 
-    /// Tokens of prompts a second that endpoints of a service had to read lately.
-    pub fn demand(&self, now: ClusterNow, service: &str) -> f64 {
+    /// Work that arrived lately for the engines of a service.
+    pub fn rates(&self, now: ClusterNow, service: &str) -> Rates {
+        let mut sum = Totals::default();
         let slots = self.arrived.range(now.slot.saturating_sub(DEMAND_SLOTS)..now.slot);
-        let tokens: u64 = slots.filter_map(|(_, services)| services.get(service)).sum();
-        tokens as f64 / (DEMAND_SLOTS as f64 * vaneway_quota::SLOT.as_secs_f64())
+        for totals in slots.filter_map(|(_, services)| services.get(service)) {
+            sum += *totals;
+        }
+        let seconds = DEMAND_SLOTS as f64 * vaneway_quota::SLOT.as_secs_f64();
+        Rates {
+            runs: sum.runs as f64 / seconds,
+            prompt: sum.prompt as f64 / seconds,
+            unread: sum.unread as f64 / seconds,
+        }
+    }
+
+    /// How fast all entry boxes together have seen the engines of a service.
+    pub fn speeds(&self, service: &str) -> Speeds {
+        let told = self.work.values().filter_map(|services| services.get(service));
+        vaneway_engine::merge(&told.map(|seen| seen.speeds).collect::<Vec<_>>())
     }
 
     /// Forgets what an entry box that is gone has open.
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -16,6 +16,7 @@
     busy_most: 0.5,
     busy_scarce: 1.0,
     on_demand_least: 1,
+    zones_spare: 1,
     demand_kept: Duration::from_secs(20),
     distrust: Duration::from_secs(3),
 };
@@ -201,3 +202,19 @@
     cloud.pass(Duration::from_secs(20));
     assert_eq!(cloud.running(), 3, "{:?}", cloud.input.running);
 }
+
+#[test]
+fn while_the_demand_is_unknown_the_fleet_keeps_its_size_and_becomes_reclaimable() {
+    let mut cloud = Cloud::new();
+    cloud.input.demand = None;
+    let before = cloud.running();
+    cloud.pass(Duration::from_secs(20));
+    let of_kind = |cloud: &Cloud, kind: Kind| -> u32 {
+        let running = cloud.input.running.iter().filter(|((_, k), _)| *k == kind);
+        running.map(|(_, count)| count).sum()
+    };
+    assert_eq!(of_kind(&cloud, Kind::OnDemand), POLICY.on_demand_least);
+    let reclaimable = of_kind(&cloud, Kind::Reclaimable);
+    assert!(reclaimable >= before - POLICY.on_demand_least, "{reclaimable} of {before}");
+    assert!(reclaimable <= 2 * before, "{reclaimable} of {before}");
+}
--- /dev/null
+++ b/tests/testsuite/engine_speeds.rs
@@ -0,0 +1,153 @@
+//! Speeds of engines learned from runs, over made-up engines that differ a hundredfold.
+
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use vaneway_engine::Demand;
+use vaneway_engine::EngineSize;
+use vaneway_engine::Observer;
+use vaneway_engine::Rates;
+use vaneway_engine::Run;
+use vaneway_engine::Speeds;
+use vaneway_engine::merge;
+
+use crate::property;
+
+/// An engine as a simple formula, and what disturbs it.
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+struct Engine {
+    /// Tokens a millisecond: 1 to 100, on a scale of powers.
+    #[generator(bolero::generator::produce::<u32>().with().bounds(0..=100))]
+    reading: u32,
+    /// Milliseconds a pause: 1 to 100, on a scale of powers.
+    #[generator(bolero::generator::produce::<u32>().with().bounds(0..=100))]
+    pausing: u32,
+    /// Milliseconds before a first event besides the reading.
+    #[generator(bolero::generator::produce::<u32>().with().bounds(1..=100))]
+    fixed_ms: u32,
+    /// Runs of a hundred that take eight times as long.
+    #[generator(bolero::generator::produce::<u32>().with().bounds(0..=12))]
+    slow_of_100: u32,
+    seed: u64,
+}
+
+/// 1 to 100 by a hundred steps.
+fn power(steps: u32) -> f64 {
+    100.0_f64.powf(f64::from(steps) / 100.0)
+}
+
+impl Engine {
+    fn token(&self) -> f64 {
+        0.001 / power(self.reading)
+    }
+
+    fn pause(&self) -> f64 {
+        0.001 * power(self.pausing)
+    }
+
+    /// Runs with prompts of all sizes, some slow, all with waits that have nothing to do with them.
+    fn runs(&self, count: u32) -> Vec<Run> {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
+        let mut run = || {
+            let unread: u64 = rng.random_range(100..10_000);
+            let pauses: u32 = rng.random_range(4..60);
+            let slow = if rng.random_range(0..100) < self.slow_of_100 { 8.0 } else { 1.0 };
+            let wait = rng.random_range(0.0..0.3) * 10_000.0 * self.token();
+            let first = f64::from(self.fixed_ms) / 1_000.0 + unread as f64 * self.token() + wait;
+            let pause = self.pause() * rng.random_range(1.0..1.5);
+            Run {
+                unread,
+                first_after: Duration::from_secs_f64(first * slow),
+                pauses,
+                generating: Duration::from_secs_f64(f64::from(pauses) * pause * slow),
+                whole: true,
+            }
+        };
+        (0..count).map(|_| run()).collect()
+    }
+}
+
+fn seen(runs: &[Run]) -> Speeds {
+    let mut observer = Observer::default();
+    runs.iter().for_each(|run| observer.observe(run));
+    observer.speeds()
+}
+
+fn is_near(value: f64, truth: f64, factor: f64) -> bool {
+    value < truth * factor && value > truth / factor
+}
+
+#[test]
+fn speeds_are_found_over_a_hundredfold_range_whatever_a_few_runs_do() {
+    property::check("speeds of one box", 400, |engine: Engine| {
+        let speeds = seen(&engine.runs(64));
+        assert!(speeds.are_known());
+        assert!(is_near(speeds.token, engine.token(), 1.6), "{speeds:?} of {engine:?}");
+        assert!(is_near(speeds.pause, engine.pause(), 1.5), "{speeds:?} of {engine:?}");
+    });
+}
+
+#[test]
+fn boxes_that_see_only_slow_endpoints_do_not_lead_the_others_astray() {
+    property::check("speeds of several boxes", 100, |engine: Engine| {
+        let usual = Engine { slow_of_100: 0, ..engine };
+        let behind_slow_ones = Engine { slow_of_100: 100, ..engine };
+        let mut boxes: Vec<Speeds> =
+            (0..4).map(|i| seen(&Engine { seed: i, ..usual }.runs(64))).collect();
+        boxes.extend((0..3).map(|i| seen(&Engine { seed: i, ..behind_slow_ones }.runs(64))));
+        let merged = merge(&boxes);
+        assert!(is_near(merged.token, engine.token(), 1.6), "{merged:?} of {engine:?}");
+        assert!(is_near(merged.pause, engine.pause(), 1.5), "{merged:?} of {engine:?}");
+    });
+}
+
+#[test]
+fn little_is_not_taken_for_known_and_idle_minutes_change_nothing() {
+    let engine = Engine { reading: 50, pausing: 50, fixed_ms: 20, slow_of_100: 0, seed: 1 };
+    assert!(!seen(&engine.runs(16)).are_known());
+    assert_eq!(seen(&[]), Speeds::default());
+    assert_eq!(merge(&[]), Speeds::default());
+    let mut observer = Observer::default();
+    engine.runs(64).iter().for_each(|run| observer.observe(run));
+    let before = observer.speeds();
+    assert_eq!(observer.speeds(), before, "nothing new was seen");
+}
+
+#[test]
+fn prompts_of_one_size_give_an_upper_bound_of_the_time_for_a_token() {
+    let run = Run {
+        unread: 1_000,
+        first_after: Duration::from_millis(50),
+        pauses: 4,
+        generating: Duration::from_millis(80),
+        whole: true,
+    };
+    let speeds = seen(&[run; 64]);
+    assert_eq!((speeds.token, speeds.pause, speeds.pauses), (0.05 / 1_000.0, 0.02, 4.0));
+}
+
+#[test]
+fn demand_names_what_binds_and_grows_with_the_load() {
+    let speeds = Speeds { token: 1e-5, first: 0.1, pause: 0.02, pauses: 50.0, runs: 64 };
+    let size = EngineSize { places: 20, memory: 0 };
+    let reads = Rates { runs: 1.0, prompt: 200_000.0, unread: 200_000.0 };
+    let generates = Rates { runs: 100.0, prompt: 1_000.0, unread: 0.0 };
+    let reading = speeds.demand(reads, size, 10);
+    assert_eq!((reading.binding(), reading.reading), ("reading", 2.0));
+    let generating = speeds.demand(generates, size, 10);
+    assert_eq!((generating.binding(), generating.generating), ("generating", 5.0));
+    let holding = speeds.demand(
+        Rates { prompt: 1e6, ..generates },
+        EngineSize { memory: 100_000, ..size },
+        10,
+    );
+    assert_eq!(holding.binding(), "memory");
+    let double = Rates { runs: 200.0, ..generates };
+    assert!(speeds.demand(double, size, 10).replicas() > generating.replicas());
+    let more_places = EngineSize { places: 40, ..size };
+    assert!(speeds.demand(generates, more_places, 10).replicas() < generating.replicas());
+    assert_eq!(speeds.demand(Rates::default(), size, 0), Demand::default());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod decisions;
 mod decisions_of_control;
 mod deploy;
+mod engine_speeds;
 mod event_streams;
 mod logs;
 mod marks;
