--- a/crates/vaneway-engine/src/demand.rs
+++ b/crates/vaneway-engine/src/demand.rs
@@ -65,11 +65,8 @@
         let alone = self.pause * (1.0 - read_part);
         let generating = rates.runs * self.pauses * alone / f64::from(size.places.max(1));
         let held_for = self.first + self.pauses * self.pause;
-        let memory = if size.memory == 0 {
-            0.0
-        } else {
-            rates.prompt * held_for / size.memory as f64
-        };
+        let memory =
+            if size.memory == 0 { 0.0 } else { rates.prompt * held_for / size.memory as f64 };
         Demand { reading, generating, memory }
     }
 }
--- a/crates/vaneway-relay/src/lib.rs
+++ b/crates/vaneway-relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub use failure::RunState;
 pub use plan::AnswerForm;
 pub use plan::Moves;
+pub use plan::Patience;
 pub use plan::Plan;
 pub use relay::Relay;
 pub use request::RequestEvent;
--- a/crates/vaneway-relay/src/plan.rs
+++ b/crates/vaneway-relay/src/plan.rs
@@ -21,6 +21,19 @@
     },
 }
 
+/// When a request whose answer has not begun waits for an endpoint to take work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Up to this long, whatever is known.
+    Within(Duration),
+    /// Only while one is expected to take work again by this time; otherwise the request is refused
+    /// at once, since waiting would only delay its caller.
+    Expected {
+        /// Latest time at which the wait is still of use.
+        by: Instant,
+    },
+}
+
 /// What may be done for a request.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -35,8 +48,8 @@
     pub max_attempts: u32,
     /// When the caller is given up.
     pub deadline: Instant,
-    /// How long to wait for an endpoint before the answer begins.
-    pub patience: Duration,
+    /// When to wait for an endpoint before the answer begins.
+    pub patience: Patience,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::FailureKind;
 use crate::Moves;
 use crate::Outcome;
+use crate::Patience;
 use crate::Plan;
 use crate::RequestEvent;
 use crate::RequestState;
@@ -197,8 +198,11 @@
         out: &mut Vec<Action>,
     ) {
         let since = *self.waiting_since.get_or_insert(now);
-        let impatient = now >= since + self.plan.patience;
-        if !self.splice.opened() && impatient {
+        let in_vain = match self.plan.patience {
+            Patience::Within(longest) => now >= since + longest,
+            Patience::Expected { by } => until.is_none_or(|until| until > by),
+        };
+        if !self.splice.opened() && in_vain {
             self.failure = if full { FailureKind::Overloaded } else { FailureKind::NoEndpoint };
             self.step(now, RequestEvent::Hopeless, out);
             return;
--- a/crates/vaneway-server/src/core/callers/api_error.rs
+++ b/crates/vaneway-server/src/core/callers/api_error.rs
@@ -19,9 +19,14 @@
 /// Header that says whether the request was run: `not_run`, `ran` or `unknown`.
 pub const RUN_HEADER: HeaderName = HeaderName::from_static("x-vaneway-run");
 
-/// When a caller that was refused for want of capacity should come back.
+/// When a caller that was refused for want of capacity should come back: about the time in which
+/// the requests that keep endpoints full are worked off.
 const COME_BACK: Duration = Duration::from_secs(1);
 
+/// When a caller should come back that was refused since no endpoint is known to take work: a pause
+/// after a failure is shorter than this, and endpoints say about every second that they serve.
+const COME_BACK_SOON: Duration = Duration::from_millis(300);
+
 /// An error as a caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ApiError {
@@ -77,12 +82,14 @@
             ),
         };
         let again = failure.run == RunState::NotRun && failure.kind != FailureKind::OutcomeUnknown;
+        let after =
+            if failure.kind == FailureKind::NoEndpoint { COME_BACK_SOON } else { COME_BACK };
         Self {
             status,
             code: failure.kind.code(),
             message: message.to_owned(),
             run: failure.run,
-            retry_after: again.then_some(COME_BACK),
+            retry_after: again.then_some(after),
         }
     }
 
--- a/crates/vaneway-server/src/core/callers/own.rs
+++ b/crates/vaneway-server/src/core/callers/own.rs
@@ -21,6 +21,7 @@
 use vaneway_claims::ClaimKey;
 use vaneway_claims::Digest;
 use vaneway_relay::AnswerForm;
+use vaneway_relay::Patience;
 
 use crate::core::callers::answer::Interface;
 use crate::core::callers::answer::json_response;
@@ -213,7 +214,7 @@
     let limits = CallLimits {
         max_attempts: settings.max_attempts,
         deadline: Instant::now() + settings.deadline,
-        patience: settings.patience,
+        patience: Patience::Within(settings.patience),
         head_within: settings.stall,
         pause_within: settings.stall,
     };
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -7,6 +7,7 @@
 
 use std::hash::DefaultHasher;
 use std::hash::Hasher as _;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,6 +17,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use vaneway_relay::AnswerForm;
+use vaneway_relay::Patience;
 use vaneway_relay::RunState;
 
 use crate::core::callers::api_error::ApiError;
@@ -36,9 +38,9 @@
 use crate::util::body::CallerBody;
 use crate::util::logline::Line;
 
-/// Part of a route's objective that a request waits for an endpoint at most. A caller that is
-/// refused by then can still be served in time by another entry box.
-const PATIENCE: f64 = 0.25;
+/// Least and most of the time to come back that a refused caller is told, so that callers who were
+/// refused together do not return together.
+const COME_BACK_SPREAD: Range<f64> = 0.6..1.4;
 
 /// Longest pause between two events of a stream before its endpoint counts as lost, in multiples
 /// of the route's objective for pauses, and at least this long.
@@ -87,12 +89,21 @@
     };
     let organisation = request.organisation.clone();
     let answer = call::call(Rc::clone(entry), protocol.endpoints(), request, limits).await;
-    if let Err(error) = &answer
-        && error.run == RunState::NotRun
-    {
-        entry.give_back(&organisation, units);
-    }
-    answer
+    answer.map_err(|mut error| {
+        if error.run == RunState::NotRun {
+            entry.give_back(&organisation, units);
+        }
+        error.retry_after = error.retry_after.map(|after| spread(after, &head.id));
+        error
+    })
+}
+
+/// A time to come back that differs from caller to caller.
+fn spread(after: Duration, id: &str) -> Duration {
+    // The high bits of a hash as a number from 0 to 1.
+    let part = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
+    let Range { start, end } = COME_BACK_SPREAD;
+    after.mul_f64(start + part * (end - start))
 }
 
 /// Checks a request, reads its body and charges its organisation; returns also the units charged.
@@ -181,7 +192,7 @@
     CallLimits {
         max_attempts: route.max_attempts.max(1),
         deadline: received + held,
-        patience: route.objective.mul_f64(PATIENCE),
+        patience: Patience::Expected { by: received + route.objective },
         head_within: held,
         pause_within: pause.max(PAUSE_LEAST),
     }
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -37,6 +37,7 @@
 use vaneway_relay::Failure;
 use vaneway_relay::FailureKind;
 use vaneway_relay::Outcome;
+use vaneway_relay::Patience;
 use vaneway_relay::Plan;
 use vaneway_relay::Relay;
 use vaneway_relay::RunState;
@@ -75,8 +76,8 @@
     pub max_attempts: u32,
     /// When the caller is given up.
     pub deadline: Instant,
-    /// How long it waits for an endpoint.
-    pub patience: Duration,
+    /// When it waits for an endpoint.
+    pub patience: Patience,
     /// Longest wait for an answer to begin, and for the first event of a stream.
     pub head_within: Duration,
     /// Longest pause between two events of a stream.
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -38,6 +38,7 @@
 use vaneway_relay::Event;
 use vaneway_relay::Failure;
 use vaneway_relay::Outcome;
+use vaneway_relay::Patience;
 use vaneway_relay::Plan;
 use vaneway_relay::Relay;
 use vaneway_relay::RequestState;
@@ -214,7 +215,7 @@
         wants_usage: request.wants_usage,
         max_attempts: service.max_attempts,
         deadline: Instant::now() + service.deadline,
-        patience: service.patience,
+        patience: Patience::Within(service.patience),
         prompt_tokens: request.prompt_tokens,
         max_tokens: request.max_tokens,
         seed: entry.request_seed(number),
