--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -101,6 +101,9 @@
     pub zones_spare: u32,
     /// How long the highest demand counts.
     pub demand_kept: Duration,
+    /// How long the highest demand counts for on-demand replicas that stand in for reclaimable
+    /// ones: they are dear, so a burst that is over is soon forgotten.
+    pub scarce_kept: Duration,
     /// Time after a refusal or a reclaim in which none are counted on.
     pub distrust: Duration,
 }
@@ -113,6 +116,7 @@
             on_demand_least: 2,
             zones_spare: 1,
             demand_kept: Duration::from_secs(20),
+            scarce_kept: Duration::from_secs(6),
             distrust: Duration::from_secs(3),
         }
     }
@@ -180,10 +184,12 @@
 
     /// What to order now.
     pub fn plan(&mut self, now: Instant, input: &Input) -> Vec<Order> {
-        let demand = self.highest_demand(now, input);
+        self.learn_demand(now, input);
+        let demand = self.highest_demand(now, input, self.policy.demand_kept);
+        let recent = self.highest_demand(now, input, self.policy.scarce_kept);
         let need = Need {
             plenty: replicas(demand, self.policy.busy_most),
-            scarce: replicas(demand, self.policy.busy_scarce),
+            scarce: replicas(recent, self.policy.busy_scarce),
         };
         for zone in input.leaving.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
             let key = (zone.clone(), Kind::Reclaimable);
@@ -230,16 +236,23 @@
         }
     }
 
-    /// The highest demand of late. While none is known, the fleet that ran at first is taken to be
-    /// what the load needs.
-    fn highest_demand(&mut self, now: Instant, input: &Input) -> f64 {
+    /// The highest demand since `kept` before now. While none is known, the fleet that ran at first is
+    /// taken to be what the load needs.
+    fn highest_demand(&self, now: Instant, input: &Input, kept: Duration) -> f64 {
+        let known = self.demands.iter().find(|(at, _)| now < *at + kept);
+        let known = known.map_or(0.0, |(_, highest)| *highest);
+        let assumed = if input.demand.is_none() { self.assumed } else { None };
+        known.max(assumed.unwrap_or_default())
+    }
+
+    /// Takes in the demand of now.
+    fn learn_demand(&mut self, now: Instant, input: &Input) {
         let running: u32 = input.running.values().sum();
-        let assumed = *self.assumed.get_or_insert(f64::from(running) * self.policy.busy_most);
-        let demand = input.demand.unwrap_or(assumed);
+        self.assumed.get_or_insert(f64::from(running) * self.policy.busy_most);
+        let Some(demand) = input.demand else { return };
         let kept = self.policy.demand_kept;
         self.demands.retain(|(at, higher)| now < *at + kept && *higher > demand);
         self.demands.push((now, demand));
-        self.demands.first().map_or(demand, |(_, highest)| *highest)
     }
 
     fn is_trusted(&self, now: Instant, zone: &str) -> bool {
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -31,10 +31,16 @@
 /// Time after the start of a control box before it knows all replicas by their heartbeats.
 const KNOWS_AFTER: Duration = Duration::from_secs(3);
 
+/// Time for which the demand must have been known before it is acted on: a little more than what the
+/// rates are measured over, since a box that has just become the leader has not heard all of it.
+const SETTLED_AFTER: Duration = Duration::from_secs(5);
+
 /// The planners of the services for which replicas may be ordered.
 #[derive(Debug, Default)]
 pub struct Orders {
     planners: BTreeMap<String, Planner>,
+    /// When the demand for a service was first known here.
+    known_since: BTreeMap<String, Instant>,
 }
 
 impl Orders {
@@ -53,7 +59,7 @@
         for service in &configuration.services {
             let Some(spec) = &service.capacity else { continue };
             let mut input = input(control, &service.name, spec);
-            let seen = demand(control, service, input.running.values().sum());
+            let seen = self.demand(control, service, input.running.values().sum());
             input.demand = seen.map(|demand| demand.replicas());
             let planner = self.planners.entry(service.name.clone());
             let planner = planner.or_insert_with(|| Planner::new(control.settings.capacity));
@@ -74,16 +80,20 @@
             }
         }
     }
-}
 
-/// The demand for a service; none while too little was seen of its engines.
-fn demand(control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
-    let engine = service.engine.as_ref()?;
-    let ledger = control.use_ledger.borrow();
-    let speeds = ledger.speeds(&service.name);
-    let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
-    let rates = ledger.rates(control.now(), &service.name);
-    speeds.are_known().then(|| speeds.demand(rates, size, running))
+    /// The demand for a service; none while too little was seen of its engines, or not for long.
+    fn demand(&mut self, control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
+        let engine = service.engine.as_ref()?;
+        let ledger = control.use_ledger.borrow();
+        let speeds = ledger.speeds(&service.name);
+        if !speeds.are_known() {
+            return None;
+        }
+        let since = *self.known_since.entry(service.name.clone()).or_insert_with(Instant::now);
+        let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
+        let rates = ledger.rates(control.now(), &service.name);
+        (since.elapsed() >= SETTLED_AFTER).then(|| speeds.demand(rates, size, running))
+    }
 }
 
 /// A demand for the log: replicas, and what keeps them busy.
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -266,6 +266,11 @@
             0.0..=86_400.0,
             kept,
         )),
+        scarce_kept: Duration::from_secs_f64(fields.fraction(
+            "scarce_kept_s",
+            0.0..=86_400.0,
+            default.scarce_kept.as_secs_f64(),
+        )),
         distrust: Duration::from_secs_f64(fields.fraction("distrust_s", 0.0..=86_400.0, distrust)),
     };
     fields.finish();
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -18,6 +18,7 @@
     on_demand_least: 1,
     zones_spare: 1,
     demand_kept: Duration::from_secs(20),
+    scarce_kept: Duration::from_secs(6),
     distrust: Duration::from_secs(3),
 };
 
