--- /dev/null
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -0,0 +1,291 @@
+//! One attempt at an endpoint: the request is sent, the answer's head is judged, and what follows is
+//! handed over piece by piece.
+
+use std::future::poll_fn;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use hyper::Response;
+use hyper::http::response;
+use vaneway_relay::AnswerForm;
+use vaneway_relay::AttemptEvent;
+use vaneway_relay::Outcome;
+use vaneway_route::EndpointId;
+use vaneway_route::SILENT_AFTER;
+
+use crate::core::calls::call::CallLimits;
+use crate::core::calls::events::EventCutter;
+use crate::core::calls::events::RawEvent;
+use crate::core::endpoints::link::LinkBody;
+use crate::core::endpoints::protocol::CallRequest;
+use crate::core::endpoints::protocol::EndpointProtocol;
+use crate::core::endpoints::protocol::Sending;
+use crate::core::endpoints::protocol::Verdict;
+use crate::core::endpoints::upstream::Answered;
+use crate::core::endpoints::upstream::SendError;
+use crate::core::entry::Entry;
+use crate::core::occupancy::Occupancy;
+use crate::util::body::CallerBody;
+use crate::util::outbox::Outbox;
+use crate::util::outbox::outbox;
+
+/// Time between two looks whether an endpoint that owes an answer is out of reach.
+const SILENCE_LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// What an attempt brings.
+pub(super) enum Item {
+    /// An event stream began.
+    Head(response::Parts),
+    /// Its next event.
+    Event(RawEvent),
+    /// An answer to pass on.
+    Answer(Response<CallerBody>),
+    /// An answer that says that the endpoint failed, to pass on if no other endpoint does better.
+    Failed(Response<CallerBody>),
+    /// The attempt ended; nothing follows.
+    Ended {
+        outcome: Outcome,
+        cause: String,
+        /// Whether another endpoint has the address now.
+        replaced: bool,
+    },
+}
+
+impl Item {
+    pub(super) fn ended(outcome: Outcome, cause: impl Into<String>) -> Self {
+        Self::Ended { outcome, cause: cause.into(), replaced: false }
+    }
+}
+
+/// What one attempt needs.
+pub(super) struct Attempt<E> {
+    pub(super) entry: Rc<Entry>,
+    pub(super) protocol: Rc<E>,
+    pub(super) request: Rc<CallRequest>,
+    pub(super) limits: CallLimits,
+    pub(super) endpoint: EndpointId,
+    pub(super) occupancy: Occupancy,
+    pub(super) after: Option<u32>,
+}
+
+enum Stage<E> {
+    Sending(Box<Attempt<E>>),
+    Reading(Box<Reading>),
+    Over,
+}
+
+/// An event stream that is being read.
+struct Reading {
+    entry: Rc<Entry>,
+    addr: std::net::SocketAddr,
+    body: LinkBody,
+    attempt: vaneway_relay::Attempt,
+    cutter: EventCutter,
+    limits: CallLimits,
+    occupancy: Occupancy,
+}
+
+impl<E: EndpointProtocol> Attempt<E> {
+    /// What it brings, in order. Dropping it closes the connection unless the answer came to its end.
+    pub(super) fn items(self) -> impl Stream<Item = Item> + use<E> {
+        unfold(Stage::Sending(Box::new(self)), |stage| async move {
+            match stage {
+                // Boxed, so that its memory is free while the answer is read.
+                Stage::Sending(sending) => Some(Box::pin(sending.send()).await),
+                Stage::Reading(reading) => Some(next_event(reading).await),
+                Stage::Over => None,
+            }
+        })
+    }
+
+    async fn send(self: Box<Self>) -> (Item, Stage<E>) {
+        let Self { entry, protocol, request, limits, endpoint, occupancy, after } = *self;
+        let spec = entry.pool.borrow().get(endpoint).spec.clone();
+        let left = limits.deadline.saturating_duration_since(Instant::now());
+        let req = protocol.request(&request, Sending { to: &spec, left, after });
+        let head_by = Instant::now() + limits.head_within;
+        let fresh = entry.settings.routing.fresh_for_at_most_once && !request.repeatable;
+        let sent = entry.connections.send(&entry.timers, spec.address, req, fresh, head_by);
+        let sent = unless_silent(&entry, endpoint, request.repeatable, sent).await;
+        let Answered { response, attempt } = match sent {
+            Some(Ok(answered)) => answered,
+            Some(Err(SendError { outcome, cause })) => {
+                return (Item::ended(outcome, cause), Stage::Over);
+            }
+            None => {
+                let cause = "other answers of the endpoint or its zone have stopped arriving";
+                return (Item::ended(Outcome::Unknown, cause), Stage::Over);
+            }
+        };
+        let (head, body) = response.into_parts();
+        let item = match protocol.judge(&request, &head) {
+            Verdict::Answer => {
+                let streamed = matches!(request.form, AnswerForm::Events { .. });
+                if streamed && head.status.is_success() {
+                    let reading = Reading {
+                        addr: spec.address,
+                        cutter: EventCutter::default(),
+                        limits,
+                        occupancy,
+                        entry,
+                        body,
+                        attempt,
+                    };
+                    return (Item::Head(head), Stage::Reading(Box::new(reading)));
+                }
+                let response = Response::from_parts(head, body);
+                let failed = response.status().is_server_error() && request.repeatable;
+                let answered = Answered { response, attempt };
+                match read_answer(entry, &*protocol, spec.address, answered).await {
+                    Item::Answer(response) if failed => Item::Failed(response),
+                    item => item,
+                }
+            }
+            Verdict::Refused => {
+                entry.connections.put_refused(&entry.timers, spec.address, body).await;
+                Item::ended(Outcome::Refused, "the endpoint did not run it")
+            }
+            Verdict::Replaced => Item::Ended {
+                outcome: Outcome::Refused,
+                cause: "another endpoint has the address".to_owned(),
+                replaced: true,
+            },
+            Verdict::Foreign => {
+                Item::ended(Outcome::Unknown, "the answer belongs to another request")
+            }
+        };
+        (item, Stage::Over)
+    }
+}
+
+/// Waits for `work`, the beginning of an answer; none if meanwhile its endpoint seems to be out of
+/// reach and the request may be sent to another one.
+async fn unless_silent<T>(
+    entry: &Entry,
+    endpoint: EndpointId,
+    repeatable: bool,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    if !repeatable {
+        return Some(work.await);
+    }
+    let mut work = pin!(work);
+    let mut look_at = Instant::now() + SILENT_AFTER;
+    loop {
+        if let Some(done) = entry.timers.until(look_at, work.as_mut()).await {
+            return Some(done);
+        }
+        let now = Instant::now();
+        if entry.pool.borrow().is_silent(now, endpoint) {
+            return None;
+        }
+        look_at = now + SILENCE_LOOK_EVERY;
+    }
+}
+
+async fn next_event<E>(mut reading: Box<Reading>) -> (Item, Stage<E>) {
+    let broken = loop {
+        if let Some(event) = reading.cutter.next_event() {
+            reading.occupancy.heard();
+            return (Item::Event(event), Stage::Reading(reading));
+        }
+        let limits = &reading.limits;
+        let within =
+            if reading.occupancy.is_arriving() { limits.pause_within } else { limits.head_within };
+        let until = Instant::now() + within;
+        let timers = reading.entry.timers.clone();
+        match timers.until(until, reading.body.data()).await {
+            Some(Some(Ok(data))) => reading.cutter.push(&data),
+            Some(None) => return end_of_stream(reading),
+            Some(Some(Err(error))) => break error.to_string(),
+            None => break "the endpoint was silent for too long".to_owned(),
+        }
+    };
+    let outcome = reading.attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
+    (Item::ended(outcome, broken), Stage::Over)
+}
+
+fn end_of_stream<E>(mut reading: Box<Reading>) -> (Item, Stage<E>) {
+    let rest = std::mem::take(&mut reading.cutter).rest();
+    if !rest.is_empty() {
+        let event = RawEvent { number: None, bytes: rest };
+        return (Item::Event(event), Stage::Reading(reading));
+    }
+    let Reading { entry, addr, body, mut attempt, mut occupancy, .. } = *reading;
+    occupancy.ended();
+    let outcome = attempt.handle(AttemptEvent::End).unwrap_or(Outcome::Done);
+    entry.connections.put(addr, body);
+    (Item::ended(outcome, ""), Stage::Over)
+}
+
+/// Reads an answer whole, or up to the limit and passes the rest on as it comes.
+async fn read_answer<E: EndpointProtocol>(
+    entry: Rc<Entry>,
+    protocol: &E,
+    addr: std::net::SocketAddr,
+    answered: Answered,
+) -> Item {
+    let Answered { response, mut attempt } = answered;
+    let (mut head, mut body) = response.into_parts();
+    let mut held = BytesMut::new();
+    match body.read_into(&mut held, entry.settings.limits.answer_bytes).await {
+        Ok(whole) => {
+            protocol.pass_headers(&mut head.headers);
+            let body = if whole {
+                entry.connections.put(addr, body);
+                CallerBody::full(held.freeze())
+            } else {
+                pass_on(entry, addr, &held, body)
+            };
+            Item::Answer(Response::from_parts(head, body))
+        }
+        Err(error) => {
+            let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
+            Item::ended(outcome, error.to_string())
+        }
+    }
+}
+
+/// Passes the rest of a long answer on as the caller takes it.
+fn pass_on(
+    entry: Rc<Entry>,
+    addr: std::net::SocketAddr,
+    held: &[u8],
+    mut body: LinkBody,
+) -> CallerBody {
+    let (tx, rx) = outbox(entry.settings.limits.stream_bytes);
+    tx.push(held);
+    compio::runtime::spawn(async move {
+        if feed(&entry, &tx, &mut body).await {
+            tx.finish();
+            entry.connections.put(addr, body);
+        }
+    })
+    .detach();
+    CallerBody::Fed(rx)
+}
+
+/// Moves a body into an outbox; true if all of it arrived.
+async fn feed(entry: &Entry, tx: &Outbox, body: &mut LinkBody) -> bool {
+    loop {
+        let until = Instant::now() + entry.settings.limits.caller_stall;
+        let room = poll_fn(|cx| match tx.poll_gone(cx) {
+            Poll::Ready(()) => Poll::Ready(false),
+            Poll::Pending => tx.poll_room(cx).map(|()| true),
+        });
+        if entry.timers.until(until, room).await != Some(true) {
+            return false;
+        }
+        match entry.timers.until(until, body.data()).await {
+            Some(Some(Ok(data))) => tx.push(&data),
+            Some(None) => return true,
+            Some(Some(Err(_))) | None => return false,
+        }
+    }
+}
--- a/crates/vaneway-server/src/core/calls/mod.rs
+++ b/crates/vaneway-server/src/core/calls/mod.rs
@@ -1,5 +1,6 @@
 //! Requests under way: decisions over each, from its acceptance to the last byte of its answer.
 
+mod attempt;
 pub mod call;
 pub mod call_events;
 pub mod claims;
@@ -7,3 +8,4 @@
 pub mod keyed_call;
 pub mod model_call;
 pub mod open_requests;
+mod reply;
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -58,7 +58,7 @@
 use crate::core::endpoints::upstream::ModelAttempt;
 use crate::core::endpoints::upstream::model_attempt;
 use crate::core::entry::Entry;
-use crate::core::entry::Occupancy;
+use crate::core::occupancy::Occupancy;
 use crate::core::settings::Organisation;
 use crate::util::body::CallerBody;
 use crate::util::logline::Line;
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod endpoints;
 pub mod entry;
 pub mod metrics;
+pub mod occupancy;
 pub mod operators;
 pub mod running;
 pub mod settings;
