--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// The quota of a box that has just started, while the limit may have been in force for long: what
+    /// the others are told to have taken before counts, also what this box took before it went down.
+    pub fn of_started_box(now: Duration, limit: Limit) -> Self {
+        let since = slot(now).saturating_sub(SLOTS_KEPT);
+        Self { since, ..Self::new(now, limit) }
+    }
+
     /// Changes the limit.
     pub fn set_limit(&mut self, now: Duration, limit: Limit) {
         if self.limit != limit {
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -303,6 +303,8 @@
                 (spec.name.as_str(), Limit { rate, burst })
             })
             .collect();
+        let starts = self.table().is_none();
+        let new = if starts { Quota::of_started_box } else { Quota::new };
         quotas.retain(|name, _| limits.contains_key(name.as_str()));
         for (name, limit) in limits {
             quotas.entry(name.to_owned()).or_insert_with(|| new(now, limit)).set_limit(now, limit);
