--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -122,9 +122,6 @@
     }
 }
 
-/// Part of a replica's time that may be busy for the seconds until ordered replicas have started: all.
-const BUSY_BARE: f64 = 1.0;
-
 /// Time after which an order that nobody answered for is given again.
 const AGAIN_AFTER: Duration = Duration::from_secs(2);
 
@@ -167,8 +164,6 @@
     pub plenty: u32,
     /// At least, whatever they cost.
     pub scarce: u32,
-    /// At least after one more loss, until what is ordered then has started.
-    pub bare: u32,
 }
 
 fn replicas(demand: f64, busy: f64) -> u32 {
@@ -195,7 +190,6 @@
         let need = Need {
             plenty: replicas(demand, self.policy.busy_most),
             scarce: replicas(recent, self.policy.busy_scarce),
-            bare: replicas(recent, BUSY_BARE),
         };
         for zone in input.leaving.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
             let key = (zone.clone(), Kind::Reclaimable);
@@ -285,7 +279,7 @@
             let room = input.most.saturating_sub(wanted.on_demand);
             wanted.reclaimable = spread.max(least).min(room);
         }
-        self.replace_untrusted(now, input, need, &zones, &mut wanted);
+        self.replace_untrusted(now, input, need.scarce, &zones, &mut wanted);
         wanted
     }
 
@@ -294,7 +288,7 @@
         &self,
         now: Instant,
         input: &Input,
-        need: Need,
+        need: u32,
         zones: &[&Zone],
         wanted: &mut BTreeMap<ZoneName, Wanted>,
     ) {
@@ -309,18 +303,17 @@
         };
         let mut have: u32 =
             wanted.iter().map(|(zone, wanted)| wanted.on_demand + counted(zone, wanted)).sum();
-        let mut least = need.scarce;
         if zones.iter().any(|zone| !self.is_trusted(now, &zone.name)) {
             // Another zone may follow, and there would be no time to order then.
             let next = wanted.iter().map(|(zone, wanted)| counted(zone, wanted)).max();
-            least = least.max(need.bare + next.unwrap_or_default());
+            have -= next.unwrap_or_default();
         }
         let mut full = false;
-        while have < least && !full {
+        while have < need && !full {
             full = true;
             for zone in zones {
                 let wanted = wanted.entry(zone.name.clone()).or_default();
-                if have < least && wanted.on_demand + counted(&zone.name, wanted) < input.most {
+                if have < need && wanted.on_demand + counted(&zone.name, wanted) < input.most {
                     wanted.on_demand += 1;
                     have += 1;
                     full = false;
