--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -96,6 +96,9 @@
     pub busy_scarce: f64,
     /// On-demand replicas that are always kept.
     pub on_demand_least: u32,
+    /// Part of the demand that on-demand replicas can serve while reclaimable ones are refused or were
+    /// just taken back, in case all of them are lost.
+    pub last_share: f64,
     /// Availability zones whose reclaimable replicas may be lost at once, or one soon after the
     /// other, without an order: the next reclaim may come before what was ordered has started.
     pub zones_spare: u32,
@@ -114,6 +117,7 @@
             busy_most: 0.5,
             busy_scarce: 0.9,
             on_demand_least: 2,
+            last_share: 0.0,
             zones_spare: 1,
             demand_kept: Duration::from_secs(20),
             scarce_kept: Duration::from_secs(6),
@@ -164,6 +168,9 @@
     pub plenty: u32,
     /// At least, whatever they cost.
     pub scarce: u32,
+    /// On-demand ones among them while reclaimable ones are refused or were just taken back: what is
+    /// left if all zones are taken back before more could be started.
+    pub last: u32,
 }
 
 fn replicas(demand: f64, busy: f64) -> u32 {
@@ -190,6 +197,7 @@
         let need = Need {
             plenty: replicas(demand, self.policy.busy_most),
             scarce: replicas(recent, self.policy.busy_scarce),
+            last: (recent * self.policy.last_share).ceil() as u32,
         };
         for zone in input.leaving.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
             let key = (zone.clone(), Kind::Reclaimable);
@@ -279,7 +287,7 @@
             let room = input.most.saturating_sub(wanted.on_demand);
             wanted.reclaimable = spread.max(least).min(room);
         }
-        self.replace_untrusted(now, input, need.scarce, &zones, &mut wanted);
+        self.replace_untrusted(now, input, need, &zones, &mut wanted);
         wanted
     }
 
@@ -288,7 +296,7 @@
         &self,
         now: Instant,
         input: &Input,
-        need: u32,
+        need: Need,
         zones: &[&Zone],
         wanted: &mut BTreeMap<ZoneName, Wanted>,
     ) {
@@ -301,20 +309,25 @@
                 runs.min(wanted.reclaimable)
             }
         };
-        let mut have: u32 =
-            wanted.iter().map(|(zone, wanted)| wanted.on_demand + counted(zone, wanted)).sum();
+        let mut on_demand: u32 = wanted.values().map(|wanted| wanted.on_demand).sum();
+        let reclaimable: u32 = wanted.iter().map(|(zone, wanted)| counted(zone, wanted)).sum();
+        let mut have = on_demand + reclaimable;
+        let mut last = 0;
         if zones.iter().any(|zone| !self.is_trusted(now, &zone.name)) {
             // Another zone may follow, and there would be no time to order then.
             let next = wanted.iter().map(|(zone, wanted)| counted(zone, wanted)).max();
             have -= next.unwrap_or_default();
+            last = need.last;
         }
         let mut full = false;
-        while have < need && !full {
+        while (have < need.scarce || on_demand < last) && !full {
             full = true;
             for zone in zones {
                 let wanted = wanted.entry(zone.name.clone()).or_default();
-                if have < need && wanted.on_demand + counted(&zone.name, wanted) < input.most {
+                let short = have < need.scarce || on_demand < last;
+                if short && wanted.on_demand + counted(&zone.name, wanted) < input.most {
                     wanted.on_demand += 1;
+                    on_demand += 1;
                     have += 1;
                     full = false;
                 }
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -260,6 +260,7 @@
         busy_scarce: fields.fraction("busy_scarce", 0.05..=10.0, default.busy_scarce),
         on_demand_least: fields.number("on_demand_least", 0..=1_000, default.on_demand_least.into())
             as u32,
+        last_share: fields.fraction("last_share", 0.0..=10.0, default.last_share),
         zones_spare: fields.number("zones_spare", 0..=100, default.zones_spare.into()) as u32,
         demand_kept: Duration::from_secs_f64(fields.fraction(
             "demand_kept_s",
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -16,6 +16,7 @@
     busy_most: 0.5,
     busy_scarce: 1.0,
     on_demand_least: 1,
+    last_share: 0.0,
     zones_spare: 1,
     demand_kept: Duration::from_secs(20),
     scarce_kept: Duration::from_secs(6),
@@ -253,3 +254,21 @@
     cloud.pass(POLICY.scarce_kept + Duration::from_secs(2));
     assert_eq!(cloud.running(), 2, "{:?}", cloud.input.running);
 }
+
+/// Found on odalaigh-vane, quiet-1: three zones were taken back within nine seconds, and without
+/// on-demand replicas nothing was left until those that were ordered then had started.
+#[test]
+fn something_is_left_when_all_zones_are_taken_back_one_after_the_other() {
+    let left = |last_share: f64| {
+        let mut cloud = Cloud::with(Policy { on_demand_least: 0, last_share, ..POLICY });
+        cloud.input.demand = Some(4.0);
+        cloud.pass(Duration::from_secs(12));
+        cloud.refuses_reclaimable = true;
+        cloud.reclaim("a");
+        cloud.pass(START_TAKES + Duration::from_secs(1));
+        cloud.reclaim("b");
+        cloud.reclaim("c");
+        cloud.running()
+    };
+    assert_eq!((left(0.0), left(0.5)), (0, 2));
+}
