--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -19,6 +19,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
 use crate::Endpoint;
 use crate::EndpointId;
 use crate::Load;
@@ -52,12 +55,21 @@
 /// Age after which the others' load counts as unknown.
 const OTHERS_KNOWN: Duration = Duration::from_secs(2);
 
-/// Picks the candidate with the least expected work.
+/// Endpoints that are drawn at random for one choice, once in the home availability zone and once in all.
+///
+/// What boxes tell each other of their load is old when it arrives, so if each took the least loaded of
+/// all, they would all turn to the same few until they hear of each other again (Mitzenmacher, "How
+/// Useful Is Old Information?", 2000): the best of a few drawn at random is better.
+const DRAWN: usize = 3;
+
+/// Picks the candidate with the least expected work among those that probably keep parts of the prompt
+/// and some that are drawn at random.
 pub(crate) fn pick(
     endpoints: &[Endpoint],
     candidates: &[EndpointId],
     now: Instant,
     query: &Query<'_>,
+    rng: &mut Pcg64Mcg,
 ) -> Option<EndpointId> {
     let shared = query.work.map_or(&[][..], Work::shared);
     let weight = |part: PartId, id: EndpointId| rendezvous_weight(part, &endpoints[id as usize]);
@@ -82,7 +94,21 @@
         let silence = if silent_zones.covers(endpoint, now) { SILENCE_TOKENS } else { 0.0 };
         open_work(endpoint, now) + (prompt - kept).max(0.0) + distance + failures + silence
     };
-    let costs = candidates.iter().map(|id| (*id, cost(*id)));
+    let at_home = |id: &&EndpointId| endpoints[**id as usize].spec.availability_zone == query.home;
+    let home: Vec<EndpointId> = candidates.iter().filter(at_home).copied().collect();
+    let mut drawn: Vec<EndpointId> = Vec::with_capacity(2 * DRAWN);
+    for from in [&home[..], candidates] {
+        let draw = |_| from[rng.random_range(0..from.len())];
+        drawn.extend((0..DRAWN.min(from.len())).map(draw));
+    }
+    let last_shared = shared.last().map(|part| part.id);
+    let keeps = |id: EndpointId| {
+        let kept = |part| is_kept(&endpoints[id as usize], part, now);
+        placed.contains(&Some(id)) || last_shared.is_some_and(kept)
+    };
+    let few = candidates.len() <= 2 * DRAWN;
+    let considered = candidates.iter().filter(|id| few || drawn.contains(id) || keeps(**id));
+    let costs = considered.map(|id| (*id, cost(*id)));
     costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
 }
 
--- a/crates/vaneway-route/src/policy.rs
+++ b/crates/vaneway-route/src/policy.rs
@@ -141,7 +141,9 @@
                 .iter()
                 .copied()
                 .max_by_key(|id| rendezvous_weight(prefix, &endpoints[*id as usize])),
-            Policy::ExpectedWork => expected::pick(endpoints, candidates, now, query),
+            Policy::ExpectedWork => {
+                expected::pick(endpoints, candidates, now, query, &mut self.rng)
+            }
         }
     }
 
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -6,6 +6,9 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -148,7 +151,10 @@
     pub(crate) fn new(settings: Settings, timers: Timers, parts: Parts) -> Self {
         let Parts { claims, cluster, boot } = parts;
         let routing = &settings.routing;
-        let pool = Pool::new(settings.replicas.clone(), routing.policy, routing.seed);
+        // Boxes of the same settings must not all draw the same numbers.
+        let mut hasher = DefaultHasher::new();
+        (routing.seed, &settings.name).hash(&mut hasher);
+        let pool = Pool::new(settings.replicas.clone(), routing.policy, hasher.finish());
         let budget = |service: &crate::core::settings::Service| {
             RetryBudget::new(service.retry_percent, RETRY_RESERVE)
         };
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -273,7 +273,7 @@
 pub struct Routing {
     /// The policy.
     pub policy: Policy,
-    /// Seed of its random numbers.
+    /// Seed of its random numbers, together with the box's name.
     pub seed: u64,
     /// Whether a call that may run at most once gets a new connection. An idle one may be closing
     /// at that moment, which leaves the call's outcome unknown for no good reason; but a new one
