--- a/crates/vaneway-engine/src/observer.rs
+++ b/crates/vaneway-engine/src/observer.rs
@@ -62,10 +62,10 @@
 }
 
 impl std::ops::AddAssign for Totals {
-    fn add_assign(&mut self, more: Self) {
-        self.runs += more.runs;
-        self.prompt += more.prompt;
-        self.unread += more.unread;
+    fn add_assign(&mut self, rhs: Self) {
+        self.runs += rhs.runs;
+        self.prompt += rhs.prompt;
+        self.unread += rhs.unread;
     }
 }
 
--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -97,7 +97,7 @@
     let at_home = |id: &&EndpointId| endpoints[**id as usize].spec.availability_zone == query.home;
     let home: Vec<EndpointId> = candidates.iter().filter(at_home).copied().collect();
     let mut drawn: Vec<EndpointId> = Vec::with_capacity(2 * DRAWN);
-    for from in [&home[..], candidates] {
+    for from in [&*home, candidates] {
         let draw = |_| from[rng.random_range(0..from.len())];
         drawn.extend((0..DRAWN.min(from.len())).map(draw));
     }
