--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -16,6 +16,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::time::Duration;
 
 /// A limit, in units (requests or tokens).
@@ -36,8 +37,9 @@
 /// Slots that count: longer than any quota is measured over.
 pub const SLOTS_KEPT: u64 = 24;
 
-/// Silence after which the others' use counts as unknown.
-const TOLD_WITHIN: Duration = Duration::from_secs(2);
+/// Silence after which the others' use counts as unknown: three tellings. What boxes admit meanwhile adds
+/// up over all of them.
+const TOLD_WITHIN: Duration = Duration::from_millis(500);
 
 /// Time after which a box has heard of what another admitted: two tellings and the way.
 const HEARD_AFTER: Duration = Duration::from_millis(350);
@@ -166,17 +168,34 @@
         let present = slot(now);
         let first = self.since.max(present.saturating_sub(SLOTS_KEPT));
         let Share { limit, whole } = self.share(now);
-        let filled = limit.rate * SLOT.as_secs_f64();
-        let used = |slot: Slot| {
-            let others = if whole { self.others.get(&slot) } else { None };
-            self.own.get(&slot).unwrap_or(&0.0) + others.unwrap_or(&0.0)
+        let (level, from) = match self.told {
+            Some(told) if !whole => self.level_when_cut_off(limit, first, slot(told).min(present)),
+            _ => (limit.burst, first),
         };
-        let mut level = limit.burst;
-        for slot in first..present {
-            level = (level - used(slot) + filled).min(limit.burst);
-        }
+        let used = |slot: Slot| if whole { self.used_by_all(slot) } else { self.used_here(slot) };
+        let level = drain(limit, level, from..present, used);
         let part = (now.as_secs_f64() / SLOT.as_secs_f64()).fract();
-        (level + filled * part).min(limit.burst) - used(present)
+        let filled = limit.rate * SLOT.as_secs_f64() * part;
+        (level + filled).min(limit.burst) - used(present)
+    }
+
+    /// What is left to this box, with its own part `limit`, of what all had when the others' use was
+    /// last told, and the slot of that time: boxes that had taken little until then get no more than
+    /// those that had taken much.
+    fn level_when_cut_off(&self, limit: Limit, first: Slot, told: Slot) -> (f64, Slot) {
+        let heard = f64::from(self.sharers.heard);
+        let all = Limit { rate: limit.rate * heard, burst: limit.burst * heard };
+        let told = told.max(first);
+        let level = drain(all, all.burst, first..told, |slot| self.used_by_all(slot));
+        (level / heard, told)
+    }
+
+    fn used_here(&self, slot: Slot) -> f64 {
+        self.own.get(&slot).copied().unwrap_or_default()
+    }
+
+    fn used_by_all(&self, slot: Slot) -> f64 {
+        self.used_here(slot) + self.others.get(&slot).copied().unwrap_or_default()
     }
 
     /// What the others will have taken before this box hears of it.
@@ -208,3 +227,9 @@
         while self.latest.pop_front_if(|(at, _)| *at + HEARD_AFTER < now).is_some() {}
     }
 }
+
+/// The level of a bucket after some slots, each with its use.
+fn drain(limit: Limit, level: f64, slots: Range<Slot>, used: impl Fn(Slot) -> f64) -> f64 {
+    let filled = limit.rate * SLOT.as_secs_f64();
+    slots.fold(level, |level, slot| (level - used(slot) + filled).min(limit.burst))
+}
