--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! Why: reclaimable replicas cost a fraction of on-demand ones, but the cloud takes all of a zone
 //! back at once, with seconds of notice, and may refuse new ones for a while; starting one takes
-//! seconds. The cheapest fleet that still serves is a few on-demand replicas, which stay, and
-//! reclaimable ones spread so that what is left after the loss of any one zone is enough.
+//! seconds. The cheapest fleet that still serves is one of reclaimable replicas, spread so that what is
+//! left after the loss of some zones is enough, and of on-demand ones while reclaimable ones are refused.
 //!
 //! Data flow: the owner tells the demand and what runs ([`Input`]) again and again and carries out
 //! the [`Order`]s that come back, then tells what became of each ([`Planner::answered`]). Orders
@@ -14,9 +14,12 @@
 //! Rules, in this order:
 //!
 //! 1. Where reclaimable replicas are refused or were just taken back, none are counted on; if the
-//!    rest is too little, on-demand ones are ordered in their place, at once.
+//!    rest is too little, or one more loss would leave too little, on-demand ones are ordered in their
+//!    place, at once, and some in any case, for the loss of all zones.
 //! 2. Replicas are taken away only while what is left is enough without those that only start.
-//! 3. The demand counts at its highest of late, so that a lull does not empty the fleet.
+//! 3. The demand counts at its highest of late, so that a lull does not empty the fleet; for
+//!    on-demand replicas, which are dear, a shorter time back.
+//! 4. While no demand is known, the fleet that ran at first keeps its size.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -68,14 +68,13 @@
                     return;
                 }
                 let answer = place(control, cloud, protocol, &service.name, &order).await;
-                Line::new("capacity_order")
+                let line = Line::new("capacity_order")
                     .with("service", &service.name)
                     .with("availability_zone", &order.zone)
                     .with("kind", format!("{:?}", order.kind))
                     .with("count", order.count)
-                    .with("demand", seen.map_or("unknown".to_owned(), describe))
-                    .with("answer", format!("{answer:?}"))
-                    .info();
+                    .with("answer", format!("{answer:?}"));
+                with_demand(line, seen).info();
                 planner.answered(Instant::now(), &order, answer);
             }
         }
@@ -96,16 +95,15 @@
     }
 }
 
-/// A demand for the log: replicas, and what keeps them busy.
-fn describe(demand: Demand) -> String {
-    format!(
-        "{:.2},reading:{:.2},generating:{:.2},memory:{:.2},binding:{}",
-        demand.replicas(),
-        demand.reading,
-        demand.generating,
-        demand.memory,
-        demand.binding(),
-    )
+/// Adds the demand in replicas, and what keeps them busy.
+fn with_demand(line: Line, demand: Option<Demand>) -> Line {
+    let Some(demand) = demand else { return line.with("demand", "unknown") };
+    let replicas = |count: f64| format!("{count:.2}");
+    line.with("demand", replicas(demand.replicas()))
+        .with("binding", demand.binding())
+        .with("reading", replicas(demand.reading))
+        .with("generating", replicas(demand.generating))
+        .with("memory", replicas(demand.memory))
 }
 
 /// What runs of a service and what may be ordered; the demand is filled in later.
