--- a/crates/vaneway-engine/src/observer.rs
+++ b/crates/vaneway-engine/src/observer.rs
@@ -17,6 +17,10 @@
 /// engine's steps outweigh what the difference costs.
 const DIFFERENCE_LEAST: f64 = 0.2;
 
+/// Estimates among which the fastest counts: engines under more work than they can do seem slower
+/// than they are, and a demand that rises with the shortage would order without end.
+const ESTIMATES_KEPT: usize = 12;
+
 /// Fewest pauses between events from which a run's pace is taken.
 const PAUSES_LEAST: u32 = 2;
 
@@ -101,6 +105,8 @@
     paces: VecDeque<f64>,
     /// Pauses of the latest whole runs.
     lengths: VecDeque<f64>,
+    /// Seconds a prompt token and seconds a pause of the latest estimates.
+    estimates: VecDeque<(f64, f64)>,
     speeds: Speeds,
     /// Runs since the speeds were worked out.
     unused: u32,
@@ -114,12 +120,12 @@
 
     /// Takes in what was seen of a run whose first event came.
     pub fn observe(&mut self, run: &Run) {
-        keep(&mut self.reads, (run.unread as f64, run.first_after.as_secs_f64()));
+        keep(&mut self.reads, RUNS_KEPT, (run.unread as f64, run.first_after.as_secs_f64()));
         if run.pauses >= PAUSES_LEAST {
-            keep(&mut self.paces, run.generating.as_secs_f64() / f64::from(run.pauses));
+            keep(&mut self.paces, RUNS_KEPT, run.generating.as_secs_f64() / f64::from(run.pauses));
         }
         if run.whole {
-            keep(&mut self.lengths, f64::from(run.pauses));
+            keep(&mut self.lengths, RUNS_KEPT, f64::from(run.pauses));
         }
         self.unused += 1;
     }
@@ -133,12 +139,14 @@
     pub fn speeds(&mut self) -> Speeds {
         if self.unused >= RENEWED_AFTER {
             self.unused = 0;
-            let mut firsts: Vec<f64> = self.reads.iter().map(|(_, first)| *first).collect();
             let mut paces: Vec<f64> = self.paces.iter().copied().collect();
+            let estimate = (slope(&self.reads), quantile(&mut paces, 0.25));
+            keep(&mut self.estimates, ESTIMATES_KEPT, estimate);
+            let mut firsts: Vec<f64> = self.reads.iter().map(|(_, first)| *first).collect();
             self.speeds = Speeds {
-                token: slope(&self.reads),
+                token: fastest(self.estimates.iter().map(|(token, _)| *token)),
                 first: quantile(&mut firsts, 0.5),
-                pause: quantile(&mut paces, 0.25),
+                pause: fastest(self.estimates.iter().map(|(_, pause)| *pause)),
                 pauses: self.lengths.iter().sum::<f64>() / self.lengths.len().max(1) as f64,
                 runs: self.reads.len() as u32,
             };
@@ -147,8 +155,14 @@
     }
 }
 
-fn keep<T>(latest: &mut VecDeque<T>, value: T) {
-    if latest.len() == RUNS_KEPT {
+/// The least time that is not 0, which stands for an unknown one; 0 if none is known.
+fn fastest(times: impl Iterator<Item = f64>) -> f64 {
+    times.filter(|time| *time > 0.0).min_by(f64::total_cmp).unwrap_or_default()
+}
+
+/// Appends a value and drops the oldest one beyond `most`.
+fn keep<T>(latest: &mut VecDeque<T>, most: usize, value: T) {
+    if latest.len() == most {
         latest.pop_front();
     }
     latest.push_back(value);
--- a/tests/testsuite/engine_speeds.rs
+++ b/tests/testsuite/engine_speeds.rs
@@ -156,3 +156,26 @@
     assert!(speeds.demand(generates, more_places, 10).replicas() < generating.replicas());
     assert_eq!(speeds.demand(Rates::default(), size, 0), Demand::default());
 }
+
+/// Found on pretexpress-qc-grown, scale-2: replicas that had turned slow doubled the demand, and almost a
+/// hundred on-demand ones were ordered.
+#[test]
+fn engines_that_are_slow_for_a_while_count_as_fast_as_they_were() {
+    let engine = Engine { reading: 50, pausing: 50, fixed_ms: 20, slow_of_100: 0, seed: 1 };
+    let slow = Engine { slow_of_100: 100, ..engine };
+    let mut observer = observer_of(&engine.runs(64));
+    let before = observer.speeds();
+    for run in slow.runs(96) {
+        observer.observe(&run);
+        observer.speeds();
+    }
+    let meanwhile = observer.speeds();
+    assert!(is_near(meanwhile.token, before.token, 1.3), "{meanwhile:?} after {before:?}");
+    assert!(is_near(meanwhile.pause, before.pause, 1.3), "{meanwhile:?} after {before:?}");
+    for run in slow.runs(512) {
+        observer.observe(&run);
+        observer.speeds();
+    }
+    let later = observer.speeds();
+    assert!(is_near(later.pause, 8.0 * engine.pause(), 1.5), "lasting slowness is learned");
+}
