--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -4,7 +4,7 @@
 //! Why: reclaimable replicas cost a fraction of on-demand ones, but the cloud takes all of a zone
 //! back at once, with seconds of notice, and may refuse new ones for a while; starting one takes
 //! seconds. The cheapest fleet that still serves is one of reclaimable replicas, spread so that what is
-//! left after the loss of some zones is enough, and of on-demand ones while reclaimable ones are refused.
+//! left after the loss of any one zone is enough, and of on-demand ones while reclaimable ones are refused.
 //!
 //! Data flow: the owner tells the demand and what runs ([`Input`]) again and again and carries out
 //! the [`Order`]s that come back, then tells what became of each ([`Planner::answered`]). Orders
@@ -102,9 +102,6 @@
     /// Part of the demand that on-demand replicas can serve while reclaimable ones are refused or were
     /// just taken back, in case all of them are lost.
     pub last_share: f64,
-    /// Availability zones whose reclaimable replicas may be lost at once, or one soon after the
-    /// other, without an order: the next reclaim may come before what was ordered has started.
-    pub zones_spare: u32,
     /// How long the highest demand counts.
     pub demand_kept: Duration,
     /// How long the highest demand counts for on-demand replicas that stand in for reclaimable
@@ -121,7 +118,6 @@
             busy_scarce: 0.9,
             on_demand_least: 2,
             last_share: 0.0,
-            zones_spare: 1,
             demand_kept: Duration::from_secs(20),
             scarce_kept: Duration::from_secs(6),
             distrust: Duration::from_secs(3),
@@ -282,9 +278,8 @@
             let zone = zones[(i % count) as usize];
             wanted.entry(zone.name.clone()).or_default().on_demand += 1;
         }
-        // Enough is left when the zones that may be lost are.
-        let left = count.saturating_sub(self.policy.zones_spare).max(1);
-        let spread = (need.plenty - base).div_ceil(left);
+        // Enough is left when any one zone's are lost.
+        let spread = (need.plenty - base).div_ceil(count.saturating_sub(1).max(1));
         for wanted in wanted.values_mut() {
             let least = input.least.saturating_sub(wanted.on_demand);
             let room = input.most.saturating_sub(wanted.on_demand);
--- a/crates/vaneway-server/src/core/settings/read.rs
+++ b/crates/vaneway-server/src/core/settings/read.rs
@@ -261,7 +261,6 @@
         on_demand_least: fields.number("on_demand_least", 0..=1_000, default.on_demand_least.into())
             as u32,
         last_share: fields.fraction("last_share", 0.0..=10.0, default.last_share),
-        zones_spare: fields.number("zones_spare", 0..=100, default.zones_spare.into()) as u32,
         demand_kept: Duration::from_secs_f64(fields.fraction(
             "demand_kept_s",
             0.0..=86_400.0,
