--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -32,6 +32,11 @@
 /// Time after a window's end at which its counts are fixed: entry boxes have told them by then.
 const FIX_AFTER: Duration = Duration::from_millis(1_500);
 
+/// The same while an entry box has told nothing since the window's end, since it may be cut off for a
+/// while: long enough for most cuts, and short enough that a report is in time even if the leader is lost
+/// then.
+const FIX_LATEST: Duration = Duration::from_secs(5);
+
 /// How long one call may take. Its connection is reset then, so that nothing of it can still
 /// arrive.
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
@@ -87,8 +92,15 @@
     let length = control.settings.window;
     for window in present.saturating_sub(WINDOWS_BACK).max(first)..present {
         let known = control.machine.borrow().usage().contains_key(&window);
-        let end = Duration::from_millis((window + 1) * length.as_millis() as u64);
-        if known || control.time() < end + FIX_AFTER {
+        if known {
+            continue;
+        }
+        let begin = Duration::from_millis(window * length.as_millis() as u64);
+        let end = begin + length;
+        let (first_slot, last_slot) = (vaneway_quota::slot(begin), vaneway_quota::slot(end));
+        let misses = control.use_ledger.borrow().misses_entries(first_slot, last_slot);
+        let after = if misses { FIX_LATEST } else { FIX_AFTER };
+        if control.time() < end + after {
             continue;
         }
         let counts = control.use_ledger.borrow().counts(window);
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -166,6 +166,8 @@
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
     slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, f64>>>,
     loads: BTreeMap<EntryStart, BTreeMap<InstanceId, Load>>,
+    /// When each entry box last told anything.
+    told: BTreeMap<EntryStart, Slot>,
     /// What each entry box last told of the engines of each service.
     work: BTreeMap<EntryStart, BTreeMap<String, EngineUse>>,
     /// Work told in the latest slots, by service.
@@ -225,6 +227,7 @@
         while self.slots.len() > LEDGER_SLOTS {
             self.slots.pop_first();
         }
+        self.told.insert(entry.clone(), now.slot);
         self.loads.insert(entry.clone(), report.loads.iter().cloned().collect());
         self.merge_work(now, entry, &report.work);
     }
@@ -296,6 +299,12 @@
         rest.filter(|(_, load)| *load != Load::default()).collect()
     }
 
+    /// Whether an entry box told something in a window, from the slot `begin` on, and nothing since its
+    /// end: it may have more to tell of it.
+    pub fn misses_entries(&self, begin: Slot, end: Slot) -> bool {
+        self.told.values().any(|told| (begin..=end).contains(told))
+    }
+
     /// Requests of each organisation in a window, over all entry boxes.
     pub fn counts(&self, window: Window) -> Counts {
         let mut sum = Counts::new();
--- a/tests/testsuite/decisions_of_control.rs
+++ b/tests/testsuite/decisions_of_control.rs
@@ -117,6 +117,24 @@
     assert_eq!(ledger.counts(40), counts(&[]));
 }
 
+/// Found on pretexpress-qc, trouble-1: three of seven entry boxes were cut off beyond the end of a window,
+/// and its counts were fixed without theirs.
+#[test]
+fn counts_of_a_window_wait_for_an_entry_box_that_was_heard_of_in_it_and_not_since() {
+    let at =
+        |seconds: u64| ClusterNow { window: seconds / 5, slot: slot(Duration::from_secs(seconds)) };
+    let (begin, end) = (at(100).slot, at(105).slot);
+    let (cut_off, other) = (("cut-off".to_owned(), 1), ("other".to_owned(), 1));
+    let report = vaneway_server::core::usage::UseReport::default();
+    let mut ledger = UseLedger::default();
+    ledger.merge(at(99), &("gone before".to_owned(), 1), &report);
+    ledger.merge(at(102), &cut_off, &report);
+    ledger.merge(at(106), &other, &report);
+    assert!(ledger.misses_entries(begin, end));
+    ledger.merge(at(107), &cut_off, &report);
+    assert!(!ledger.misses_entries(begin, end));
+}
+
 fn held(version: u64) -> Held {
     let document = empty_configuration(version).to_string();
     Held { configuration: serde_json::from_str(&document).unwrap(), document }
