--- a/crates/vaneway-engine/src/demand.rs
+++ b/crates/vaneway-engine/src/demand.rs
@@ -17,6 +17,25 @@
     pub unread: f64,
 }
 
+impl Rates {
+    /// The rates of all `known` boxes, where only `heard` of them told theirs, by the last rates that all
+    /// told; none if that can't be said. Boxes that are cut off go on taking work, about as much as the
+    /// others, and of boxes that died the others take it, so the sum is not taken to rise.
+    pub fn of_all(self, heard: u32, known: u32, last: Option<Self>) -> Option<Self> {
+        if heard >= known {
+            return Some(self);
+        }
+        let last = last.filter(|_| heard > 0)?;
+        let factor = f64::from(known) / f64::from(heard);
+        let rate = |told: f64, last: f64| told.max((told * factor).min(last));
+        Some(Self {
+            runs: rate(self.runs, last.runs),
+            prompt: rate(self.prompt, last.prompt),
+            unread: rate(self.unread, last.unread),
+        })
+    }
+}
+
 /// What one replica has, as the configuration says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineSize {
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -14,12 +14,14 @@
 use vaneway_capacity::ZoneName;
 use vaneway_engine::Demand;
 use vaneway_engine::EngineSize;
+use vaneway_engine::Rates;
 use vaneway_registry::Standing;
 
 use crate::core::configuration::CapacitySpec;
 use crate::core::configuration::ServiceSpec;
 use crate::core::control::duties;
 use crate::core::control::duties::CallEnd;
+use crate::core::control::links;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
 use crate::core::settings::CloudSettings;
@@ -41,6 +43,8 @@
     planners: BTreeMap<String, Planner>,
     /// When the demand for a service was first known here.
     known_since: BTreeMap<String, Instant>,
+    /// The work for a service when all entry boxes were last heard.
+    rates: BTreeMap<String, Rates>,
 }
 
 impl Orders {
@@ -80,7 +84,8 @@
         }
     }
 
-    /// The demand for a service; none while too little was seen of its engines, or not for long.
+    /// The demand for a service; none while too little was seen of its engines, or not for long, or while
+    /// no entry box is heard.
     fn demand(&mut self, control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
         let engine = service.engine.as_ref()?;
         let ledger = control.use_ledger.borrow();
@@ -90,7 +95,13 @@
         }
         let since = *self.known_since.entry(service.name.clone()).or_insert_with(Instant::now);
         let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
-        let rates = ledger.rates(control.now(), &service.name);
+        let (heard, known) = links::sharers(control);
+        let told = ledger.rates(control.now(), &service.name);
+        let last = self.rates.get(&service.name).copied();
+        let rates = told.of_all(heard, known, last)?;
+        if heard >= known {
+            self.rates.insert(service.name.clone(), told);
+        }
         (since.elapsed() >= SETTLED_AFTER).then(|| speeds.demand(rates, size, running))
     }
 }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -284,7 +284,7 @@
 /// How many entry boxes are heard, and how many may be there. One that was lost may be cut off and
 /// go on taking requests, so it counts for a while; for good while this box knows of no leader, as
 /// it may then be this box that is cut off.
-fn sharers(control: &Control) -> (u32, u32) {
+pub(super) fn sharers(control: &Control) -> (u32, u32) {
     let now = Instant::now();
     let mut seen = control.entries_seen.borrow_mut();
     for link in control.entries.borrow().values() {
--- a/tests/testsuite/engine_speeds.rs
+++ b/tests/testsuite/engine_speeds.rs
@@ -179,3 +179,22 @@
     let later = observer.speeds();
     assert!(is_near(later.pause, 8.0 * engine.pause(), 1.5), "lasting slowness is learned");
 }
+
+/// Found in the incident inc-8d9b: three of seven entry boxes were cut off from the leader, which took what
+/// the other four told for the whole demand and let half of the fleet go.
+#[test]
+fn work_of_boxes_that_are_cut_off_counts_like_that_of_the_others() {
+    let rates = |runs: f64| Rates { runs, prompt: 200.0 * runs, unread: 100.0 * runs };
+    let last = Some(rates(70.0));
+    assert_eq!(rates(40.0).of_all(4, 7, last), Some(rates(70.0)));
+    assert_eq!(rates(20.0).of_all(4, 7, last), Some(rates(35.0)), "a lull is seen");
+    assert_eq!(
+        rates(60.0).of_all(4, 7, last),
+        Some(rates(70.0)),
+        "the dead ones' work is not doubled"
+    );
+    assert_eq!(rates(80.0).of_all(4, 7, last), Some(rates(80.0)), "a rise is seen");
+    assert_eq!(rates(40.0).of_all(7, 7, last), Some(rates(40.0)));
+    assert_eq!(rates(40.0).of_all(4, 7, None), None, "all were never heard");
+    assert_eq!(rates(0.0).of_all(0, 7, last), None, "nothing is known of the demand");
+}
