--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -23,6 +23,7 @@
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
+use crate::core::usage::UseLedger;
 use crate::core::usage::Window;
 use crate::util::logline::Line;
 
@@ -87,12 +88,19 @@
     settled && control.leads_surely() && !control.stopping.get()
 }
 
-/// Fixes the counts of windows that ended and have no report yet.
+/// Whether a window that ended has to be reported by this box: it was up in it, or entry boxes tell of
+/// requests in it. The latter also holds for a window that ended while all control boxes were down.
+pub fn is_due(ledger: &UseLedger, reported: bool, first: Window, window: Window) -> bool {
+    !reported && (window >= first || ledger.has_window(window))
+}
+
+/// Fixes the counts of windows that ended and have no report yet; `first` is the window in which this
+/// box began to look.
 async fn fix_reports(control: &Rc<Control>, first: Window, present: Window) {
     let length = control.settings.window;
-    for window in present.saturating_sub(WINDOWS_BACK).max(first)..present {
-        let known = control.machine.borrow().usage().contains_key(&window);
-        if known {
+    for window in present.saturating_sub(WINDOWS_BACK)..present {
+        let reported = control.machine.borrow().usage().contains_key(&window);
+        if !is_due(&control.use_ledger.borrow(), reported, first, window) {
             continue;
         }
         let begin = Duration::from_millis(window * length.as_millis() as u64);
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -198,6 +198,10 @@
 /// Slots of work that are remembered.
 const DEMAND_SLOTS_KEPT: usize = 16;
 
+/// Slots of silence after which a start of an entry box is forgotten: half a minute, longer than a
+/// window may still be reported, and than a box that was cut off may come back with.
+const STARTS_KEPT: u64 = 60;
+
 impl UseLedger {
     /// Takes a report in; `now` is the cluster's time, beyond which nothing can have been used.
     pub fn merge(&mut self, now: ClusterNow, entry: &EntryStart, report: &UseReport) {
@@ -228,10 +232,24 @@
             self.slots.pop_first();
         }
         self.told.insert(entry.clone(), now.slot);
+        self.forget_starts(now);
         self.loads.insert(entry.clone(), report.loads.iter().cloned().collect());
         self.merge_work(now, entry, &report.work);
     }
 
+    /// Forgets the starts of entry boxes that have been silent for long: what they saw of engines must
+    /// not outweigh what is seen now.
+    fn forget_starts(&mut self, now: ClusterNow) {
+        let Self { told, work, .. } = self;
+        told.retain(|_, slot| *slot + STARTS_KEPT >= now.slot);
+        work.retain(|entry, _| told.contains_key(entry));
+    }
+
+    /// Starts of entry boxes that are remembered.
+    pub fn starts(&self) -> usize {
+        self.told.len()
+    }
+
     fn merge_work(&mut self, now: ClusterNow, entry: &EntryStart, work: &[(String, EngineUse)]) {
         let told = self.work.insert(entry.clone(), work.iter().cloned().collect());
         // What was done before this box heard of the entry for the first time says nothing of now.
@@ -305,6 +323,11 @@
         self.told.values().any(|told| (begin..=end).contains(told))
     }
 
+    /// Whether any entry box told of requests in a window.
+    pub fn has_window(&self, window: Window) -> bool {
+        self.windows.contains_key(&window)
+    }
+
     /// Requests of each organisation in a window, over all entry boxes.
     pub fn counts(&self, window: Window) -> Counts {
         let mut sum = Counts::new();
--- a/tests/testsuite/decisions_of_control.rs
+++ b/tests/testsuite/decisions_of_control.rs
@@ -6,10 +6,12 @@
 
 use serde_json::json;
 use vaneway_agreement::MemberChange;
+use vaneway_engine::Speeds;
 use vaneway_quota::slot;
 use vaneway_server::core::configuration::Configuration;
 use vaneway_server::core::configuration::RouteTable;
 use vaneway_server::core::control::clock::Clock;
+use vaneway_server::core::control::duties::is_due;
 use vaneway_server::core::control::machine::Command;
 use vaneway_server::core::control::machine::Effect;
 use vaneway_server::core::control::machine::Held;
@@ -20,6 +22,7 @@
 use vaneway_server::core::usage::ClusterNow;
 use vaneway_server::core::usage::ClusterTime;
 use vaneway_server::core::usage::Counts;
+use vaneway_server::core::usage::EngineUse;
 use vaneway_server::core::usage::UseLedger;
 use vaneway_server::core::usage::Used;
 use vaneway_test_support::control_group::empty_configuration;
@@ -135,6 +138,49 @@
     assert!(!ledger.misses_entries(begin, end));
 }
 
+/// Found on scale-1 of kbd-vaneway, seed 292799700553: all control boxes were without power at the end of a
+/// window, and none reported it afterwards.
+#[test]
+fn window_that_ended_while_all_control_boxes_were_down_is_due_once_entry_boxes_tell_of_it() {
+    let now = ClusterNow { window: 22, slot: slot(Duration::from_secs(110)) };
+    let entry = ("entry".to_owned(), 1);
+    let windows = vec![(20, Counts::from([("a".to_owned(), 3)]))];
+    let report = vaneway_server::core::usage::UseReport { windows, ..Default::default() };
+    let mut ledger = UseLedger::default();
+    let first = 21;
+    assert!(!is_due(&ledger, false, first, 20), "nothing is known of it");
+    ledger.merge(now, &entry, &report);
+    let due = |reported, window| is_due(&ledger, reported, first, window);
+    assert_eq!([due(false, 19), due(false, 20), due(true, 20), due(false, 21)], [
+        false, true, false, true
+    ]);
+}
+
+#[test]
+fn starts_of_entry_boxes_that_are_long_gone_are_forgotten_with_the_speeds_they_saw() {
+    let at = |seconds: u64| ClusterNow { window: 0, slot: slot(Duration::from_secs(seconds)) };
+    let seen = |token| EngineUse {
+        speeds: Speeds { token, runs: 64, ..Speeds::default() },
+        ..EngineUse::default()
+    };
+    let report = |token| vaneway_server::core::usage::UseReport {
+        work: vec![("engine".to_owned(), seen(token))],
+        ..Default::default()
+    };
+    let mut ledger = UseLedger::default();
+    for boot in 0..20 {
+        ledger.merge(at(100), &("entry".to_owned(), boot), &report(9.0));
+    }
+    let now = ("entry".to_owned(), 20);
+    for second in 100..125 {
+        ledger.merge(at(second), &now, &report(1.0));
+    }
+    // A box that was cut off for as long may still come back.
+    assert_eq!((ledger.starts(), ledger.speeds("engine").token), (21, 9.0));
+    ledger.merge(at(140), &now, &report(1.0));
+    assert_eq!((ledger.starts(), ledger.speeds("engine").token), (1, 1.0));
+}
+
 fn held(version: u64) -> Held {
     let document = empty_configuration(version).to_string();
     Held { configuration: serde_json::from_str(&document).unwrap(), document }
