--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -137,7 +137,9 @@
 
     fn received(self: &Rc<Self>, message: ToEntry) {
         match message {
-            ToEntry::Pong { sent_us, time_us } => self.learn_time(sent_us, time_us),
+            ToEntry::Pong { sent_us, time_us: Some(time_us) } => self.learn_time(sent_us, time_us),
+            // The control box has just started and doesn't know the time yet.
+            ToEntry::Pong { time_us: None, .. } => {}
             ToEntry::Configuration(configuration) => self.entry.configure(configuration),
             ToEntry::Registry(reports) => registered::apply(&self.entry, &reports),
             ToEntry::Remembered { endpoints, left_ms } => {
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -70,8 +70,8 @@
     Pong {
         /// The ping's own time.
         sent_us: u64,
-        /// The cluster's time since 1970, in microseconds.
-        time_us: u64,
+        /// The cluster's time since 1970, in microseconds; none while the control box doesn't know it.
+        time_us: Option<u64>,
     },
     /// A configuration that is agreed on.
     Configuration(Configuration),
@@ -111,6 +111,8 @@
     Ping {
         /// Microseconds since 1970 by the sender's clock.
         time_us: u64,
+        /// The same by the cluster's time as the sender keeps it, once it does.
+        kept_us: Option<u64>,
     },
     /// A message of the agreement.
     Agreement {
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -178,7 +178,8 @@
             *sender = welcome(control, outgoing, (name, boot));
         }
         ToControl::Entry(FromEntry::Ping { sent_us }) => {
-            let time_us = control.time().as_micros() as u64;
+            let time = control.known_time();
+            let time_us = time.map(|time| time.as_micros() as u64);
             outgoing.send(&ToEntry::Pong { sent_us, time_us });
         }
         ToControl::Entry(FromEntry::Leaving(reports)) => {
@@ -244,10 +245,15 @@
     };
     match message {
         BetweenControl::Hello { .. } => {}
-        BetweenControl::Ping { time_us } => {
-            let time = Duration::from_micros(time_us);
-            control.clock.borrow_mut().learn(Instant::now(), node, time);
-            outgoing.send(&ping());
+        BetweenControl::Ping { time_us, kept_us } => {
+            let now = Instant::now();
+            let mut clock = control.clock.borrow_mut();
+            clock.learn(now, node, Duration::from_micros(time_us));
+            if let Some(kept) = kept_us {
+                clock.learn_kept(now, node, Duration::from_micros(kept));
+            }
+            drop(clock);
+            outgoing.send(&ping(control));
         }
         BetweenControl::Agreement { to, message } => {
             if to == control.node.borrow().id() {
@@ -261,8 +267,12 @@
     }
 }
 
-fn ping() -> BetweenControl {
-    BetweenControl::Ping { time_us: clock::since_epoch().as_micros() as u64 }
+fn ping(control: &Control) -> BetweenControl {
+    let kept = control.clock.borrow().kept(Instant::now());
+    BetweenControl::Ping {
+        time_us: clock::since_epoch().as_micros() as u64,
+        kept_us: kept.map(|kept| kept.as_micros() as u64),
+    }
 }
 
 /// Tells the entry boxes again and again what the others used, until dropped.
@@ -343,7 +353,7 @@
     let outgoing = Outgoing::default();
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
-    send(ping());
+    send(ping(control));
     send(BetweenControl::Registry(control.registry.borrow().reports(Instant::now())));
     if let Some(peer) = control.peers.borrow().get(&address) {
         *peer.outgoing.borrow_mut() = Some(outgoing.clone());
@@ -370,7 +380,7 @@
     let mut unreadable = 0;
     loop {
         control.timers.sleep(PING_EVERY).await;
-        send_to_all(&control, ping());
+        send_to_all(&control, ping(&control));
         let count = control.unreadable.get();
         if count > unreadable {
             Line::new("messages_unreadable").with("since_start", count).warn();
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -39,6 +39,10 @@
 /// Incarnation of the nodes that form a group at the first start.
 pub const FIRST_INCARNATION: u32 = 1;
 
+/// Time after a start in which a control box has heard the cluster's time from others, if there are any:
+/// longer than its first connections take to open.
+const TIME_WITHIN: Duration = Duration::from_secs(2);
+
 /// The id of a node: its box's address and the incarnation of its disk. So a node can be found
 /// by its id alone, and a box whose disk was lost comes back as another node.
 pub fn node_id(address: Ipv4Addr, incarnation: u32) -> NodeId {
@@ -123,6 +127,14 @@
         self.clock.borrow_mut().read(Instant::now(), clock::since_epoch())
     }
 
+    /// The cluster's time since 1970 if this box can tell it: it keeps one, or has been up for so long
+    /// that there are no others to learn it from.
+    pub fn known_time(&self) -> Option<Duration> {
+        let time = self.time();
+        let kept = self.clock.borrow().kept(Instant::now());
+        kept.or_else(|| (self.started.elapsed() >= TIME_WITHIN).then_some(time))
+    }
+
     /// Where the cluster's time stands.
     pub fn now(&self) -> ClusterNow {
         let time = self.time();
