--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -3,7 +3,7 @@
 //! Data flow: one connection to each control box that is known: the seeds of the settings at
 //! first, then whoever the control boxes name. Configuration and endpoints may come from any of
 //! them; the newest counts, so one control box that is cut off or behind takes nothing away. What
-//! requests used is told to all, and what the others used is heard from all.
+//! requests used is told to all; what the others used is heard from two ([`tellers`]).
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,11 +16,16 @@
 
 use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Sharers;
+use vaneway_registry::InstanceId;
 use vaneway_registry::Report;
 use vaneway_registry::Standing;
+use vaneway_route::Load;
 
 use crate::core::cluster::reconnect::keep_connected;
+use crate::core::cluster::tellers;
+use crate::core::cluster::tellers::Teller;
 use crate::core::cluster::wire::FromEntry;
+use crate::core::cluster::wire::LOADS_EVERY;
 use crate::core::cluster::wire::PING_EVERY;
 use crate::core::cluster::wire::SILENCE_MOST;
 use crate::core::cluster::wire::SLOTS_TOLD;
@@ -28,11 +33,15 @@
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
 use crate::core::cluster::wire::USE_EVERY;
+use crate::core::cluster::wire::WINDOWS_TOLD;
+use crate::core::cluster::wire::Wanted;
 use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
+use crate::core::loads::Loads;
 use crate::core::settings::FollowSettings;
 use crate::core::usage::ClusterTime;
 use crate::core::usage::UseReport;
+use crate::core::usage::WINDOWS_KEPT;
 use crate::util::frames;
 use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
@@ -49,11 +58,26 @@
     /// Control boxes to which a connection is kept.
     kept: RefCell<BTreeSet<SocketAddr>>,
     /// Connections that are open.
-    open: RefCell<BTreeMap<SocketAddr, Outgoing>>,
+    open: RefCell<BTreeMap<SocketAddr, Link>>,
+    /// What this box last told of its open work at endpoints.
+    told: RefCell<BTreeMap<InstanceId, Load>>,
     /// Round trip of the exchange that gave the present estimate of the cluster's time, and when.
     clock_from: Cell<Option<(Duration, Instant)>>,
 }
 
+/// An open connection to a control box.
+#[derive(Debug)]
+struct Link {
+    outgoing: Outgoing,
+    opened: Instant,
+    /// When anything last came.
+    heard: Cell<Instant>,
+    /// Whether it said that it stands in this box's availability zone.
+    at_home: Cell<bool>,
+    /// What it was asked to tell of the other entry boxes.
+    wanted: Cell<Wanted>,
+}
+
 /// How old an estimate of the cluster's time may be before a worse one replaces it.
 const CLOCK_KEPT: Duration = Duration::from_secs(20);
 
@@ -66,25 +90,34 @@
         settings,
         kept: RefCell::default(),
         open: RefCell::default(),
+        told: RefCell::default(),
         clock_from: Cell::new(None),
     });
     follower.keep(&seeds);
     let mut pinged = Instant::now();
-    let mut round = 0;
+    let mut round: u64 = 0;
+    let mut used = Instant::now();
     loop {
-        follower.entry.timers.sleep(USE_EVERY).await;
+        follower.entry.timers.sleep(LOADS_EVERY).await;
+        follower.tell_loads();
+        if used.elapsed() < USE_EVERY {
+            continue;
+        }
+        used = Instant::now();
         round += 1;
-        let report = Encoded::new(&ToControl::Entry(FromEntry::Use(follower.report(round))));
+        let report = follower.report(round.is_multiple_of(TELL_ALL_EVERY));
+        let report = Encoded::new(&ToControl::Entry(FromEntry::Use(report)));
         let ping = pinged.elapsed() >= PING_EVERY;
         if ping {
             pinged = Instant::now();
         }
-        for outgoing in follower.open.borrow().values() {
-            outgoing.send_encoded(&report);
+        for link in follower.open.borrow().values() {
+            link.outgoing.send_encoded(&report);
             if ping {
-                send(outgoing, FromEntry::Ping { sent_us: follower.steady_us() });
+                send(&link.outgoing, FromEntry::Ping { sent_us: follower.steady_us() });
             }
         }
+        follower.choose_tellers();
     }
 }
 
@@ -92,6 +125,28 @@
     outgoing.send(&ToControl::Entry(message));
 }
 
+impl Link {
+    fn new(outgoing: Outgoing) -> Self {
+        let now = Instant::now();
+        Self {
+            outgoing,
+            opened: now,
+            heard: Cell::new(now),
+            at_home: Cell::new(false),
+            wanted: Cell::default(),
+        }
+    }
+
+    fn teller(&self, address: SocketAddr) -> Teller {
+        Teller {
+            address,
+            at_home: self.at_home.get(),
+            silent: self.heard.get().elapsed(),
+            connected: self.opened.elapsed(),
+        }
+    }
+}
+
 impl Follower {
     /// Keeps a connection to each of these control boxes and to the seeds, and to no others.
     fn keep(self: &Rc<Self>, addresses: &[SocketAddr]) {
@@ -104,8 +159,8 @@
             compio::runtime::spawn(async move { follower.keep_one(address).await }).detach();
         }
         for address in before.difference(&wanted) {
-            if let Some(outgoing) = self.open.borrow().get(address) {
-                outgoing.close();
+            if let Some(link) = self.open.borrow().get(address) {
+                link.outgoing.close();
             }
         }
     }
@@ -122,21 +177,33 @@
         let name = self.entry.settings.name.clone();
         send(&outgoing, FromEntry::Hello { name, boot: self.entry.boot() });
         send(&outgoing, FromEntry::Leaving(self.leaving()));
+        send(&outgoing, FromEntry::Use(self.report(true)));
         send(&outgoing, FromEntry::Ping { sent_us: self.steady_us() });
-        self.open.borrow_mut().insert(address, outgoing.clone());
+        let link = Link::new(outgoing.clone());
+        self.open.borrow_mut().insert(address, link);
         Line::new("control_connected").with("address", address).info();
         let on_frame = |frame: &[u8]| match frames::decode::<ToEntry>(frame) {
-            Some(message) => self.received(message),
+            Some(message) => self.received(address, message),
             None => self.entry.metrics.datagrams_dropped.inc(),
         };
         let timers = &self.entry.timers;
         let why = frames::drive(timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
         self.open.borrow_mut().remove(&address);
+        self.choose_tellers();
         Line::new("control_lost").with("address", address).with("why", why).info();
     }
 
-    fn received(self: &Rc<Self>, message: ToEntry) {
+    fn received(self: &Rc<Self>, from: SocketAddr, message: ToEntry) {
+        if let Some(link) = self.open.borrow().get(&from) {
+            link.heard.set(Instant::now());
+        }
         match message {
+            ToEntry::Hello { availability_zone } => {
+                if let Some(link) = self.open.borrow().get(&from) {
+                    link.at_home.set(availability_zone == self.entry.settings.availability_zone);
+                }
+                self.choose_tellers();
+            }
             ToEntry::Pong { sent_us, time_us: Some(time_us) } => self.learn_time(sent_us, time_us),
             // The control box has just started and doesn't know the time yet.
             ToEntry::Pong { time_us: None, .. } => {}
@@ -151,10 +218,12 @@
                     self.keep(&addresses);
                 }
             }
-            ToEntry::OthersUse { heard, known, quotas, loads } => {
+            ToEntry::Loads { whole, loads } => {
+                self.entry.open_of_all(whole, &loads, &self.told.borrow());
+            }
+            ToEntry::OthersUse { heard, known, quotas } => {
                 let sharers = Sharers { heard, known };
                 self.entry.share_retries(known);
-                self.entry.others_open(&loads);
                 for (organisation, slots) in &quotas {
                     self.entry.others_took(organisation, slots, sharers);
                 }
@@ -169,16 +238,52 @@
         reports
     }
 
-    /// What this box's requests used, as far as it must be told now.
-    fn report(&self, round: u64) -> UseReport {
-        let all = round.is_multiple_of(TELL_ALL_EVERY);
-        let kept = if all { SLOTS_KEPT } else { SLOTS_TOLD };
-        let first = vaneway_quota::slot(self.entry.cluster_time()).saturating_sub(kept);
-        let windows = self.entry.used.borrow().windows();
+    /// Asks the control boxes that are to tell what the others use, and lets the others cease.
+    fn choose_tellers(&self) {
+        let open = self.open.borrow();
+        let known: Vec<Teller> = open.iter().map(|(address, link)| link.teller(*address)).collect();
+        let chosen = tellers::choose(&self.entry.settings.name, &known);
+        for (address, link) in open.iter() {
+            let wanted = Wanted {
+                quotas: chosen.contains(address),
+                // Loads are long, change all the time, and are not missed for a moment.
+                loads: chosen.first() == Some(address),
+            };
+            if link.wanted.replace(wanted) != wanted {
+                send(&link.outgoing, FromEntry::Tell(wanted));
+                log::debug!("event=teller address={address} wanted={wanted:?}");
+            }
+        }
+    }
+
+    /// Tells the control boxes what this box has open at endpoints, where it changed.
+    fn tell_loads(&self) {
+        let now: BTreeMap<InstanceId, Load> = self.entry.open_loads().into_iter().collect();
+        let before = self.told.replace(now);
+        let now = self.told.borrow();
+        let ended = before.keys().filter(|id| !now.contains_key(*id));
+        let mut changed: Loads = ended.map(|id| (id.clone(), Load::default())).collect();
+        let other = now.iter().filter(|(id, load)| before.get(*id) != Some(load));
+        changed.extend(other.map(|(id, load)| (id.clone(), *load)));
+        if changed.is_empty() {
+            return;
+        }
+        let message = Encoded::new(&ToControl::Entry(FromEntry::Loads(changed)));
+        for link in self.open.borrow().values() {
+            link.outgoing.send_encoded(&message);
+        }
+    }
+
+    /// What this box's requests used: all that is remembered, or the latest.
+    fn report(&self, all: bool) -> UseReport {
+        let (slots, windows) =
+            if all { (SLOTS_KEPT, WINDOWS_KEPT) } else { (SLOTS_TOLD, WINDOWS_TOLD) };
+        let first = vaneway_quota::slot(self.entry.cluster_time()).saturating_sub(slots);
+        let windows = self.entry.used.borrow().windows(windows);
         UseReport {
             windows,
             quotas: self.entry.own_quota_use(first),
-            loads: self.entry.open_loads(),
+            loads: all.then(|| self.entry.open_loads()),
             work: self.entry.used.borrow_mut().work(),
         }
     }
--- a/crates/vaneway-server/src/core/cluster/mod.rs
+++ b/crates/vaneway-server/src/core/cluster/mod.rs
@@ -3,10 +3,12 @@
 //! - [`marks`] and [`datagram`]: leaving marks between entry boxes that their settings list;
 //! - [`wire`]: the messages between entry and control boxes;
 //! - [`reconnect`]: connections to other boxes that are opened again whenever they break;
-//! - [`follow`]: how an entry box follows the control boxes.
+//! - [`follow`]: how an entry box follows the control boxes;
+//! - [`tellers`]: which of them tell it what the others use.
 
 pub mod datagram;
 pub mod follow;
 pub mod marks;
 pub mod reconnect;
+pub mod tellers;
 pub mod wire;
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -11,21 +11,32 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vaneway_agreement::NodeId;
-use vaneway_registry::InstanceId;
 use vaneway_registry::Report;
-use vaneway_route::Load;
 
 use crate::core::configuration::Configuration;
+use crate::core::loads::Loads;
 use crate::core::usage::QuotaUse;
 use crate::core::usage::UseReport;
 
 /// Time between two tellings of what requests used, in either direction.
 pub const USE_EVERY: Duration = Duration::from_millis(150);
 
+/// Time between two tellings of what is open at endpoints, in either direction. An endpoint serves a request
+/// every 20 to 200 ms, so that older news sends too many boxes to the same one (docs/DECISIONS.md,
+/// "Telling").
+pub const LOADS_EVERY: Duration = Duration::from_millis(50);
+
+/// Tellings of loads after which all are told, for whoever missed some.
+pub const TELL_ALL_LOADS_EVERY: u64 = 20;
+
 /// Slots of quotas that each telling repeats.
 pub const SLOTS_TOLD: u64 = 2;
 
-/// Tellings after which all slots are repeated, for whoever missed some.
+/// Accounting windows that each telling repeats: the present one, and the one before, whose last requests
+/// may have begun since the last telling.
+pub const WINDOWS_TOLD: usize = 2;
+
+/// Tellings after which all slots and windows are repeated, for whoever missed some.
 pub const TELL_ALL_EVERY: u64 = 12;
 
 /// Time between two signs of life on a connection.
@@ -61,11 +72,21 @@
     Leaving(Vec<Report>),
     /// What my requests used.
     Use(UseReport),
+    /// What I have open now at the endpoints where it changed since I last told; [`FromEntry::Use`] tells
+    /// all of it now and then.
+    Loads(Loads),
+    /// What I want to be told of the other entry boxes; nothing until I say so.
+    Tell(Wanted),
 }
 
 /// A message of a control box to an entry box.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
+    /// Who I am; the first message.
+    Hello {
+        /// The availability zone in which the control box stands.
+        availability_zone: String,
+    },
     /// Answer to [`FromEntry::Ping`].
     Pong {
         /// The ping's own time.
@@ -94,9 +115,24 @@
         known: u32,
         /// Units by organisation and slot.
         quotas: QuotaUse,
-        /// What they have open at endpoints.
-        loads: Vec<(InstanceId, Load)>,
     },
+    /// What all entry boxes have open at endpoints, the receiver among them: the same bytes for all of
+    /// them.
+    Loads {
+        /// Whether these are all endpoints with anything open, or those where it changed.
+        whole: bool,
+        /// The endpoints.
+        loads: Loads,
+    },
+}
+
+/// What an entry box wants to be told of the others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// What they took of quotas, and how many they are.
+    pub quotas: bool,
+    /// What they have open at endpoints.
+    pub loads: bool,
 }
 
 /// A message between control boxes.
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -1,6 +1,7 @@
 //! Connections of a control box: those that entry boxes and other control boxes open to it, and
 //! those that it opens to other control boxes.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,18 +18,22 @@
 use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::wire::BetweenControl;
 use crate::core::cluster::wire::FromEntry;
+use crate::core::cluster::wire::LOADS_EVERY;
 use crate::core::cluster::wire::PING_EVERY;
 use crate::core::cluster::wire::SILENCE_MOST;
 use crate::core::cluster::wire::SLOTS_TOLD;
 use crate::core::cluster::wire::TELL_ALL_EVERY;
+use crate::core::cluster::wire::TELL_ALL_LOADS_EVERY;
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
 use crate::core::cluster::wire::USE_EVERY;
+use crate::core::cluster::wire::Wanted;
 use crate::core::configuration::Configuration;
 use crate::core::control::group;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
 use crate::core::usage::EntryStart;
+use crate::core::usage::QuotaTotals;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::Encoded;
@@ -55,6 +60,8 @@
     /// Who it is.
     pub start: EntryStart,
     outgoing: Outgoing,
+    /// What it wants to be told of the others.
+    wanted: Cell<Wanted>,
 }
 
 /// A connection to another control box, opened again whenever it breaks.
@@ -81,6 +88,13 @@
     }
 }
 
+impl EntryLink {
+    /// What it is told of the others.
+    pub fn wanted(&self) -> Wanted {
+        self.wanted.get()
+    }
+}
+
 impl PeerLink {
     fn send(&self, message: &Encoded) {
         if let Some(outgoing) = &*self.outgoing.borrow() {
@@ -167,7 +181,10 @@
     let why = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
     if let Sender::Entry { link, start } = sender {
         control.entries.borrow_mut().remove(&link);
-        control.use_ledger.borrow_mut().remove_loads(&start);
+        // It may have connected again before this connection was found to be lost.
+        if !control.entries.borrow().values().any(|link| link.start == start) {
+            control.use_ledger.borrow_mut().loads().remove(&start);
+        }
         Line::new("entry_lost").with("entry", start.0).with("why", why).info();
     }
 }
@@ -191,6 +208,16 @@
                 control.use_ledger.borrow_mut().merge(now, start, &report);
             }
         }
+        ToControl::Entry(FromEntry::Loads(loads)) => {
+            if let Sender::Entry { start, .. } = sender {
+                control.use_ledger.borrow_mut().loads().update(start, &loads);
+            }
+        }
+        ToControl::Entry(FromEntry::Tell(wanted)) => {
+            if let Sender::Entry { link, .. } = sender {
+                tell_from_now_on(control, *link, wanted);
+            }
+        }
         ToControl::Control(message) => {
             from_control(control, outgoing, sender, message);
         }
@@ -202,6 +229,8 @@
     control.next_link.update(|link| link + 1);
     let link = control.next_link.get();
     Line::new("entry_connected").with("entry", &start.0).with("boot", start.1).info();
+    let availability_zone = control.settings.availability_zone.clone();
+    outgoing.send(&ToEntry::Hello { availability_zone });
     outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
     if let Some(held) = control.machine.borrow().held() {
         outgoing.send(&ToEntry::Configuration(held.configuration.clone()));
@@ -212,7 +241,8 @@
         let endpoints = control.remembered.borrow().clone();
         outgoing.send(&ToEntry::Remembered { endpoints, left_ms: left.as_millis() as u64 });
     }
-    let entry = EntryLink { start: start.clone(), outgoing: outgoing.clone() };
+    let wanted = Cell::default();
+    let entry = EntryLink { start: start.clone(), outgoing: outgoing.clone(), wanted };
     control.entries.borrow_mut().insert(link, Rc::new(entry));
     Sender::Entry { link, start }
 }
@@ -307,17 +337,75 @@
     (heard, seen.len() as u32)
 }
 
+/// Tells entry boxes what the others took of quotas, if they want to know; all slots, or the latest.
 fn tell_use(control: &Control, all: bool) {
     let links = control.entries.borrow();
-    let (heard, known) = sharers(control);
-    let ledger = control.use_ledger.borrow();
-    let first = if all { 0 } else { ledger.last_slot().saturating_sub(SLOTS_TOLD) };
-    let totals = ledger.quota_totals(first);
-    let loads = ledger.loads();
-    for link in links.values() {
-        let quotas = ledger.without(&totals, &link.start);
-        let loads = ledger.loads_without(&loads, &link.start);
-        link.outgoing.send(&ToEntry::OthersUse { heard, known, quotas, loads });
+    let mut told = links.values().filter(|link| link.wanted.get().quotas).peekable();
+    if told.peek().is_none() {
+        return;
+    }
+    let quotas = QuotasOfAll::of(control, all);
+    for link in told {
+        link.outgoing.send(&quotas.without(control, &link.start));
+    }
+}
+
+/// Tells entry boxes what all have open at endpoints, as soon as it changes, until dropped.
+pub async fn tell_loads(control: Rc<Control>) {
+    let mut round: u64 = 0;
+    loop {
+        control.timers.sleep(LOADS_EVERY).await;
+        round += 1;
+        let whole = round.is_multiple_of(TELL_ALL_LOADS_EVERY);
+        let loads = {
+            let mut ledger = control.use_ledger.borrow_mut();
+            let changed = ledger.loads().take_changed();
+            if whole { ledger.loads().all() } else { changed }
+        };
+        if loads.is_empty() && !whole {
+            continue;
+        }
+        let message = Encoded::new(&ToEntry::Loads { whole, loads });
+        for link in control.entries.borrow().values() {
+            if link.wanted.get().loads {
+                link.outgoing.send_encoded(&message);
+            }
+        }
+    }
+}
+
+/// Begins or ceases to tell an entry box of the others; what it wants newly, it is told whole at once.
+fn tell_from_now_on(control: &Control, link: u64, wanted: Wanted) {
+    let Some(link) = control.entries.borrow().get(&link).cloned() else { return };
+    let before = link.wanted.replace(wanted);
+    if wanted.quotas && !before.quotas {
+        link.outgoing.send(&QuotasOfAll::of(control, true).without(control, &link.start));
+    }
+    if wanted.loads && !before.loads {
+        let loads = control.use_ledger.borrow_mut().loads().all();
+        link.outgoing.send(&ToEntry::Loads { whole: true, loads });
+    }
+}
+
+/// What all entry boxes took of quotas, before each one's own is taken off for it.
+struct QuotasOfAll {
+    heard: u32,
+    known: u32,
+    totals: QuotaTotals,
+}
+
+impl QuotasOfAll {
+    fn of(control: &Control, all_slots: bool) -> Self {
+        let (heard, known) = sharers(control);
+        let ledger = control.use_ledger.borrow();
+        let latest = ledger.last_slot().saturating_sub(SLOTS_TOLD);
+        let first = if all_slots { 0 } else { latest };
+        Self { heard, known, totals: ledger.quota_totals(first) }
+    }
+
+    fn without(&self, control: &Control, entry: &EntryStart) -> ToEntry {
+        let quotas = control.use_ledger.borrow().without(&self.totals, entry);
+        ToEntry::OthersUse { heard: self.heard, known: self.known, quotas }
     }
 }
 
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -157,6 +157,7 @@
         task::spawn_until_dropped(links::keep_peers(Rc::clone(&control))),
         task::spawn_until_dropped(links::ping_peers(Rc::clone(&control))),
         task::spawn_until_dropped(links::tell_entries(Rc::clone(&control))),
+        task::spawn_until_dropped(links::tell_loads(Rc::clone(&control))),
         task::spawn_until_dropped(group::run_timers(Rc::clone(&control))),
         task::spawn_until_dropped(group::maintain(Rc::clone(&control))),
         task::spawn_until_dropped(remembered::keep(Rc::clone(&control))),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -22,6 +22,7 @@
 use vaneway_registry::Registry;
 use vaneway_registry::Report;
 
+use crate::core::cluster::wire::Wanted;
 use crate::core::control::clock::Clock;
 use crate::core::control::links::EntryLink;
 use crate::core::control::links::PeerLink;
@@ -168,6 +169,10 @@
         Holder { name: self.settings.name.clone(), fence: self.node.borrow().term() }
     }
 
+    fn count_told(&self, told: fn(Wanted) -> bool) -> usize {
+        self.entries.borrow().values().filter(|link| told(link.wanted())).count()
+    }
+
     /// The whole state as JSON.
     pub fn dump(&self) -> Value {
         let node = self.node.borrow();
@@ -196,6 +201,8 @@
             "configuration": self.machine.borrow().version(),
             "endpoints": endpoints,
             "entry_boxes": self.entries.borrow().len(),
+            "entry_boxes_told_quotas": self.count_told(|wanted| wanted.quotas),
+            "entry_boxes_told_loads": self.count_told(|wanted| wanted.loads),
         })
     }
 }
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -388,14 +388,31 @@
         loads.filter(|(_, load)| *load != Load::default()).collect()
     }
 
-    /// Learns what the other entry boxes have open at the registered endpoints.
-    pub fn others_open(&self, loads: &[(InstanceId, Load)]) {
+    /// Learns what all entry boxes have open at some endpoints, or at all if `whole`; `own` is what this
+    /// box told of its part.
+    pub fn open_of_all(
+        &self,
+        whole: bool,
+        loads: &[(InstanceId, Load)],
+        own: &BTreeMap<InstanceId, Load>,
+    ) {
         let now = Instant::now();
-        let loads: BTreeMap<&InstanceId, Load> = loads.iter().map(|(i, load)| (i, *load)).collect();
         let mut pool = self.pool.borrow_mut();
-        for (instance, endpoint) in self.registered.borrow().iter() {
-            let load = loads.get(instance).copied().unwrap_or_default();
-            pool.tell_others(now, *endpoint, load);
+        let registered = self.registered.borrow();
+        if whole {
+            for endpoint in registered.values() {
+                pool.tell_others(now, *endpoint, Load::default());
+            }
+        }
+        for (instance, load) in loads {
+            let Some(endpoint) = registered.get(instance) else { continue };
+            let own = own.get(instance).copied().unwrap_or_default();
+            // What this box told last may not be in the sum yet.
+            let others = Load {
+                requests: load.requests.saturating_sub(own.requests),
+                tokens: load.tokens.saturating_sub(own.tokens),
+            };
+            pool.tell_others(now, *endpoint, others);
         }
     }
 
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -18,8 +18,9 @@
 use vaneway_engine::Totals;
 use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Slot;
-use vaneway_registry::InstanceId;
-use vaneway_route::Load;
+
+use crate::core::loads::LoadLedger;
+use crate::core::loads::Loads;
 
 /// Number of an accounting window since 1970.
 pub type Window = u64;
@@ -28,7 +29,7 @@
 pub type Counts = BTreeMap<String, u64>;
 
 /// Windows that an entry box remembers: longer than a report may be late.
-const WINDOWS_KEPT: usize = 8;
+pub const WINDOWS_KEPT: usize = 8;
 
 /// The cluster's time: true time as the control boxes agree on it, against this box's steady
 /// clock, which no step of the time of day changes.
@@ -126,9 +127,11 @@
         engines.collect()
     }
 
-    /// Requests begun in the latest windows, as they travel.
-    pub fn windows(&self) -> Vec<(Window, Counts)> {
-        self.windows.iter().map(|(window, counts)| (*window, counts.clone())).collect()
+    /// Requests begun in the latest `count` windows that have any, as they travel.
+    pub fn windows(&self, count: usize) -> Vec<(Window, Counts)> {
+        let before = self.windows.len().saturating_sub(count);
+        let latest = self.windows.iter().skip(before);
+        latest.map(|(window, counts)| (*window, counts.clone())).collect()
     }
 }
 
@@ -151,8 +154,8 @@
     pub windows: Vec<(Window, Counts)>,
     /// Quota units taken in the latest slots.
     pub quotas: QuotaUse,
-    /// What is open at endpoints now.
-    pub loads: Vec<(InstanceId, Load)>,
+    /// All that is open at endpoints now, where it is told whole.
+    pub loads: Option<Loads>,
     /// What was seen of the engines of each service.
     pub work: Vec<(String, EngineUse)>,
 }
@@ -165,7 +168,7 @@
 pub struct UseLedger {
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
     slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, f64>>>,
-    loads: BTreeMap<EntryStart, BTreeMap<InstanceId, Load>>,
+    loads: LoadLedger,
     /// When each entry box last told anything.
     told: BTreeMap<EntryStart, Slot>,
     /// What each entry box last told of the engines of each service.
@@ -233,7 +236,9 @@
         }
         self.told.insert(entry.clone(), now.slot);
         self.forget_starts(now);
-        self.loads.insert(entry.clone(), report.loads.iter().cloned().collect());
+        if let Some(loads) = &report.loads {
+            self.loads.replace(entry, loads);
+        }
         self.merge_work(now, entry, &report.work);
     }
 
@@ -285,36 +290,9 @@
         vaneway_engine::merge(&told.map(|seen| seen.speeds).collect::<Vec<_>>())
     }
 
-    /// Forgets what an entry box that is gone has open.
-    pub fn remove_loads(&mut self, entry: &EntryStart) {
-        self.loads.remove(entry);
-    }
-
-    /// What all entry boxes have open at endpoints.
-    pub fn loads(&self) -> BTreeMap<InstanceId, Load> {
-        let mut sum = BTreeMap::<InstanceId, Load>::new();
-        for (instance, load) in self.loads.values().flatten() {
-            let known = sum.entry(instance.clone()).or_default();
-            known.requests += load.requests;
-            known.tokens += load.tokens;
-        }
-        sum
-    }
-
-    /// What is left of `total` without one entry box.
-    pub fn loads_without(
-        &self,
-        total: &BTreeMap<InstanceId, Load>,
-        entry: &EntryStart,
-    ) -> Vec<(InstanceId, Load)> {
-        let own = self.loads.get(entry);
-        let own = |id: &str| own.and_then(|own| own.get(id)).copied().unwrap_or_default();
-        let rest = total.iter().map(|(id, load)| {
-            let own = own(id);
-            let requests = load.requests - own.requests;
-            (id.clone(), Load { requests, tokens: load.tokens - own.tokens })
-        });
-        rest.filter(|(_, load)| *load != Load::default()).collect()
+    /// What entry boxes have open at endpoints.
+    pub fn loads(&mut self) -> &mut LoadLedger {
+        &mut self.loads
     }
 
     /// Whether an entry box told something in a window, from the slot `begin` on, and nothing since its
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,3 +31,4 @@
 mod streams;
 mod style;
 mod support;
+mod telling;
--- /dev/null
+++ b/tests/testsuite/telling.rs
@@ -0,0 +1,127 @@
+//! What entry boxes are told of each other, and by which control boxes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use vaneway_registry::InstanceId;
+use vaneway_route::Load;
+use vaneway_server::core::cluster::tellers::TELLERS;
+use vaneway_server::core::cluster::tellers::Teller;
+use vaneway_server::core::cluster::tellers::choose;
+use vaneway_server::core::loads::LoadLedger;
+use vaneway_server::core::loads::Loads;
+use vaneway_server::core::usage::EntryStart;
+use vaneway_test_support::control_group::ControlGroup;
+
+use crate::property;
+
+fn address(i: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, i], 7_600))
+}
+
+/// Control boxes that were heard just now, the first of them in the entry box's availability zone.
+fn known(count: u8) -> Vec<Teller> {
+    let teller = |i| Teller {
+        address: address(i),
+        at_home: i == 0,
+        silent: Duration::from_millis(100),
+        connected: Duration::from_secs(60),
+    };
+    (0..count).map(teller).collect()
+}
+
+#[test]
+fn control_box_of_the_own_zone_tells_and_each_other_one_tells_its_part_of_the_entry_boxes() {
+    let known = known(5);
+    let mut told = BTreeMap::<SocketAddr, u32>::new();
+    for i in 0..400 {
+        let chosen = choose(&format!("entry-{i}"), &known);
+        assert_eq!((chosen.len(), chosen[0]), (TELLERS, address(0)));
+        *told.entry(chosen[1]).or_default() += 1;
+    }
+    let counts: Vec<u32> = told.into_values().collect();
+    assert!(
+        counts.len() == 4 && counts.iter().all(|count| (70..130).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn control_box_that_went_silent_or_has_just_connected_tells_only_if_there_is_no_better_one() {
+    let mut known = known(3);
+    known[0].silent = Duration::from_millis(700);
+    let chosen = choose("entry", &known);
+    assert!(!chosen.contains(&address(0)), "{chosen:?}");
+    known[0].silent = Duration::ZERO;
+    known[0].connected = Duration::from_millis(200);
+    assert_eq!(choose("entry", &known), chosen);
+    known.truncate(1);
+    assert_eq!(choose("entry", &known), [address(0)]);
+}
+
+#[test]
+fn two_control_boxes_tell_each_entry_box_also_after_one_of_them_died() {
+    let mut group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 4);
+    group.wait_for_voters();
+    let entries: Vec<_> = (0..3).map(|i| group.start_entry(&format!("entry-{i}"))).collect();
+    let told = |group: &ControlGroup, what: &str| {
+        let told = |i| group.state(i)[what].as_u64().unwrap_or_default() as usize;
+        group.running().into_iter().map(told).sum::<usize>()
+    };
+    let each_is_told = |group: &ControlGroup| {
+        let quotas = told(group, "entry_boxes_told_quotas") == TELLERS * entries.len();
+        quotas && told(group, "entry_boxes_told_loads") == entries.len()
+    };
+    group.until("each entry box is told", |_| each_is_told(&group));
+    group.kill(0);
+    group.until("each entry box is told by the others", |_| each_is_told(&group));
+}
+
+/// What a control box knows is the sum of what the entry boxes last told, whatever is lost or told twice;
+/// and who takes in all changes knows as much.
+#[test]
+fn sums_of_loads_are_those_of_what_each_entry_box_last_told() {
+    property::check("sums of loads", 500, |steps: Vec<(u8, u8, Vec<(u8, u8)>)>| {
+        let mut ledger = LoadLedger::default();
+        let mut last = BTreeMap::<EntryStart, BTreeMap<InstanceId, Load>>::new();
+        let mut heard = BTreeMap::<InstanceId, Load>::new();
+        for (step, entry, told) in steps {
+            let entry = (format!("entry-{}", entry % 3), u64::from(entry % 2));
+            let load = |(endpoint, requests): (u8, u8)| {
+                let requests = u32::from(requests % 3);
+                let load = Load { requests, tokens: u64::from(requests) * 100 };
+                (format!("i-{}", endpoint % 4), load)
+            };
+            let told: BTreeMap<InstanceId, Load> = told.into_iter().map(load).collect();
+            let loads: Loads = told.clone().into_iter().collect();
+            let known = last.entry(entry.clone()).or_default();
+            match step % 4 {
+                0 => {
+                    ledger.remove(&entry);
+                    known.clear();
+                }
+                1 => {
+                    ledger.replace(&entry, &loads);
+                    *known = told;
+                }
+                _ => {
+                    ledger.update(&entry, &loads);
+                    known.extend(told);
+                }
+            }
+            let mut sums = BTreeMap::<InstanceId, Load>::new();
+            for (id, load) in last.values().flatten() {
+                let sum = sums.entry(id.clone()).or_default();
+                sum.requests += load.requests;
+                sum.tokens += load.tokens;
+            }
+            sums.retain(|_, sum| *sum != Load::default());
+            assert_eq!(ledger.all().into_iter().collect::<BTreeMap<_, _>>(), sums);
+            heard.extend(ledger.take_changed());
+            heard.retain(|_, sum| *sum != Load::default());
+            assert_eq!(heard, sums);
+        }
+    });
+}
