--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -16,6 +16,8 @@
 use vaneway_chart::ChartName;
 use vaneway_chart::chart_names;
 
+use crate::expected::PART_KEPT;
+
 /// Position of a service in the settings.
 pub type ServiceId = u32;
 
@@ -89,6 +91,9 @@
     pub max_open: u32,
 }
 
+/// Prompt parts remembered of one endpoint before those that no longer count are dropped.
+const PARTS_MOST: usize = 4_096;
+
 /// First suspension after a failure; doubles with each further one.
 const SUSPENSION_FIRST: Duration = Duration::from_millis(200);
 
@@ -131,7 +136,7 @@
     pub arriving: u32,
     /// When bytes of such an answer last came.
     pub heard: Option<Instant>,
-    /// Prompt parts that requests of this box brought there, and when last.
+    /// Prompt parts that requests brought there, as far as this box knows, and when last.
     pub parts: BTreeMap<PartId, Instant>,
 }
 
@@ -218,6 +223,13 @@
         self.retired.iter().any(|retired| retired == instance)
     }
 
+    /// Drops the prompt parts that no longer count once there are many.
+    pub(crate) fn forget_parts(&mut self, now: Instant) {
+        if self.parts.len() > PARTS_MOST {
+            self.parts.retain(|_, at| now < *at + PART_KEPT);
+        }
+    }
+
     /// Takes `instance` as the current one; true if it replaces another.
     pub(crate) fn adopt(&mut self, instance: &str) -> bool {
         if self.instance.as_deref() == Some(instance) {
--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -10,7 +10,7 @@
 //! - its recent failures;
 //! - whether its answers have stopped arriving.
 //!
-//! Parts that this box has seen there lately are taken as kept. Of others the endpoint with the
+//! Parts that any box has brought there lately are taken as kept, as the boxes tell each other. Of others the endpoint with the
 //! highest rendezvous weight is taken to have them, since every entry box, asked for the same
 //! part, turns there first; so boxes place prompts alike without talking. When that endpoint has
 //! more work open than the part costs, the request goes elsewhere, where the part is then known
@@ -46,9 +46,9 @@
 
 /// Time after which a part is no longer taken as kept: in it an endpoint under load reads more than
 /// its memory holds.
-pub(crate) const PART_KEPT: Duration = Duration::from_secs(20);
+pub const PART_KEPT: Duration = Duration::from_secs(20);
 
-/// How sure it is that the endpoint with the highest weight has a part that this box has not seen
+/// How sure it is that the endpoint with the highest weight has a part that no box is known to have brought
 /// there.
 const PLACED_BELIEF: f64 = 0.8;
 
@@ -119,7 +119,7 @@
     u64::from(work.prompt_tokens.saturating_sub(kept))
 }
 
-/// Whether this box has seen a part at an endpoint so lately that it is taken as kept.
+/// Whether a part was brought to an endpoint so lately that it is taken as kept.
 fn is_kept(endpoint: &Endpoint, part: PartId, now: Instant) -> bool {
     endpoint.parts.get(&part).is_some_and(|at| now < *at + PART_KEPT)
 }
--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -26,6 +26,7 @@
 pub use endpoint::PartId;
 pub use endpoint::ServiceId;
 pub use endpoint::endpoint_chart;
+pub use expected::PART_KEPT;
 pub use policy::Policy;
 pub use policy::PromptPart;
 pub use policy::Work;
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -13,11 +13,13 @@
 use crate::EndpointSpec;
 use crate::EndpointState;
 use crate::Load;
+use crate::PartId;
 use crate::Policy;
 use crate::ServiceId;
 use crate::Work;
 use crate::endpoint_chart;
 use crate::expected;
+use crate::expected::PART_KEPT;
 use crate::policy::Chooser;
 use crate::silence::SilentZones;
 
@@ -70,8 +72,12 @@
 /// Notice assumed when the platform names none, the shortest that clouds give in practice.
 const NOTICE_DEFAULT: Duration = Duration::from_secs(5);
 
-/// Prompt parts remembered of one endpoint before those that no longer count are dropped.
-const PARTS_MOST: usize = 4_096;
+/// Age from which a use of a kept prompt part is news to the other boxes again: often enough that a part in
+/// use never counts as forgotten.
+const PART_TOLD_AGAIN: Duration = Duration::from_secs(PART_KEPT.as_secs() / 2);
+
+/// Brought prompt parts that wait to be told; beyond it they are known to this box alone.
+const BROUGHT_MOST: usize = 4_096;
 
 /// What a refusal counts against one failure.
 const REFUSAL_WORTH: f64 = 0.5;
@@ -82,6 +88,8 @@
     endpoints: Vec<Endpoint>,
     chooser: Chooser,
     candidates: Vec<EndpointId>,
+    /// Prompt parts that requests of this box brought to endpoints where they were not known to be kept.
+    brought: Vec<(EndpointId, PartId)>,
 }
 
 impl Pool {
@@ -91,6 +99,7 @@
             endpoints: specs.into_iter().map(Endpoint::new).collect(),
             chooser: Chooser::new(policy, Pcg64Mcg::seed_from_u64(seed)),
             candidates: Vec::new(),
+            brought: Vec::new(),
         }
     }
 
@@ -253,14 +262,29 @@
         endpoint.open += 1;
         endpoint.open_tokens += tokens;
         for part in work.map_or(&[][..], Work::shared) {
-            endpoint.parts.insert(part.id, now);
-        }
-        if endpoint.parts.len() > PARTS_MOST {
-            endpoint.parts.retain(|_, at| now < *at + expected::PART_KEPT);
+            let before = endpoint.parts.insert(part.id, now);
+            let is_news = before.is_none_or(|at| now >= at + PART_TOLD_AGAIN);
+            if is_news && self.brought.len() < BROUGHT_MOST {
+                self.brought.push((id, part.id));
+            }
         }
+        endpoint.forget_parts(now);
         tokens
     }
 
+    /// Prompt parts that requests of this box brought to endpoints since this was last asked, where that is
+    /// news to the other boxes.
+    pub fn take_brought(&mut self) -> Vec<(EndpointId, PartId)> {
+        std::mem::take(&mut self.brought)
+    }
+
+    /// Learns that requests of other boxes brought prompt parts to an endpoint.
+    pub fn tell_parts(&mut self, now: Instant, id: EndpointId, parts: &[PartId]) {
+        let endpoint = &mut self.endpoints[id as usize];
+        endpoint.parts.extend(parts.iter().map(|part| (*part, now)));
+        endpoint.forget_parts(now);
+    }
+
     /// Counts that the answer of an attempt begins to arrive; `tokens` as [`Pool::begin`] returned
     /// them.
     pub fn begun(&mut self, now: Instant, id: EndpointId, tokens: u64) {
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -100,6 +100,7 @@
     loop {
         follower.entry.timers.sleep(LOADS_EVERY).await;
         follower.tell_loads();
+        follower.tell_parts();
         if used.elapsed() < USE_EVERY {
             continue;
         }
@@ -221,6 +222,7 @@
             ToEntry::Loads { whole, loads } => {
                 self.entry.open_of_all(whole, &loads, &self.told.borrow());
             }
+            ToEntry::Parts(parts) => self.entry.learn_parts(&parts),
             ToEntry::OthersUse { heard, known, quotas } => {
                 let sharers = Sharers { heard, known };
                 self.entry.share_retries(known);
@@ -265,10 +267,21 @@
         let mut changed: Loads = ended.map(|id| (id.clone(), Load::default())).collect();
         let other = now.iter().filter(|(id, load)| before.get(*id) != Some(load));
         changed.extend(other.map(|(id, load)| (id.clone(), *load)));
-        if changed.is_empty() {
-            return;
+        if !changed.is_empty() {
+            self.send_to_all(FromEntry::Loads(changed));
+        }
+    }
+
+    /// Tells the control boxes which prompt parts this box's requests brought where, as far as it is news.
+    fn tell_parts(&self) {
+        let parts = self.entry.take_brought();
+        if !parts.is_empty() {
+            self.send_to_all(FromEntry::Parts(parts));
         }
-        let message = Encoded::new(&ToControl::Entry(FromEntry::Loads(changed)));
+    }
+
+    fn send_to_all(&self, message: FromEntry) {
+        let message = Encoded::new(&ToControl::Entry(message));
         for link in self.open.borrow().values() {
             link.outgoing.send_encoded(&message);
         }
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -14,6 +14,7 @@
 use vaneway_registry::Report;
 
 use crate::core::configuration::Configuration;
+use crate::core::kept_parts::KeptParts;
 use crate::core::loads::Loads;
 use crate::core::usage::QuotaUse;
 use crate::core::usage::UseReport;
@@ -75,6 +76,8 @@
     /// What I have open now at the endpoints where it changed since I last told; [`FromEntry::Use`] tells
     /// all of it now and then.
     Loads(Loads),
+    /// Prompt parts that my requests brought to endpoints.
+    Parts(KeptParts),
     /// What I want to be told of the other entry boxes; nothing until I say so.
     Tell(Wanted),
 }
@@ -124,6 +127,8 @@
         /// The endpoints.
         loads: Loads,
     },
+    /// Prompt parts that requests of any entry box brought to endpoints.
+    Parts(KeptParts),
 }
 
 /// What an entry box wants to be told of the others.
@@ -131,7 +136,7 @@
 pub struct Wanted {
     /// What they took of quotas, and how many they are.
     pub quotas: bool,
-    /// What they have open at endpoints.
+    /// What they have open at endpoints, and the prompt parts that they brought there.
     pub loads: bool,
 }
 
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -213,6 +213,9 @@
                 control.use_ledger.borrow_mut().loads().update(start, &loads);
             }
         }
+        ToControl::Entry(FromEntry::Parts(parts)) => {
+            control.parts.borrow_mut().learn(Instant::now(), &parts);
+        }
         ToControl::Entry(FromEntry::Tell(wanted)) => {
             if let Sender::Entry { link, .. } = sender {
                 tell_from_now_on(control, *link, wanted);
@@ -350,13 +353,15 @@
     }
 }
 
-/// Tells entry boxes what all have open at endpoints, as soon as it changes, until dropped.
+/// Tells entry boxes what all have open at endpoints and which prompt parts they brought there, as soon as
+/// it changes, until dropped.
 pub async fn tell_loads(control: Rc<Control>) {
     let mut round: u64 = 0;
     loop {
         control.timers.sleep(LOADS_EVERY).await;
         round += 1;
         let whole = round.is_multiple_of(TELL_ALL_LOADS_EVERY);
+        tell_parts(&control, whole);
         let loads = {
             let mut ledger = control.use_ledger.borrow_mut();
             let changed = ledger.loads().take_changed();
@@ -365,11 +370,28 @@
         if loads.is_empty() && !whole {
             continue;
         }
-        let message = Encoded::new(&ToEntry::Loads { whole, loads });
-        for link in control.entries.borrow().values() {
-            if link.wanted.get().loads {
-                link.outgoing.send_encoded(&message);
-            }
+        send_to_told(&control, &ToEntry::Loads { whole, loads });
+    }
+}
+
+/// Tells the prompt parts that entry boxes brought to endpoints; forgets old ones now and then.
+fn tell_parts(control: &Control, forget: bool) {
+    let mut parts = control.parts.borrow_mut();
+    let news = parts.take_news();
+    if forget {
+        parts.forget(Instant::now());
+    }
+    if !news.is_empty() {
+        send_to_told(control, &ToEntry::Parts(news));
+    }
+}
+
+/// Sends a message to every entry box that wants to know of loads.
+fn send_to_told(control: &Control, message: &ToEntry) {
+    let message = Encoded::new(message);
+    for link in control.entries.borrow().values() {
+        if link.wanted.get().loads {
+            link.outgoing.send_encoded(&message);
         }
     }
 }
@@ -384,6 +406,7 @@
     if wanted.loads && !before.loads {
         let loads = control.use_ledger.borrow_mut().loads().all();
         link.outgoing.send(&ToEntry::Loads { whole: true, loads });
+        link.outgoing.send(&ToEntry::Parts(control.parts.borrow().all()));
     }
 }
 
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -124,6 +124,7 @@
         leads_since: Cell::new(None),
         remembered: RefCell::default(),
         use_ledger: RefCell::default(),
+        parts: RefCell::default(),
         clock: RefCell::default(),
         connections: Connections::reset_on_close(),
         unreadable: Cell::new(0),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -30,6 +30,7 @@
 use crate::core::control::protocol::Holder;
 use crate::core::control::store::Write;
 use crate::core::endpoints::upstream::Connections;
+use crate::core::kept_parts::PartLedger;
 use crate::core::settings::ControlSettings;
 use crate::core::usage::ClusterNow;
 use crate::core::usage::UseLedger;
@@ -112,6 +113,8 @@
     pub(crate) remembered: RefCell<Vec<Report>>,
     /// What the entry boxes told of their requests.
     pub use_ledger: RefCell<UseLedger>,
+    /// Prompt parts that are kept at endpoints.
+    pub(crate) parts: RefCell<PartLedger>,
     /// The cluster's time.
     pub clock: RefCell<Clock>,
     /// Connections to the cloud.
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -30,6 +30,7 @@
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::Load;
+use vaneway_route::PartId;
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_route::ServiceId;
@@ -42,6 +43,7 @@
 use crate::core::configuration::Configuration;
 use crate::core::configuration::RouteTable;
 use crate::core::endpoints::upstream::Connections;
+use crate::core::kept_parts::KeptParts;
 use crate::core::metrics::Metrics;
 use crate::core::occupancy::Occupancy;
 use crate::core::settings::FollowSettings;
@@ -416,6 +418,32 @@
         }
     }
 
+    /// Prompt parts that requests of this box brought to registered endpoints, where that is news.
+    pub fn take_brought(&self) -> KeptParts {
+        let mut pool = self.pool.borrow_mut();
+        let mut parts = BTreeMap::<InstanceId, Vec<PartId>>::new();
+        for (endpoint, part) in pool.take_brought() {
+            // An endpoint from the registry is named by its instance.
+            let instance = &pool.get(endpoint).spec.name;
+            if self.registered.borrow().contains_key(instance) {
+                parts.entry(instance.clone()).or_default().push(part);
+            }
+        }
+        parts.into_iter().collect()
+    }
+
+    /// Learns which prompt parts requests of any box brought to endpoints.
+    pub fn learn_parts(&self, parts: &[(InstanceId, Vec<PartId>)]) {
+        let now = Instant::now();
+        let mut pool = self.pool.borrow_mut();
+        let registered = self.registered.borrow();
+        for (instance, parts) in parts {
+            if let Some(endpoint) = registered.get(instance) {
+                pool.tell_parts(now, *endpoint, parts);
+            }
+        }
+    }
+
     /// The cluster's time since 1970, or this box's before it knows better.
     pub fn cluster_time(&self) -> Duration {
         let clock = self.used.borrow().clock();
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod endpoints;
 pub mod entry;
+pub mod kept_parts;
 pub mod loads;
 pub mod metrics;
 pub mod occupancy;
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -7,10 +7,14 @@
 use vaneway_route::Choice;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
+use vaneway_route::Load;
+use vaneway_route::PART_KEPT;
 use vaneway_route::Policy;
 use vaneway_route::Pool;
+use vaneway_route::PromptPart;
 use vaneway_route::Query;
 use vaneway_route::SILENT_AFTER;
+use vaneway_route::Work;
 
 const SERVICE: u32 = 0;
 
@@ -122,3 +126,46 @@
     let most = chosen.values().max().copied().unwrap_or_default();
     assert!(most <= 15, "{chosen:?}");
 }
+
+/// A request of `own` tokens behind a shared part of 5,000.
+fn work(own: u32) -> Work {
+    let parts = vec![PromptPart { id: 7, tokens: 5_000 }, PromptPart { id: 8, tokens: own }];
+    Work { prompt_tokens: 5_000 + own, max_tokens: 10, parts }
+}
+
+#[test]
+fn part_that_another_box_brought_to_an_endpoint_counts_as_kept_there() {
+    let mut fleet = Fleet::in_zones(&["a"; 40]);
+    let work = work(300);
+    let query = Query { service: SERVICE, home: "a", avoid: &[], prefix: 0, work: Some(&work) };
+    let Choice::Endpoint(placed) = fleet.pool.choose(fleet.now, query) else {
+        panic!("there are 40")
+    };
+    // Where this box would place it, the others have too much work open.
+    let busy = Load { requests: 20, tokens: 20_000 };
+    fleet.pool.tell_others(fleet.now, placed, busy);
+    let elsewhere = (placed + 1) % 40;
+    fleet.pool.tell_parts(fleet.now, elsewhere, &[7]);
+    assert_eq!(fleet.pool.choose(fleet.now, query), Choice::Endpoint(elsewhere));
+    // What must be read there is the request's own part, for the load that all boxes are told.
+    assert_eq!(fleet.pool.begin(fleet.now, elsewhere, 1, Some(&work)), 300);
+    assert_eq!(fleet.pool.take_brought(), [], "it is no news");
+    // What is kept is forgotten in time.
+    fleet.pass(PART_KEPT);
+    assert_eq!(fleet.pool.begin(fleet.now, elsewhere, 1, Some(&work)), 5_300);
+}
+
+#[test]
+fn part_that_is_brought_is_news_until_it_is_told_and_again_before_it_is_forgotten() {
+    let mut fleet = Fleet::in_zones(&["a", "a"]);
+    let work = work(300);
+    fleet.pool.begin(fleet.now, 0, 1, Some(&work));
+    fleet.pool.begin(fleet.now, 0, 1, Some(&work));
+    assert_eq!(fleet.pool.take_brought(), [(0, 7)]);
+    assert_eq!(fleet.pool.take_brought(), []);
+    fleet.pool.begin(fleet.now, 1, 1, Some(&work));
+    assert_eq!(fleet.pool.take_brought(), [(1, 7)]);
+    fleet.pass(PART_KEPT / 2);
+    fleet.pool.begin(fleet.now, 0, 1, Some(&work));
+    assert_eq!(fleet.pool.take_brought(), [(0, 7)]);
+}
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -4,13 +4,16 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use bolero::TypeGenerator;
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
+use vaneway_route::PART_KEPT;
 use vaneway_server::core::cluster::tellers::TELLERS;
 use vaneway_server::core::cluster::tellers::Teller;
 use vaneway_server::core::cluster::tellers::choose;
+use vaneway_server::core::kept_parts::PartLedger;
 use vaneway_server::core::loads::LoadLedger;
 use vaneway_server::core::loads::Loads;
 use vaneway_server::core::usage::EntryStart;
@@ -135,3 +138,22 @@
         }
     });
 }
+
+#[test]
+fn part_that_several_entry_boxes_tell_at_once_is_passed_on_once() {
+    let start = Instant::now();
+    let brought = |parts: &[u64]| vec![("i-1".to_owned(), parts.to_vec())];
+    let mut ledger = PartLedger::default();
+    ledger.learn(start, &brought(&[7, 8]));
+    ledger.learn(start + Duration::from_millis(60), &brought(&[7, 9]));
+    assert_eq!(ledger.take_news(), brought(&[7, 8, 9]));
+    ledger.learn(start + Duration::from_millis(120), &brought(&[7]));
+    assert_eq!(ledger.take_news(), []);
+    // Whoever uses it later says so, and it lasts longer than what nobody uses.
+    ledger.learn(start + PART_KEPT / 2, &brought(&[7]));
+    assert_eq!(ledger.take_news(), brought(&[7]));
+    ledger.forget(start + PART_KEPT + Duration::from_millis(60));
+    assert_eq!(ledger.all(), brought(&[7]));
+    ledger.forget(start + 2 * PART_KEPT);
+    assert_eq!(ledger.all(), []);
+}
