--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -58,6 +58,27 @@
     pub body: String,
 }
 
+impl BoxAnswer {
+    /// The answer of the control box at `address` to one call; none if it does not answer in time.
+    pub fn to(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<Self> {
+        let mut stream = TcpStream::connect_timeout(&address, CALL_WITHIN).ok()?;
+        stream.set_read_timeout(Some(CALL_WITHIN)).ok()?;
+        let length = body.len();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\
+             Content-Length: {length}\r\n\r\n{body}"
+        );
+        stream.write_all(head.as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let (head, body) = answer.split_once("\r\n\r\n")?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let location = head.lines().find_map(|line| line.strip_prefix("location: http://"));
+        let leader = location.and_then(|l| l.split('/').next()?.parse().ok());
+        Some(Self { status, leader, body: body.to_owned() })
+    }
+}
+
 fn next_network() -> [u8; 3] {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id() as u16);
@@ -197,21 +218,7 @@
 
     /// One call to a box; none if it does not answer in time.
     pub fn call(&self, i: usize, method: &str, path: &str, body: &str) -> Option<BoxAnswer> {
-        let mut stream = TcpStream::connect_timeout(&self.address(i), CALL_WITHIN).ok()?;
-        stream.set_read_timeout(Some(CALL_WITHIN)).ok()?;
-        let length = body.len();
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\
-             Content-Length: {length}\r\n\r\n{body}"
-        );
-        stream.write_all(head.as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        let (head, body) = answer.split_once("\r\n\r\n")?;
-        let status = head.split(' ').nth(1)?.parse().ok()?;
-        let location = head.lines().find_map(|line| line.strip_prefix("location: http://"));
-        let leader = location.and_then(|l| l.split('/').next()?.parse().ok());
-        Some(BoxAnswer { status, leader, body: body.to_owned() })
+        BoxAnswer::to(self.address(i), method, path, body)
     }
 
     /// Puts a configuration in force, at whichever box takes it.
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod proxy;
 pub mod server;
 pub mod several;
+pub mod soak;
 pub mod standin;
 pub mod weight_store;
 pub mod wire_endpoint;
--- a/crates/vaneway-test-support/src/process.rs
+++ b/crates/vaneway-test-support/src/process.rs
@@ -189,6 +189,16 @@
         self.child.wait().expect("the process can be waited for").code()
     }
 
+    /// Waits for the process to end by itself and returns all that it logged.
+    ///
+    /// # Panics
+    ///
+    /// If waiting fails.
+    pub fn wait_with_log(mut self) -> String {
+        self.child.wait().expect("the process can be waited for");
+        self.log()
+    }
+
     fn proc_file(&self, name: &str) -> String {
         let path = format!("/proc/{}/{name}", self.id());
         std::fs::read_to_string(path).expect("the process runs")
--- /dev/null
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -0,0 +1,122 @@
+//! The plan of faults that a seed gives.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+
+use crate::wire_endpoint::Behaviour;
+
+/// Control boxes of a run.
+pub const CONTROL_BOXES: usize = 3;
+
+/// Entry boxes of a run.
+pub const ENTRY_BOXES: usize = 2;
+
+/// Endpoints that serve at a time.
+pub const ENDPOINTS: usize = 3;
+
+/// Longest time that a fault lasts.
+const LASTS_MOST_MS: u64 = 1_200;
+
+/// Mean time between the beginnings of two faults, so that several overlap.
+const BETWEEN_MS: u64 = 350;
+
+/// Something that the plan does at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Kills an entry box.
+    KillEntry(usize),
+    /// Starts an entry box unless it runs.
+    StartEntry(usize),
+    /// Stops an entry box as planned work does.
+    StopEntry(usize),
+    /// Stops the scheduling of an entry box, or lets it go on.
+    PauseEntry(usize, bool),
+    /// Kills a control box.
+    KillControl(usize),
+    /// Starts a control box unless it runs.
+    StartControl(usize),
+    /// Stops the scheduling of a control box, or lets it go on.
+    PauseControl(usize, bool),
+    /// Changes what an endpoint does with requests.
+    Behave(usize, Behaviour),
+    /// Resets an endpoint's connections and refuses new ones, or ceases to.
+    Cut(usize, bool),
+    /// Lets nothing pass to and from an endpoint while its connections stay open, or ceases to.
+    Silence(usize, bool),
+    /// Delays all bytes to and from an endpoint.
+    Delay(usize, Duration),
+    /// Puts the next configuration in force.
+    Configure,
+    /// Lets an endpoint say that it leaves, and another take its place.
+    Drain(usize),
+}
+
+/// An action with its time from the beginning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub action: Action,
+}
+
+/// The steps of a seed, by time; faults begin within `time`, and each ends.
+pub fn plan(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..BETWEEN_MS));
+    while at < time {
+        let end = at + Duration::from_millis(rng.random_range(50..LASTS_MOST_MS));
+        let (begins, ends) = fault(&mut rng);
+        steps.extend(begins.into_iter().map(|action| Step { at, action }));
+        steps.extend(ends.into_iter().map(|action| Step { at: end, action }));
+        at += Duration::from_millis(rng.random_range(0..2 * BETWEEN_MS));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// The actions with which a fault begins and ends.
+fn fault(rng: &mut Pcg64Mcg) -> (Vec<Action>, Vec<Action>) {
+    let entry = rng.random_range(0..ENTRY_BOXES);
+    let control = rng.random_range(0..CONTROL_BOXES);
+    let endpoint = rng.random_range(0..ENDPOINTS);
+    match rng.random_range(0..12_u32) {
+        0 => (vec![Action::KillEntry(entry)], vec![Action::StartEntry(entry)]),
+        1 => (vec![Action::StopEntry(entry)], vec![Action::StartEntry(entry)]),
+        2 => (vec![Action::PauseEntry(entry, true)], vec![Action::PauseEntry(entry, false)]),
+        3 => (vec![Action::KillControl(control)], vec![Action::StartControl(control)]),
+        4 => {
+            (vec![Action::PauseControl(control, true)], vec![Action::PauseControl(control, false)])
+        }
+        5 => {
+            let all = || 0..CONTROL_BOXES;
+            (all().map(Action::KillControl).collect(), all().map(Action::StartControl).collect())
+        }
+        6 => (vec![Action::Cut(endpoint, true)], vec![Action::Cut(endpoint, false)]),
+        7 => (vec![Action::Silence(endpoint, true)], vec![Action::Silence(endpoint, false)]),
+        8 => {
+            let delay = Duration::from_millis(rng.random_range(5..80));
+            (vec![Action::Delay(endpoint, delay)], vec![Action::Delay(endpoint, Duration::ZERO)])
+        }
+        9 => (vec![Action::Configure], vec![]),
+        10 => (vec![Action::Drain(endpoint)], vec![]),
+        _ => {
+            let behaviour = match rng.random_range(0..8_u32) {
+                0 => Behaviour::Refuse,
+                1 => Behaviour::Fail,
+                2 => Behaviour::LoseAnswer,
+                3 => Behaviour::AnswerAnother,
+                4 => Behaviour::BreakAfter(rng.random_range(1..9)),
+                5 => Behaviour::Hang,
+                6 => Behaviour::FailStream,
+                _ => Behaviour::EndEarly,
+            };
+            let usual = Action::Behave(endpoint, Behaviour::Steadily);
+            (vec![Action::Behave(endpoint, behaviour)], vec![usual])
+        }
+    }
+}
--- /dev/null
+++ b/crates/vaneway-test-support/src/soak/world.rs
@@ -0,0 +1,418 @@
+//! The deployment of a run: real processes, stand-in endpoints behind proxies, and what was done to them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::ControlGroup;
+use crate::Process;
+use crate::Proxy;
+use crate::WireEndpoint;
+use crate::control_group::BoxAnswer;
+use crate::soak::callers::EntryAddresses;
+use crate::soak::plan::Action;
+use crate::soak::plan::CONTROL_BOXES;
+use crate::soak::plan::ENDPOINTS;
+use crate::soak::plan::ENTRY_BOXES;
+use crate::wire_endpoint::Behaviour;
+
+/// Host of all routes.
+pub const HOST: &str = "maps.example";
+
+/// Key of the only organisation.
+pub const KEY: &str = "key-of-ada";
+
+/// Time between two heartbeats of an endpoint.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(250);
+
+/// How long the deployment may take to serve again once all faults are over; far beyond what it needs.
+const SERVES_WITHIN: Duration = Duration::from_secs(40);
+
+/// Longest silence between events that callers bear.
+const PAUSE_MS: u64 = 400;
+
+/// An endpoint with the proxy before it.
+#[derive(Debug)]
+struct Endpoint {
+    name: String,
+    standin: WireEndpoint,
+    proxy: Proxy,
+    /// When a control box acknowledged that it leaves; it says so until then and after.
+    leaving: Option<Instant>,
+    wants_to_leave: bool,
+    sequence: u64,
+}
+
+type Endpoints = Arc<Mutex<Vec<Endpoint>>>;
+
+/// Something done to an entry box, at a time.
+#[derive(Debug, Clone, Copy)]
+struct Event {
+    entry: usize,
+    at: Instant,
+}
+
+/// A deployment under faults.
+#[derive(Debug)]
+pub struct World {
+    control: ControlGroup,
+    entries: Vec<Option<Process>>,
+    addresses: EntryAddresses,
+    endpoints: Endpoints,
+    /// Positions of the endpoints that serve, by the plan's numbers.
+    serving: Vec<usize>,
+    heartbeats: Option<(Arc<AtomicBool>, JoinHandle<()>)>,
+    kills: Vec<Event>,
+    stops: Vec<Event>,
+    /// Entry boxes that were told to stop and have not started again.
+    stopping: [bool; ENTRY_BOXES],
+    sent_version: u64,
+    acknowledged: u64,
+    logs: Vec<(String, String)>,
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn configuration(version: u64) -> Value {
+    let route = |prefix: &str, kind: &str, resumable: bool| {
+        json!({
+            "name": format!("r{prefix}"), "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 3_000, "target_latency_ms": 1_000, "priority": 1, "service": "maps",
+            "max_attempts": 2, "public": false, "sticky_sessions": true, "resumable": resumable,
+            "gap_target_ms": PAUSE_MS
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("/safe/", "safe", false), route("/once/", "unsafe", false),
+            route("/stream/", "streaming", true), route("/fixed/", "streaming", false),
+        ],
+        "services": [{ "name": "maps", "health_path": "/health", "max_conns": 100 }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 1_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000
+        },
+        "tenants": [{ "name": "ada", "api_keys": [KEY], "unit": "tokens", "plain_tokens": 10 }]
+    })
+}
+
+impl World {
+    /// Starts it and waits until it serves.
+    ///
+    /// # Panics
+    ///
+    /// If it does not come up.
+    pub fn start(program: &Path) -> Self {
+        let control = ControlGroup::start_adapted(program, CONTROL_BOXES as u8, Some("platform"));
+        let endpoints: Endpoints = Arc::default();
+        let controls = (0..CONTROL_BOXES).map(|i| control.address(i)).collect();
+        let heartbeats = beat(Arc::clone(&endpoints), controls);
+        let mut world = Self {
+            control,
+            entries: (0..ENTRY_BOXES).map(|_| None).collect(),
+            addresses: Arc::new(Mutex::new(vec![None; ENTRY_BOXES])),
+            endpoints,
+            serving: Vec::new(),
+            heartbeats: Some(heartbeats),
+            kills: Vec::new(),
+            stops: Vec::new(),
+            stopping: [false; ENTRY_BOXES],
+            sent_version: 0,
+            acknowledged: 0,
+            logs: Vec::new(),
+        };
+        for _ in 0..ENDPOINTS {
+            let endpoint = world.add_endpoint();
+            world.serving.push(endpoint);
+        }
+        world.configure();
+        for entry in 0..ENTRY_BOXES {
+            world.start_entry(entry);
+        }
+        world.wait_until_served();
+        world
+    }
+
+    /// Where entry boxes take requests.
+    pub fn entry_addresses(&self) -> &EntryAddresses {
+        &self.addresses
+    }
+
+    fn add_endpoint(&self) -> usize {
+        let mut endpoints = lock(&self.endpoints);
+        let name = format!("i-{}", endpoints.len());
+        let standin = WireEndpoint::spawn(&name);
+        standin.behave(Behaviour::Steadily);
+        let proxy = Proxy::tcp(standin.address());
+        let (leaving, wants_to_leave, sequence) = (None, false, 0);
+        endpoints.push(Endpoint { name, standin, proxy, leaving, wants_to_leave, sequence });
+        endpoints.len() - 1
+    }
+
+    /// Carries a step of the plan out; what can't be done now, such as the death of a dead box, is passed
+    /// over.
+    pub fn apply(&mut self, action: &Action) {
+        match *action {
+            Action::KillEntry(entry) => self.end_entry(entry),
+            Action::StartEntry(entry) => self.start_entry(entry),
+            Action::StopEntry(entry) => {
+                if let Some(process) = &self.entries[entry] {
+                    self.stops.push(Event { entry, at: Instant::now() });
+                    self.stopping[entry] = true;
+                    process.signal("TERM");
+                }
+            }
+            Action::PauseEntry(entry, paused) => {
+                if let Some(process) = &self.entries[entry] {
+                    process.signal(if paused { "STOP" } else { "CONT" });
+                }
+            }
+            Action::KillControl(i) => {
+                if self.control.running().contains(&i) {
+                    self.keep_log(format!("control-{i}"), self.control.process(i).log());
+                    self.control.kill(i);
+                }
+            }
+            Action::StartControl(i) => {
+                if !self.control.running().contains(&i) {
+                    self.control.start_box(i, false);
+                }
+            }
+            Action::PauseControl(i, paused) => {
+                if self.control.running().contains(&i) {
+                    self.control.process(i).signal(if paused { "STOP" } else { "CONT" });
+                }
+            }
+            Action::Behave(i, behaviour) => self.at(i, |e| e.standin.behave(behaviour)),
+            Action::Cut(i, cut) => self.at(i, |e| e.proxy.cut(cut)),
+            Action::Silence(i, silent) => self.at(i, |e| e.proxy.freeze(silent)),
+            Action::Delay(i, delay) => self.at(i, |e| e.proxy.delay(delay)),
+            Action::Configure => self.configure(),
+            Action::Drain(i) => {
+                self.at(i, |e| e.wants_to_leave = true);
+                self.serving[i] = self.add_endpoint();
+            }
+        }
+    }
+
+    fn at(&self, i: usize, change: impl FnOnce(&mut Endpoint)) {
+        change(&mut lock(&self.endpoints)[self.serving[i]]);
+    }
+
+    fn start_entry(&mut self, entry: usize) {
+        if let Some(process) = self.entries[entry].take() {
+            if !std::mem::take(&mut self.stopping[entry]) {
+                self.entries[entry] = Some(process);
+                return;
+            }
+            // It was told to stop and ends by itself, unless its scheduling is stopped.
+            process.signal("CONT");
+            lock(&self.addresses)[entry] = None;
+            let log = process.wait_with_log();
+            self.keep_log(format!("entry-{entry}"), log);
+        }
+        let process = self.control.start_entry(&format!("entry-{entry}"));
+        lock(&self.addresses)[entry] = Some(process.listen());
+        self.entries[entry] = Some(process);
+    }
+
+    fn end_entry(&mut self, entry: usize) {
+        if let Some(process) = self.entries[entry].take() {
+            self.kills.push(Event { entry, at: Instant::now() });
+            self.stopping[entry] = false;
+            lock(&self.addresses)[entry] = None;
+            self.keep_log(format!("entry-{entry}"), process.log());
+            process.kill();
+        }
+    }
+
+    fn keep_log(&mut self, name: String, log: String) {
+        self.logs.push((name, log));
+    }
+
+    /// Sends the next configuration to the control boxes in turn, once each, as operators do.
+    fn configure(&mut self) {
+        self.sent_version += 1;
+        let version = self.sent_version;
+        let body = configuration(version).to_string();
+        let end =
+            Instant::now() + if self.acknowledged == 0 { SERVES_WITHIN } else { Duration::ZERO };
+        loop {
+            let taken = self.control.running().into_iter().any(|i| {
+                let answer = self.control.call(i, "POST", "/config/replace", &body);
+                answer.is_some_and(|answer| answer.status == 200)
+            });
+            if taken {
+                self.acknowledged = version;
+            }
+            if taken || Instant::now() >= end {
+                return;
+            }
+        }
+    }
+
+    /// Ends all faults and waits until every entry box serves.
+    ///
+    /// # Panics
+    ///
+    /// If one does not serve in time.
+    pub fn heal(&mut self) {
+        for i in 0..CONTROL_BOXES {
+            self.apply(&Action::PauseControl(i, false));
+            self.apply(&Action::StartControl(i));
+        }
+        for i in 0..ENDPOINTS {
+            self.apply(&Action::Cut(i, false));
+            self.apply(&Action::Silence(i, false));
+            self.apply(&Action::Delay(i, Duration::ZERO));
+            self.apply(&Action::Behave(i, Behaviour::Steadily));
+        }
+        for entry in 0..ENTRY_BOXES {
+            self.apply(&Action::PauseEntry(entry, false));
+            self.apply(&Action::StartEntry(entry));
+        }
+        self.wait_until_served();
+    }
+
+    fn wait_until_served(&self) {
+        let end = Instant::now() + SERVES_WITHIN;
+        let addresses: Vec<_> = lock(&self.addresses).iter().copied().flatten().collect();
+        for address in addresses {
+            while !is_served(address) {
+                if Instant::now() >= end {
+                    for (name, log) in self.logs() {
+                        println!("{name}:\n{log}");
+                    }
+                    panic!("entry box at {address} does not serve");
+                }
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+    }
+
+    /// How often the request with this id ran at any endpoint.
+    pub fn runs(&self, id: &str) -> u32 {
+        lock(&self.endpoints).iter().map(|e| e.standin.runs(id)).sum()
+    }
+
+    /// Whether an entry box was killed between two times.
+    pub fn was_killed(&self, entry: usize, from: Instant, until: Instant) -> bool {
+        self.kills.iter().any(|kill| kill.entry == entry && kill.at >= from && kill.at <= until)
+    }
+
+    /// Whether an entry box was told to stop, and had not started again, at a time.
+    pub fn was_stopping(&self, entry: usize, at: Instant) -> bool {
+        self.stops.iter().any(|stop| stop.entry == entry && stop.at <= at)
+    }
+
+    /// Endpoints that left: name, when that was acknowledged, and when a request last arrived.
+    pub fn drained(&self) -> impl Iterator<Item = (String, Instant, Option<Instant>)> {
+        let endpoints = lock(&self.endpoints);
+        let left = endpoints
+            .iter()
+            .filter_map(|e| Some((e.name.clone(), e.leaving?, e.standin.last_arrival())));
+        left.collect::<Vec<_>>().into_iter()
+    }
+
+    /// Version of the configuration that is surely the newest.
+    pub fn configuration_read(&self) -> u64 {
+        let i = self.control.until("a box tells the configuration", |i| {
+            let answer = self.control.call(i, "GET", "/config/read", "");
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+        let answer = self.control.call(i, "GET", "/config/read", "").map(|answer| answer.body);
+        let document: Option<Value> = answer.and_then(|body| serde_json::from_str(&body).ok());
+        document.and_then(|document| document["version"].as_u64()).unwrap_or_default()
+    }
+
+    /// The highest version that was acknowledged.
+    pub fn configuration_acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// What all processes logged so far.
+    pub fn logs(&self) -> Vec<(String, String)> {
+        let mut logs = self.logs.clone();
+        for i in self.control.running() {
+            logs.push((format!("control-{i}"), self.control.process(i).log()));
+        }
+        for (i, process) in self.entries.iter().enumerate() {
+            logs.extend(process.as_ref().map(|process| (format!("entry-{i}"), process.log())));
+        }
+        logs
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some((stop, thread)) = self.heartbeats.take() {
+            stop.store(true, Ordering::Relaxed);
+            if thread.join().is_err() {
+                eprintln!("the heartbeats' thread panicked");
+            }
+        }
+    }
+}
+
+/// Whether an entry box serves a request that may be repeated.
+fn is_served(address: SocketAddr) -> bool {
+    let runtime = compio::runtime::Runtime::new().expect("the loop starts");
+    let headers = [("x-request-id", "probe"), ("x-deadline-ms", "1000")];
+    let caller = crate::Caller::new(address, KEY).at_host(HOST);
+    let answer = caller.try_send_with(hyper::Method::POST, "/safe/x", &headers, "probe");
+    runtime.block_on(answer).is_some_and(|answer| answer.status == 200)
+}
+
+/// Sends the endpoints' heartbeats to the control boxes in turn until told to stop.
+fn beat(endpoints: Endpoints, controls: Vec<SocketAddr>) -> (Arc<AtomicBool>, JoinHandle<()>) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let stopped = Arc::clone(&stop);
+    let thread = std::thread::spawn(move || {
+        let mut turn = 0;
+        while !stopped.load(Ordering::Relaxed) {
+            let count = lock(&endpoints).len();
+            for i in 0..count {
+                beat_once(&endpoints, i, &controls, &mut turn);
+            }
+            std::thread::sleep(HEARTBEAT_EVERY);
+        }
+    });
+    (stop, thread)
+}
+
+/// Sends one heartbeat to the first control box that takes it.
+fn beat_once(endpoints: &Endpoints, i: usize, controls: &[SocketAddr], turn: &mut usize) {
+    let (path, body, leaves) = {
+        let endpoint = &mut lock(endpoints)[i];
+        endpoint.sequence += 1;
+        let state = if endpoint.wants_to_leave { "draining" } else { "ready" };
+        let address = endpoint.proxy.address();
+        let (path, body) =
+            endpoint.standin.heartbeat_from(address, "maps", state, endpoint.sequence);
+        (path, body, endpoint.wants_to_leave)
+    };
+    for _ in controls {
+        *turn = (*turn + 1) % controls.len();
+        let answer = BoxAnswer::to(controls[*turn], "POST", &path, &body);
+        if answer.is_some_and(|answer| answer.status == 200) {
+            let endpoint = &mut lock(endpoints)[i];
+            if leaves {
+                endpoint.leaving.get_or_insert_with(Instant::now);
+            }
+            return;
+        }
+    }
+}
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -40,6 +42,8 @@
     FailStream,
     /// Begins streams and breaks the connection before the first event.
     EndEarly,
+    /// Answers streams event by event, with a pause before each.
+    Steadily,
 }
 
 /// A request as the endpoint got it.
@@ -58,6 +62,8 @@
     behaviour: Behaviour,
     seen: Vec<Seen>,
     runs: BTreeMap<String, u32>,
+    /// When a request last arrived.
+    arrived: Option<Instant>,
 }
 
 /// A running endpoint. Requests with `x-token-usage` are answered with a stream of ten numbered
@@ -72,6 +78,9 @@
 /// Events of a whole stream.
 pub const EVENTS: u32 = 10;
 
+/// Pause before each event of a steady stream.
+const EVENT_EVERY: Duration = Duration::from_millis(40);
+
 /// Bytes that wait for a slow reader.
 const STREAM_BYTES: usize = 64 << 10;
 
@@ -105,6 +114,11 @@
         lock(&self.state).seen.clone()
     }
 
+    /// When a request last arrived, if one ever did.
+    pub fn last_arrival(&self) -> Option<Instant> {
+        lock(&self.state).arrived
+    }
+
     /// How often it ran the request with this id.
     pub fn runs(&self, id: &str) -> u32 {
         lock(&self.state).runs.get(id).copied().unwrap_or_default()
@@ -112,7 +126,17 @@
 
     /// A heartbeat's path and body.
     pub fn heartbeat(&self, service: &str, state: &str, seq: u64) -> (String, String) {
-        let address = self.address();
+        self.heartbeat_from(self.address(), service, state, seq)
+    }
+
+    /// The same with the address of a proxy before it.
+    pub fn heartbeat_from(
+        &self,
+        address: SocketAddr,
+        service: &str,
+        state: &str,
+        seq: u64,
+    ) -> (String, String) {
         let body = format!(
             r#"{{"service":"{service}","address":"{address}","zone":"a","version":"v1","slots":8,"state":"{state}","cold_left_ms":0,"seq":{seq}}}"#
         );
@@ -147,6 +171,7 @@
     let behaviour = {
         let mut state = lock(&state);
         let body = String::from_utf8_lossy(&body).into_owned();
+        state.arrived = Some(Instant::now());
         state.seen.push(Seen { line, headers, body });
         if expected && state.behaviour != Behaviour::Refuse {
             *state.runs.entry(id.clone()).or_default() += 1;
@@ -196,41 +221,58 @@
         Behaviour::AnswerAnother => {
             answer(StatusCode::OK, "another", &instance, CallerBody::full(body))
         }
-        Behaviour::Answer | Behaviour::BreakAfter(_) | Behaviour::Hang if streamed => {
-            let (tx, rx) = outbox(STREAM_BYTES);
-            match behaviour {
-                Behaviour::BreakAfter(last) if after < last => {
-                    let whole = events(after);
-                    let end = format!("id: {}\n", last + 1);
-                    let cut = whole.find(&end).map_or(whole.len(), |at| at + end.len());
-                    tx.push(&whole.as_bytes()[..cut]);
-                    // Time for what was written to arrive; then the stream breaks off.
-                    compio::runtime::spawn(async move {
-                        compio::time::sleep(std::time::Duration::from_millis(50)).await;
-                        drop(tx);
-                    })
-                    .detach();
-                }
-                Behaviour::Hang => {
-                    tx.push(events(after).split_inclusive("\n\n").next().unwrap_or("").as_bytes());
-                    compio::runtime::spawn(async move {
-                        std::future::poll_fn(|cx| tx.poll_gone(cx)).await;
-                    })
-                    .detach();
-                }
-                _ => {
-                    tx.push(events(after).as_bytes());
-                    tx.finish();
-                }
-            }
-            answer(StatusCode::OK, &id, &instance, CallerBody::Fed(rx))
+        Behaviour::Answer | Behaviour::BreakAfter(_) | Behaviour::Hang | Behaviour::Steadily
+            if streamed =>
+        {
+            answer(StatusCode::OK, &id, &instance, stream(behaviour, after))
         }
-        Behaviour::Answer | Behaviour::BreakAfter(_) | Behaviour::Hang => {
+        Behaviour::Answer | Behaviour::BreakAfter(_) | Behaviour::Hang | Behaviour::Steadily => {
             answer(StatusCode::OK, &id, &instance, CallerBody::full(body))
         }
     }
 }
 
+/// The stream behind `after` of an endpoint that behaves so.
+fn stream(behaviour: Behaviour, after: u32) -> CallerBody {
+    let (tx, rx) = outbox(STREAM_BYTES);
+    match behaviour {
+        Behaviour::BreakAfter(last) if after < last => {
+            let whole = events(after);
+            let end = format!("id: {}\n", last + 1);
+            let cut = whole.find(&end).map_or(whole.len(), |at| at + end.len());
+            tx.push(&whole.as_bytes()[..cut]);
+            // Time for what was written to arrive; then the stream breaks off.
+            compio::runtime::spawn(async move {
+                compio::time::sleep(std::time::Duration::from_millis(50)).await;
+                drop(tx);
+            })
+            .detach();
+        }
+        Behaviour::Hang => {
+            tx.push(events(after).split_inclusive("\n\n").next().unwrap_or("").as_bytes());
+            compio::runtime::spawn(async move {
+                std::future::poll_fn(|cx| tx.poll_gone(cx)).await;
+            })
+            .detach();
+        }
+        Behaviour::Steadily => {
+            compio::runtime::spawn(async move {
+                for event in events(after).split_inclusive("\n\n") {
+                    compio::time::sleep(EVENT_EVERY).await;
+                    tx.push(event.as_bytes());
+                }
+                tx.finish();
+            })
+            .detach();
+        }
+        _ => {
+            tx.push(events(after).as_bytes());
+            tx.finish();
+        }
+    }
+    CallerBody::Fed(rx)
+}
+
 fn answer(status: StatusCode, id: &str, instance: &str, body: CallerBody) -> Response<CallerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod routing;
 mod schema;
 mod settings;
+mod soak;
 mod standins;
 mod stop;
 mod streams;
--- /dev/null
+++ b/tests/testsuite/soak.rs
@@ -0,0 +1,64 @@
+//! The randomized soak, short and with fixed seeds; more by hand:
+//!
+//! ```text
+//! VANEWAY_SOAK=1000..1050 cargo test --test testsuite soak -- --nocapture
+//! ```
+
+use std::path::Path;
+use std::time::Duration;
+
+use vaneway_test_support::soak;
+
+/// How long faults begin in a run.
+const TIME: Duration = Duration::from_secs(6);
+
+/// Seeds that failed once, each with its cause.
+const FAILED_ONCE: [(u64, &str); 0] = [];
+
+/// Seeds of every run of the suite.
+const ALWAYS: [u64; 2] = [1, 2];
+
+/// Runs a seed; its logs are written to a folder if a promise is broken.
+fn run(seed: u64) -> Vec<String> {
+    let report = soak::run(Path::new(env!("CARGO_BIN_EXE_vaneway")), seed, TIME);
+    println!(
+        "soak seed {seed}: {} requests, {} served, {} promises broken, ends {:?}",
+        report.requests,
+        report.served,
+        report.broken.len(),
+        report.ends
+    );
+    assert!(report.served > 0, "seed {seed} served nothing");
+    if !report.broken.is_empty() {
+        let folder = std::env::temp_dir().join(format!("vaneway-soak-{seed}"));
+        std::fs::create_dir_all(&folder).expect("a folder for the logs");
+        for (i, (name, log)) in report.logs.iter().enumerate() {
+            std::fs::write(folder.join(format!("{i}-{name}.log")), log).expect("a log is written");
+        }
+        println!("logs are in {}", folder.display());
+    }
+    report.broken.iter().map(|what| format!("seed {seed}: {what}")).collect()
+}
+
+/// Seeds that the environment asks for, as `FIRST..END`.
+fn asked_for() -> Vec<u64> {
+    let Ok(range) = std::env::var("VANEWAY_SOAK") else { return Vec::new() };
+    let (first, end) = range.split_once("..").expect("VANEWAY_SOAK is FIRST..END");
+    let number = |text: &str| text.parse::<u64>().expect("VANEWAY_SOAK holds two numbers");
+    (number(first)..number(end)).collect()
+}
+
+#[test]
+fn promises_hold_under_faults_from_outside() {
+    let once = FAILED_ONCE.iter().map(|(seed, _cause)| *seed);
+    let seeds = once.chain(ALWAYS).chain(asked_for());
+    let broken: Vec<String> = seeds.flat_map(run).collect();
+    assert_eq!(broken, Vec::<String>::new());
+}
+
+#[test]
+fn seed_gives_the_same_plan_each_time() {
+    let plan = |seed| soak::plan::plan(seed, TIME);
+    assert_eq!(plan(5), plan(5));
+    assert_ne!(plan(5), plan(6));
+}
