--- a/crates/vaneway-engine/src/observer.rs
+++ b/crates/vaneway-engine/src/observer.rs
@@ -13,6 +13,10 @@
 /// New runs after which speeds are worked out anew.
 const RENEWED_AFTER: u32 = 16;
 
+/// Runs from which speeds are worked out for the first time: of hundreds of boxes each sees few, and all of them
+/// together know enough much sooner than any one.
+const FIRST_AFTER: u32 = 6;
+
 /// Least difference of two prompts that are compared, as a part of the longest one: below it, the
 /// engine's steps outweigh what the difference costs.
 const DIFFERENCE_LEAST: f64 = 0.2;
@@ -137,7 +141,8 @@
 
     /// The speeds, worked out anew if enough was seen since.
     pub fn speeds(&mut self) -> Speeds {
-        if self.unused >= RENEWED_AFTER {
+        let enough = if self.estimates.is_empty() { FIRST_AFTER } else { RENEWED_AFTER };
+        if self.unused >= enough {
             self.unused = 0;
             let mut paces: Vec<f64> = self.paces.iter().copied().collect();
             let estimate = (slope(&self.reads), quantile(&mut paces, 0.25));
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -33,7 +33,7 @@
 /// Time after the start of a control box before it knows all replicas by their heartbeats.
 const KNOWS_AFTER: Duration = Duration::from_secs(3);
 
-/// Time for which the demand must have been known before it is acted on: a little more than what the
+/// Time for which work must have been seen before the demand is acted on: a little more than what the
 /// rates are measured over, since a box that has just become the leader has not heard all of it.
 const SETTLED_AFTER: Duration = Duration::from_secs(5);
 
@@ -41,8 +41,8 @@
 #[derive(Debug, Default)]
 pub struct Orders {
     planners: BTreeMap<String, Planner>,
-    /// When the demand for a service was first known here.
-    known_since: BTreeMap<String, Instant>,
+    /// When work for a service was first seen here.
+    seen_since: BTreeMap<String, Instant>,
     /// The work for a service when all entry boxes were last heard.
     rates: BTreeMap<String, Rates>,
 }
@@ -89,14 +89,17 @@
     fn demand(&mut self, control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
         let engine = service.engine.as_ref()?;
         let ledger = control.use_ledger.borrow();
+        let told = ledger.rates(control.now(), &service.name);
+        if told.runs > 0.0 {
+            self.seen_since.entry(service.name.clone()).or_insert_with(Instant::now);
+        }
+        let since = *self.seen_since.get(&service.name)?;
         let speeds = ledger.speeds(&service.name);
         if !speeds.are_known() {
             return None;
         }
-        let since = *self.known_since.entry(service.name.clone()).or_insert_with(Instant::now);
         let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
         let (heard, known) = links::sharers(control);
-        let told = ledger.rates(control.now(), &service.name);
         let last = self.rates.get(&service.name).copied();
         let rates = told.of_all(heard, known, last)?;
         if heard >= known {
--- a/tests/testsuite/engine_speeds.rs
+++ b/tests/testsuite/engine_speeds.rs
@@ -198,3 +198,21 @@
     assert_eq!(rates(40.0).of_all(4, 7, None), None, "all were never heard");
     assert_eq!(rates(0.0).of_all(0, 7, last), None, "nothing is known of the demand");
 }
+
+/// Of 295 entry boxes each saw three runs a second, so that none had an estimate for six seconds, and the fleet
+/// went by a guess until then.
+#[test]
+fn many_boxes_that_have_each_seen_few_runs_know_the_speed_together() {
+    let mut boxes: Vec<Observer> = (0..20).map(|_| Observer::default()).collect();
+    for (i, observer) in boxes.iter_mut().enumerate() {
+        for run in 0..6 {
+            let unread = 500 * (1 + (i as u64 + run) % 7);
+            let first_after = Duration::from_micros(30_000 + unread * 40);
+            let (pauses, generating) = (4, Duration::from_millis(80));
+            observer.observe(&Run { unread, first_after, pauses, generating, whole: true });
+        }
+    }
+    let speeds = merge(&boxes.iter_mut().map(Observer::speeds).collect::<Vec<_>>());
+    assert!(speeds.are_known(), "{speeds:?}");
+    assert!((speeds.token - 40e-6).abs() < 4e-6, "{speeds:?}");
+}
