--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -547,6 +547,8 @@
                     "failures": endpoint.failures,
                     "open": endpoint.open,
                     "open_tokens": endpoint.open_tokens,
+                    "open_elsewhere": endpoint.others,
+                    "kept_parts": endpoint.parts.len(),
                 })
             })
             .collect();
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -16,6 +16,7 @@
 use vaneway_test_support::wire_endpoint::events;
 
 use crate::support::block_on;
+use crate::support::vanectl_json;
 
 const HOST: &str = "maps.example";
 const KEY: &str = "key-of-ada";
@@ -448,3 +449,30 @@
     assert_eq!(later, 4, "only the endpoint that was heard of gets work");
     assert!(!setup.entry.log().contains("event=endpoint_not_heard_of replica=i-a"));
 }
+
+#[test]
+fn entry_boxes_tell_each_other_which_prompt_parts_they_brought_to_which_endpoint() {
+    let setup = Setup::start();
+    let other = setup.control.start_entry("entry-2");
+    other.wait_for_log(&["event=endpoint", "replica=i-b"]);
+    let answer = block_on(setup.caller().send_with(
+        Method::POST,
+        "/stream/x",
+        &stream_headers("first"),
+        "body",
+    ));
+    assert_eq!(answer.status, 200);
+    let served = setup.endpoints.iter().position(|endpoint| endpoint.runs("first") == 1).unwrap();
+    let name = ["i-a", "i-b"][served];
+    // The last of the three parts is the request's own.
+    let kept = |dump: &Value| {
+        let endpoints = dump["endpoints"].as_array().unwrap();
+        let of_name = endpoints.iter().find(|endpoint| endpoint["replica"] == name);
+        of_name.unwrap()["kept_parts"].as_u64()
+    };
+    let end = Instant::now() + Duration::from_secs(20);
+    while kept(&vanectl_json(&other, &["dump"])) != Some(2) {
+        assert!(Instant::now() < end, "the other entry box never heard of the parts");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
