--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -10,11 +10,11 @@
 //! - its recent failures;
 //! - whether its answers have stopped arriving.
 //!
-//! Parts that any box has brought there lately are taken as kept, as the boxes tell each other. Of others the endpoint with the
-//! highest rendezvous weight is taken to have them, since every entry box, asked for the same
-//! part, turns there first; so boxes place prompts alike without talking. When that endpoint has
-//! more work open than the part costs, the request goes elsewhere, where the part is then known
-//! too: a part in demand spreads by itself.
+//! Parts that any box has brought there lately are taken as kept, as the boxes tell each other. Of
+//! others the endpoint with the highest rendezvous weight is taken to have them, since every entry box,
+//! asked for the same part, turns there first; so boxes place prompts alike before they have heard of each
+//! other. When that endpoint has more work open than the part costs, the request goes elsewhere, where
+//! the part is then known too: a part in demand spreads by itself.
 
 use std::time::Duration;
 use std::time::Instant;
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -35,6 +35,7 @@
 use crate::core::cluster::wire::USE_EVERY;
 use crate::core::cluster::wire::WINDOWS_TOLD;
 use crate::core::cluster::wire::Wanted;
+use crate::core::cluster::work_at_endpoints;
 use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
 use crate::core::loads::Loads;
@@ -96,15 +97,15 @@
     follower.keep(&seeds);
     let mut pinged = Instant::now();
     let mut round: u64 = 0;
-    let mut used = Instant::now();
+    let mut use_told = Instant::now();
     loop {
         follower.entry.timers.sleep(LOADS_EVERY).await;
         follower.tell_loads();
         follower.tell_parts();
-        if used.elapsed() < USE_EVERY {
+        if use_told.elapsed() < USE_EVERY {
             continue;
         }
-        used = Instant::now();
+        use_told = Instant::now();
         round += 1;
         let report = follower.report(round.is_multiple_of(TELL_ALL_EVERY));
         let report = Encoded::new(&ToControl::Entry(FromEntry::Use(report)));
@@ -220,9 +221,9 @@
                 }
             }
             ToEntry::Loads { whole, loads } => {
-                self.entry.open_of_all(whole, &loads, &self.told.borrow());
+                work_at_endpoints::learn_loads(&self.entry, whole, &loads, &self.told.borrow());
             }
-            ToEntry::Parts(parts) => self.entry.learn_parts(&parts),
+            ToEntry::Parts(parts) => work_at_endpoints::learn_parts(&self.entry, &parts),
             ToEntry::OthersUse { heard, known, quotas } => {
                 let sharers = Sharers { heard, known };
                 self.entry.share_retries(known);
@@ -260,7 +261,8 @@
 
     /// Tells the control boxes what this box has open at endpoints, where it changed.
     fn tell_loads(&self) {
-        let now: BTreeMap<InstanceId, Load> = self.entry.open_loads().into_iter().collect();
+        let now: BTreeMap<InstanceId, Load> =
+            work_at_endpoints::open_loads(&self.entry).into_iter().collect();
         let before = self.told.replace(now);
         let now = self.told.borrow();
         let ended = before.keys().filter(|id| !now.contains_key(*id));
@@ -274,7 +276,7 @@
 
     /// Tells the control boxes which prompt parts this box's requests brought where, as far as it is news.
     fn tell_parts(&self) {
-        let parts = self.entry.take_brought();
+        let parts = work_at_endpoints::take_brought(&self.entry);
         if !parts.is_empty() {
             self.send_to_all(FromEntry::Parts(parts));
         }
@@ -296,7 +298,7 @@
         UseReport {
             windows,
             quotas: self.entry.own_quota_use(first),
-            loads: all.then(|| self.entry.open_loads()),
+            loads: all.then(|| work_at_endpoints::open_loads(&self.entry)),
             work: self.entry.used.borrow_mut().work(),
         }
     }
--- a/crates/vaneway-server/src/core/cluster/mod.rs
+++ b/crates/vaneway-server/src/core/cluster/mod.rs
@@ -4,7 +4,8 @@
 //! - [`wire`]: the messages between entry and control boxes;
 //! - [`reconnect`]: connections to other boxes that are opened again whenever they break;
 //! - [`follow`]: how an entry box follows the control boxes;
-//! - [`tellers`]: which of them tell it what the others use.
+//! - [`tellers`]: which of them tell it what the others use;
+//! - [`work_at_endpoints`]: what it tells and learns of the work at endpoints.
 
 pub mod datagram;
 pub mod follow;
@@ -12,3 +13,4 @@
 pub mod reconnect;
 pub mod tellers;
 pub mod wire;
+pub mod work_at_endpoints;
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -21,9 +21,9 @@
 use crate::core::configuration::ServiceSpec;
 use crate::core::control::duties;
 use crate::core::control::duties::CallEnd;
-use crate::core::control::links;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
+use crate::core::control::telling;
 use crate::core::settings::CloudSettings;
 use crate::util::logline::Line;
 
@@ -99,7 +99,7 @@
             return None;
         }
         let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
-        let (heard, known) = links::sharers(control);
+        let (heard, known) = telling::sharers(control);
         let last = self.rates.get(&service.name).copied();
         let rates = told.of_all(heard, known, last)?;
         if heard >= known {
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -6,6 +6,7 @@
 //! - [`group`]: the agreement, driven;
 //! - [`membership`]: who should take part in it, without I/O;
 //! - [`links`]: connections with entry boxes and other control boxes;
+//! - [`telling`]: what entry boxes are told of each other over them;
 //! - [`duties`]: what the leader does towards the cloud;
 //! - [`capacity`]: orders of replicas;
 //! - [`remembered`]: endpoints that a control box remembers over a loss of power;
@@ -28,3 +29,4 @@
 pub mod running;
 pub mod state;
 pub mod store;
+pub mod telling;
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -33,6 +33,7 @@
 use crate::core::control::state::FIRST_INCARNATION;
 use crate::core::control::state::node_id;
 use crate::core::control::store;
+use crate::core::control::telling;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::settings::ControlSettings;
 use crate::util::body::CallerBody;
@@ -157,8 +158,8 @@
         task::spawn_until_dropped(links::accept(Rc::clone(&control), listener)),
         task::spawn_until_dropped(links::keep_peers(Rc::clone(&control))),
         task::spawn_until_dropped(links::ping_peers(Rc::clone(&control))),
-        task::spawn_until_dropped(links::tell_entries(Rc::clone(&control))),
-        task::spawn_until_dropped(links::tell_loads(Rc::clone(&control))),
+        task::spawn_until_dropped(telling::tell_entries(Rc::clone(&control))),
+        task::spawn_until_dropped(telling::tell_loads(Rc::clone(&control))),
         task::spawn_until_dropped(group::run_timers(Rc::clone(&control))),
         task::spawn_until_dropped(group::maintain(Rc::clone(&control))),
         task::spawn_until_dropped(remembered::keep(Rc::clone(&control))),
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -0,0 +1,152 @@
+//! What a control box tells entry boxes of each other.
+//!
+//! Data flow: entry boxes say what they want to be told ([`tell_from_now_on`]), each of few control boxes.
+//! What the others took of quotas is told again and again ([`tell_entries`]), since it changes all the
+//! time; loads and kept prompt parts as soon as they change ([`tell_loads`]), the same bytes to all.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::core::cluster::wire::LOADS_EVERY;
+use crate::core::cluster::wire::SLOTS_TOLD;
+use crate::core::cluster::wire::TELL_ALL_EVERY;
+use crate::core::cluster::wire::TELL_ALL_LOADS_EVERY;
+use crate::core::cluster::wire::ToEntry;
+use crate::core::cluster::wire::USE_EVERY;
+use crate::core::cluster::wire::Wanted;
+use crate::core::control::links;
+use crate::core::control::state::Control;
+use crate::core::usage::EntryStart;
+use crate::core::usage::QuotaTotals;
+use crate::util::frames::Encoded;
+
+/// How long an entry box that was lost counts as one that may still take requests.
+const LOST_COUNTED: Duration = Duration::from_secs(8);
+
+/// Age of the last sign of a leader up to which this box is not cut off.
+const LED_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// Tells the entry boxes again and again what the others used, until dropped.
+pub async fn tell_entries(control: Rc<Control>) {
+    let mut boxes = Vec::new();
+    let mut round: u64 = 0;
+    loop {
+        control.timers.sleep(USE_EVERY).await;
+        round += 1;
+        let now_boxes = links::control_boxes(&control);
+        if boxes != now_boxes {
+            links::send_to_entries(&control, &ToEntry::ControlBoxes(now_boxes.clone()));
+        }
+        boxes = now_boxes;
+        tell_use(&control, round.is_multiple_of(TELL_ALL_EVERY));
+    }
+}
+
+/// How many entry boxes are heard, and how many may be there. One that was lost may be cut off and
+/// go on taking requests, so it counts for a while; for good while this box knows of no leader, as
+/// it may then be this box that is cut off.
+pub(super) fn sharers(control: &Control) -> (u32, u32) {
+    let now = Instant::now();
+    let mut seen = control.entries_seen.borrow_mut();
+    for link in control.entries.borrow().values() {
+        seen.insert(link.start.0.clone(), now);
+    }
+    let heard = seen.values().filter(|at| **at == now).count() as u32;
+    if now.saturating_duration_since(control.led_at.get()) < LED_WITHIN {
+        seen.retain(|_, at| now.saturating_duration_since(*at) < LOST_COUNTED);
+    }
+    (heard, seen.len() as u32)
+}
+
+/// Tells entry boxes what the others took of quotas, if they want to know; all slots, or the latest.
+fn tell_use(control: &Control, all: bool) {
+    let links = control.entries.borrow();
+    let mut told = links.values().filter(|link| link.wanted.get().quotas).peekable();
+    if told.peek().is_none() {
+        return;
+    }
+    let quotas = QuotasOfAll::of(control, all);
+    for link in told {
+        link.outgoing.send(&quotas.without(control, &link.start));
+    }
+}
+
+/// Tells entry boxes what all have open at endpoints and which prompt parts they brought there, as soon as
+/// it changes, until dropped.
+pub async fn tell_loads(control: Rc<Control>) {
+    let mut round: u64 = 0;
+    loop {
+        control.timers.sleep(LOADS_EVERY).await;
+        round += 1;
+        let whole = round.is_multiple_of(TELL_ALL_LOADS_EVERY);
+        tell_parts(&control, whole);
+        let loads = {
+            let mut ledger = control.use_ledger.borrow_mut();
+            let changed = ledger.loads().take_changed();
+            if whole { ledger.loads().all() } else { changed }
+        };
+        if loads.is_empty() && !whole {
+            continue;
+        }
+        send_to_told(&control, &ToEntry::Loads { whole, loads });
+    }
+}
+
+/// Tells the prompt parts that entry boxes brought to endpoints; forgets old ones now and then.
+fn tell_parts(control: &Control, forget: bool) {
+    let mut parts = control.parts.borrow_mut();
+    let news = parts.take_news();
+    if forget {
+        parts.forget(Instant::now());
+    }
+    if !news.is_empty() {
+        send_to_told(control, &ToEntry::Parts(news));
+    }
+}
+
+/// Sends a message to every entry box that wants to know of loads.
+fn send_to_told(control: &Control, message: &ToEntry) {
+    let message = Encoded::new(message);
+    for link in control.entries.borrow().values() {
+        if link.wanted.get().loads {
+            link.outgoing.send_encoded(&message);
+        }
+    }
+}
+
+/// Begins or ceases to tell an entry box of the others; what it wants newly, it is told whole at once.
+pub(super) fn tell_from_now_on(control: &Control, link: u64, wanted: Wanted) {
+    let Some(link) = control.entries.borrow().get(&link).cloned() else { return };
+    let before = link.wanted.replace(wanted);
+    if wanted.quotas && !before.quotas {
+        link.outgoing.send(&QuotasOfAll::of(control, true).without(control, &link.start));
+    }
+    if wanted.loads && !before.loads {
+        let loads = control.use_ledger.borrow_mut().loads().all();
+        link.outgoing.send(&ToEntry::Loads { whole: true, loads });
+        link.outgoing.send(&ToEntry::Parts(control.parts.borrow().all()));
+    }
+}
+
+/// What all entry boxes took of quotas, before each one's own is taken off for it.
+struct QuotasOfAll {
+    heard: u32,
+    known: u32,
+    totals: QuotaTotals,
+}
+
+impl QuotasOfAll {
+    fn of(control: &Control, all_slots: bool) -> Self {
+        let (heard, known) = sharers(control);
+        let ledger = control.use_ledger.borrow();
+        let latest = ledger.last_slot().saturating_sub(SLOTS_TOLD);
+        let first = if all_slots { 0 } else { latest };
+        Self { heard, known, totals: ledger.quota_totals(first) }
+    }
+
+    fn without(&self, control: &Control, entry: &EntryStart) -> ToEntry {
+        let quotas = control.use_ledger.borrow().without(&self.totals, entry);
+        ToEntry::OthersUse { heard: self.heard, known: self.known, quotas }
+    }
+}
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -29,8 +29,6 @@
 use vaneway_route::Effect;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
-use vaneway_route::Load;
-use vaneway_route::PartId;
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_route::ServiceId;
@@ -43,7 +41,6 @@
 use crate::core::configuration::Configuration;
 use crate::core::configuration::RouteTable;
 use crate::core::endpoints::upstream::Connections;
-use crate::core::kept_parts::KeptParts;
 use crate::core::metrics::Metrics;
 use crate::core::occupancy::Occupancy;
 use crate::core::settings::FollowSettings;
@@ -378,72 +375,6 @@
         used.filter(|(_, slots): &(String, Vec<_>)| !slots.is_empty()).collect()
     }
 
-    /// What this box has open at each registered endpoint that has anything.
-    pub fn open_loads(&self) -> Vec<(InstanceId, Load)> {
-        let pool = self.pool.borrow();
-        let registered = self.registered.borrow();
-        let loads = registered.iter().map(|(instance, endpoint)| {
-            let endpoint = pool.get(*endpoint);
-            let load = Load { requests: endpoint.open, tokens: endpoint.open_tokens };
-            (instance.clone(), load)
-        });
-        loads.filter(|(_, load)| *load != Load::default()).collect()
-    }
-
-    /// Learns what all entry boxes have open at some endpoints, or at all if `whole`; `own` is what this
-    /// box told of its part.
-    pub fn open_of_all(
-        &self,
-        whole: bool,
-        loads: &[(InstanceId, Load)],
-        own: &BTreeMap<InstanceId, Load>,
-    ) {
-        let now = Instant::now();
-        let mut pool = self.pool.borrow_mut();
-        let registered = self.registered.borrow();
-        if whole {
-            for endpoint in registered.values() {
-                pool.tell_others(now, *endpoint, Load::default());
-            }
-        }
-        for (instance, load) in loads {
-            let Some(endpoint) = registered.get(instance) else { continue };
-            let own = own.get(instance).copied().unwrap_or_default();
-            // What this box told last may not be in the sum yet.
-            let others = Load {
-                requests: load.requests.saturating_sub(own.requests),
-                tokens: load.tokens.saturating_sub(own.tokens),
-            };
-            pool.tell_others(now, *endpoint, others);
-        }
-    }
-
-    /// Prompt parts that requests of this box brought to registered endpoints, where that is news.
-    pub fn take_brought(&self) -> KeptParts {
-        let mut pool = self.pool.borrow_mut();
-        let mut parts = BTreeMap::<InstanceId, Vec<PartId>>::new();
-        for (endpoint, part) in pool.take_brought() {
-            // An endpoint from the registry is named by its instance.
-            let instance = &pool.get(endpoint).spec.name;
-            if self.registered.borrow().contains_key(instance) {
-                parts.entry(instance.clone()).or_default().push(part);
-            }
-        }
-        parts.into_iter().collect()
-    }
-
-    /// Learns which prompt parts requests of any box brought to endpoints.
-    pub fn learn_parts(&self, parts: &[(InstanceId, Vec<PartId>)]) {
-        let now = Instant::now();
-        let mut pool = self.pool.borrow_mut();
-        let registered = self.registered.borrow();
-        for (instance, parts) in parts {
-            if let Some(endpoint) = registered.get(instance) {
-                pool.tell_parts(now, *endpoint, parts);
-            }
-        }
-    }
-
     /// The cluster's time since 1970, or this box's before it knows better.
     pub fn cluster_time(&self) -> Duration {
         let clock = self.used.borrow().clock();
