--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -62,6 +62,8 @@
     open: RefCell<BTreeMap<SocketAddr, Link>>,
     /// What this box last told of its open work at endpoints.
     told: RefCell<BTreeMap<InstanceId, Load>>,
+    /// Whether it told that this box is done.
+    said_done: Cell<bool>,
     /// Round trip of the exchange that gave the present estimate of the cluster's time, and when.
     clock_from: Cell<Option<(Duration, Instant)>>,
 }
@@ -92,6 +94,7 @@
         kept: RefCell::default(),
         open: RefCell::default(),
         told: RefCell::default(),
+        said_done: Cell::new(false),
         clock_from: Cell::new(None),
     });
     follower.keep(&seeds);
@@ -100,8 +103,15 @@
     let mut use_told = Instant::now();
     loop {
         follower.entry.timers.sleep(LOADS_EVERY).await;
+        if follower.said_done.get() {
+            continue;
+        }
         follower.tell_loads();
         follower.tell_parts();
+        if follower.entry.is_done() {
+            follower.say_done();
+            continue;
+        }
         if use_told.elapsed() < USE_EVERY {
             continue;
         }
@@ -282,6 +292,13 @@
         }
     }
 
+    /// Tells the control boxes all that this box used, and that it was all: they need not wait for more.
+    fn say_done(&self) {
+        self.said_done.set(true);
+        self.send_to_all(FromEntry::Use(self.report(true)));
+        self.send_to_all(FromEntry::Done);
+    }
+
     fn send_to_all(&self, message: FromEntry) {
         let message = Encoded::new(&ToControl::Entry(message));
         for link in self.open.borrow().values() {
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -78,6 +78,8 @@
     Loads(Loads),
     /// Prompt parts that my requests brought to endpoints.
     Parts(KeptParts),
+    /// I stop as planned, and what I told before is all that my requests will have used.
+    Done,
     /// What I want to be told of the other entry boxes; nothing until I say so.
     Tell(Wanted),
 }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -205,6 +205,12 @@
         ToControl::Entry(FromEntry::Parts(parts)) => {
             control.parts.borrow_mut().learn(Instant::now(), &parts);
         }
+        ToControl::Entry(FromEntry::Done) => {
+            if let Sender::Entry { start, .. } = sender {
+                control.use_ledger.borrow_mut().end_start(start);
+                Line::new("entry_done").with("entry", &start.0).with("boot", start.1).info();
+            }
+        }
         ToControl::Entry(FromEntry::Tell(wanted)) => {
             if let Sender::Entry { link, .. } = sender {
                 telling::tell_from_now_on(control, *link, wanted);
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -197,6 +197,11 @@
         self.phase.get()
     }
 
+    /// Whether it takes nothing more and has nothing left to do.
+    pub fn is_done(&self) -> bool {
+        self.phase() == Phase::Finishing && self.open.is_empty()
+    }
+
     /// An id for a request that no other box and no other start of this box gives.
     pub fn request_id(&self, number: u64) -> String {
         format!("{}-{:x}-{number}", self.settings.name, self.boot)
--- a/crates/vaneway-server/src/core/running.rs
+++ b/crates/vaneway-server/src/core/running.rs
@@ -19,6 +19,7 @@
 use crate::core::cluster::datagram::Cluster;
 use crate::core::cluster::follow;
 use crate::core::cluster::marks;
+use crate::core::cluster::wire::LOADS_EVERY;
 use crate::core::entry::Entry;
 use crate::core::entry::Parts;
 use crate::core::entry::Phase;
@@ -100,6 +101,9 @@
     Ok(RunningEntry { entry, listen, operators, front, ready, background })
 }
 
+/// Time in which the control boxes are told that this box is done: two rounds of telling.
+const DONE_TOLD_WITHIN: Duration = LOADS_EVERY.saturating_mul(2);
+
 /// Compiles the charts, so that a fault in one is found at start and not at the first request.
 fn check_charts() {
     let charts = [
@@ -196,6 +200,9 @@
         while busy() && Instant::now() < until {
             entry.timers.sleep(Duration::from_millis(5)).await;
         }
+        if entry.settings.follow.is_some() && entry.is_done() {
+            entry.timers.sleep(DONE_TOLD_WITHIN).await;
+        }
         drop((background, ready));
         Line::new("stopped").with("cut_off", cut_off).info();
         cut_off
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -250,6 +250,11 @@
         work.retain(|entry, _| told.contains_key(entry));
     }
 
+    /// Learns that a start of an entry box has told all that it ever will.
+    pub fn end_start(&mut self, entry: &EntryStart) {
+        self.told.remove(entry);
+    }
+
     /// Starts of entry boxes that are remembered.
     pub fn starts(&self) -> usize {
         self.told.len()
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -83,6 +83,21 @@
     group.until("each entry box is told by the others", |_| each_is_told(&group));
 }
 
+/// Found on scale-1 of odalaigh-vane-large: a window's counts waited for entry boxes that had stopped as planned,
+/// and were lost when all control boxes were killed meanwhile.
+#[test]
+fn entry_box_that_stops_as_planned_tells_all_control_boxes_that_it_has_told_all() {
+    let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 3);
+    group.wait_for_voters();
+    let entry = group.start_entry("entry-1");
+    group.until("the entry box is known", |i| group.state(i)["entry_boxes"] == 1);
+    entry.signal("TERM");
+    assert_eq!(entry.wait(), Some(0));
+    for i in group.running() {
+        group.process(i).wait_for_log(&["event=entry_done", "entry=entry-1"]);
+    }
+}
+
 /// Something that a control box hears, or the loss of an entry box.
 #[derive(Debug, TypeGenerator)]
 struct Step {
