--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -71,9 +71,8 @@
     if !owed || call.answer.is_some() {
         return None;
     }
-    let excused = world.was_killed(call.entry, call.sent, call.ended)
-        || world.was_stopping(call.entry, call.sent);
-    (!excused).then(|| format!("no answer of entry box {}, which was up", call.entry))
+    let up = world.was_up(call.entry, call.sent, call.ended);
+    up.then(|| format!("no answer of entry box {}, which was up", call.entry))
 }
 
 /// Endpoints that said that they leave get nothing new after a while.
--- a/crates/vaneway-test-support/src/soak/world.rs
+++ b/crates/vaneway-test-support/src/soak/world.rs
@@ -74,6 +74,7 @@
     heartbeats: Option<(Arc<AtomicBool>, JoinHandle<()>)>,
     kills: Vec<Event>,
     stops: Vec<Event>,
+    starts: Vec<Event>,
     /// Entry boxes that were told to stop and have not started again.
     stopping: [bool; ENTRY_BOXES],
     sent_version: u64,
@@ -129,6 +130,7 @@
             heartbeats: Some(heartbeats),
             kills: Vec::new(),
             stops: Vec::new(),
+            starts: Vec::new(),
             stopping: [false; ENTRY_BOXES],
             sent_version: 0,
             acknowledged: 0,
@@ -225,6 +227,7 @@
             self.keep_log(format!("entry-{entry}"), log);
         }
         let process = self.control.start_entry(&format!("entry-{entry}"));
+        self.starts.push(Event { entry, at: Instant::now() });
         lock(&self.addresses)[entry] = Some(process.listen());
         self.entries[entry] = Some(process);
     }
@@ -308,14 +311,15 @@
         lock(&self.endpoints).iter().map(|e| e.standin.runs(id)).sum()
     }
 
-    /// Whether an entry box was killed between two times.
-    pub fn was_killed(&self, entry: usize, from: Instant, until: Instant) -> bool {
-        self.kills.iter().any(|kill| kill.entry == entry && kill.at >= from && kill.at <= until)
-    }
-
-    /// Whether an entry box was told to stop, and had not started again, at a time.
-    pub fn was_stopping(&self, entry: usize, at: Instant) -> bool {
-        self.stops.iter().any(|stop| stop.entry == entry && stop.at <= at)
+    /// Whether an entry box took requests at `from` and was not killed before `until`. One that was told to
+    /// stop may refuse connections.
+    pub fn was_up(&self, entry: usize, from: Instant, until: Instant) -> bool {
+        let last = |events: &[Event], before: Instant| {
+            let of_entry = events.iter().filter(|event| event.entry == entry && event.at <= before);
+            of_entry.map(|event| event.at).max()
+        };
+        let started = last(&self.starts, from);
+        last(&self.stops, from) < started && last(&self.kills, until) < started
     }
 
     /// Endpoints that left: name, when that was acknowledged, and when a request last arrived.
