--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -1,6 +1,6 @@
 //! What a control box tells entry boxes of each other.
 //!
-//! Data flow: entry boxes say what they want to be told ([`tell_from_now_on`]), each of few control boxes.
+//! Data flow: entry boxes say what they want to be told (`tell_from_now_on`), each of few control boxes.
 //! What the others took of quotas is told again and again ([`tell_entries`]), since it changes all the
 //! time; loads and kept prompt parts as soon as they change ([`tell_loads`]), the same bytes to all.
 
