--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -19,8 +19,10 @@
 use crate::core::usage::QuotaUse;
 use crate::core::usage::UseReport;
 
-/// Time between two tellings of what requests used, in either direction.
-pub const USE_EVERY: Duration = Duration::from_millis(150);
+/// Time between two tellings of what requests used, in either direction. With one from the entry box and one from
+/// the control box, and the time on the way, it must stay well below the time for which quotas keep a reserve
+/// for what is not heard of yet.
+pub const USE_EVERY: Duration = Duration::from_millis(100);
 
 /// Time between two tellings of what is open at endpoints, in either direction. An endpoint serves a request
 /// every 20 to 200 ms, so that older news sends too many boxes to the same one (docs/DECISIONS.md,
@@ -38,7 +40,7 @@
 pub const WINDOWS_TOLD: usize = 2;
 
 /// Tellings after which all slots and windows are repeated, for whoever missed some.
-pub const TELL_ALL_EVERY: u64 = 12;
+pub const TELL_ALL_EVERY: u64 = 18;
 
 /// Time between two signs of life on a connection.
 pub const PING_EVERY: Duration = Duration::from_millis(400);
