--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -118,16 +118,10 @@
         use_told = Instant::now();
         round += 1;
         let report = follower.report(round.is_multiple_of(TELL_ALL_EVERY));
-        let report = Encoded::new(&ToControl::Entry(FromEntry::Use(report)));
-        let ping = pinged.elapsed() >= PING_EVERY;
-        if ping {
+        follower.send_to_all(FromEntry::Use(report));
+        if pinged.elapsed() >= PING_EVERY {
             pinged = Instant::now();
-        }
-        for link in follower.open.borrow().values() {
-            link.outgoing.send_encoded(&report);
-            if ping {
-                send(&link.outgoing, FromEntry::Ping { sent_us: follower.steady_us() });
-            }
+            follower.send_to_all(FromEntry::Ping { sent_us: follower.steady_us() });
         }
         follower.choose_tellers();
     }
