--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -81,6 +81,21 @@
     pub known: u32,
 }
 
+/// What a decision of a quota goes by, for the log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct View {
+    /// Units that may be taken, before the part that is kept back.
+    pub level: f64,
+    /// Units that are kept back for what the others take unheard.
+    pub kept_back: f64,
+    /// Time since the others' use was last told; none if it never was.
+    pub told_ago: Option<Duration>,
+    /// Boxes that share the limit.
+    pub sharers: Sharers,
+    /// Whether the box goes by the use of all, not by a part of its own.
+    pub whole: bool,
+}
+
 /// The part of a limit that one box goes by.
 #[derive(Debug, Clone, Copy)]
 struct Share {
@@ -128,9 +143,7 @@
         let share = self.share(now);
         // A request larger than the burst can only ever start from a full bucket.
         let needed = units.min(share.limit.burst);
-        // What requests of this size can take too much together is bounded by their size.
-        let likes = units * f64::from(self.sharers.heard) * LIKES_UNHEARD;
-        let free = self.level(now) - self.unheard(now, share).min(likes);
+        let free = self.level(now) - self.kept_back(now, share, units);
         if free >= needed {
             *self.own.entry(slot(now)).or_default() += units;
             self.latest.push_back((now, units));
@@ -140,6 +153,23 @@
         Err(Duration::try_from_secs_f64((needed - free) / rate).unwrap_or(Duration::MAX))
     }
 
+    /// What a request of this many units is decided by.
+    pub fn view(&self, now: Duration, units: f64) -> View {
+        let share = self.share(now);
+        View {
+            level: self.level(now),
+            kept_back: self.kept_back(now, share, units),
+            told_ago: self.told.map(|told| now.saturating_sub(told)),
+            sharers: self.sharers,
+            whole: share.whole,
+        }
+    }
+
+    /// The limit in force.
+    pub fn limit(&self) -> Limit {
+        self.limit
+    }
+
     /// Gives back what a request took that was not run.
     pub fn give_back(&mut self, now: Duration, units: f64) {
         let own = self.own.entry(slot(now)).or_default();
@@ -198,6 +228,13 @@
         self.used_here(slot) + self.others.get(&slot).copied().unwrap_or_default()
     }
 
+    /// What is kept back of the level for a request of this many units.
+    fn kept_back(&self, now: Duration, share: Share, units: f64) -> f64 {
+        // What requests of this size can take too much together is bounded by their size.
+        let likes = units * f64::from(self.sharers.heard) * LIKES_UNHEARD;
+        self.unheard(now, share).min(likes)
+    }
+
     /// What the others will have taken before this box hears of it.
     fn unheard(&self, now: Duration, share: Share) -> f64 {
         if !share.whole {
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -91,7 +91,7 @@
     let answer = call::call(Rc::clone(entry), protocol.endpoints(), request, limits).await;
     answer.map_err(|mut error| {
         if error.run == RunState::NotRun {
-            entry.give_back(&organisation, units);
+            entry.quotas.give_back(entry.cluster_time(), &organisation, units);
         }
         error.retry_after = error.retry_after.map(|after| spread(after, &head.id));
         error
@@ -127,7 +127,8 @@
     let body = own::read_body(entry, body, body_bytes).await?;
     let name = organisation.map_or("", |organisation| organisation.name.as_str());
     let units = quota_units(organisation, head.work.as_ref());
-    entry.charge(name, units).map_err(|wait| over_quota(name, wait))?;
+    let charged = entry.quotas.charge(entry.cluster_time(), &head.id, name, units);
+    charged.map_err(|wait| over_quota(name, wait))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let service = route.pick(hash(&head.id)).unwrap_or_default();
     let request = CallRequest {
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -231,8 +231,9 @@
             ToEntry::OthersUse { heard, known, quotas } => {
                 let sharers = Sharers { heard, known };
                 self.entry.share_retries(known);
+                let now = self.entry.cluster_time();
                 for (organisation, slots) in &quotas {
-                    self.entry.others_took(organisation, slots, sharers);
+                    self.entry.quotas.others_took(now, organisation, slots, sharers);
                 }
             }
         }
@@ -308,7 +309,7 @@
         let windows = self.entry.used.borrow().windows(windows);
         UseReport {
             windows,
-            quotas: self.entry.own_quota_use(first),
+            quotas: self.entry.quotas.own_use(first),
             loads: all.then(|| work_at_endpoints::open_loads(&self.entry)),
             work: self.entry.used.borrow_mut().work(),
         }
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -17,10 +17,6 @@
 use serde_json::Value;
 use serde_json::json;
 use vaneway_marks::Instance;
-use vaneway_quota::Limit;
-use vaneway_quota::Quota;
-use vaneway_quota::Sharers;
-use vaneway_quota::Slot;
 use vaneway_registry::InstanceId;
 use vaneway_registry::Registry;
 use vaneway_relay::Event;
@@ -43,6 +39,7 @@
 use crate::core::endpoints::upstream::Connections;
 use crate::core::metrics::Metrics;
 use crate::core::occupancy::Occupancy;
+use crate::core::quotas::Quotas;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
 use crate::core::usage::Used;
@@ -57,9 +54,6 @@
 /// known to those that are started anew.
 const RETRY_PART: f64 = 0.75;
 
-/// Part of what operators allow beyond quotas that is used for bursts.
-const BURST_PART: f64 = 0.5;
-
 /// Whether the entry takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -115,7 +109,8 @@
     pub used: RefCell<Used>,
     table: RefCell<Option<Rc<RouteTable>>>,
     service_ids: RefCell<BTreeMap<String, ServiceId>>,
-    quotas: RefCell<BTreeMap<String, Quota>>,
+    /// The quotas of organisations.
+    pub quotas: Quotas,
     phase: Cell<Phase>,
     started: Instant,
     boot: u64,
@@ -182,7 +177,7 @@
             used: RefCell::default(),
             table: RefCell::default(),
             service_ids: RefCell::new(service_ids),
-            quotas: RefCell::default(),
+            quotas: Quotas::new(follow.map(|follow| follow.quota)),
             phase: Cell::new(Phase::Serving),
             started: Instant::now(),
             boot,
@@ -265,7 +260,7 @@
         for service in &configuration.services {
             self.service_id(&service.name);
         }
-        self.set_quotas(&configuration);
+        self.quotas.configure(self.cluster_time(), &configuration);
         Line::new("configured")
             .with("version", version)
             .with("before", held.unwrap_or_default())
@@ -301,64 +296,6 @@
         id
     }
 
-    fn set_quotas(&self, configuration: &Configuration) {
-        let now = self.cluster_time();
-        let mut quotas = self.quotas.borrow_mut();
-        let limited = |spec: &&crate::core::configuration::OrganisationSpec| spec.rate.is_some();
-        let organisations = configuration.organisations.iter().filter(limited);
-        let limits: BTreeMap<&str, Limit> = organisations
-            .map(|spec| {
-                let rate = spec.rate.unwrap_or_default();
-                let burst = spec.burst + self.burst_allowance(rate, spec.burst);
-                (spec.name.as_str(), Limit { rate, burst })
-            })
-            .collect();
-        let starts = self.table().is_none();
-        let new = if starts { Quota::of_started_box } else { Quota::new };
-        quotas.retain(|name, _| limits.contains_key(name.as_str()));
-        for (name, limit) in limits {
-            quotas.entry(name.to_owned()).or_insert_with(|| new(now, limit)).set_limit(now, limit);
-        }
-    }
-
-    /// Units that may be taken at once beyond a quota's burst: a part of what operators allow on
-    /// top. The rest is for what boxes admit before they have heard of each other.
-    fn burst_allowance(&self, rate: f64, burst: f64) -> f64 {
-        let Some(follow) = &self.settings.follow else { return 0.0 };
-        let allowed = follow.quota;
-        let measured = rate.mul_add(allowed.window.as_secs_f64(), burst);
-        measured.mul_add(allowed.overage, allowed.slack) * BURST_PART
-    }
-
-    /// Charges an organisation for a request.
-    ///
-    /// # Errors
-    ///
-    /// The time after which its quota allows the request.
-    pub fn charge(&self, organisation: &str, units: u64) -> Result<(), Duration> {
-        let now = self.cluster_time();
-        match self.quotas.borrow_mut().get_mut(organisation) {
-            Some(quota) => quota.take(now, units as f64),
-            None => Ok(()),
-        }
-    }
-
-    /// Gives back what a request was charged that did not run.
-    pub fn give_back(&self, organisation: &str, units: u64) {
-        let now = self.cluster_time();
-        if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
-            quota.give_back(now, units as f64);
-        }
-    }
-
-    /// Learns what the other entry boxes took of an organisation's quota.
-    pub fn others_took(&self, organisation: &str, slots: &[(Slot, f64)], sharers: Sharers) {
-        let now = self.cluster_time();
-        if let Some(quota) = self.quotas.borrow_mut().get_mut(organisation) {
-            quota.tell(now, slots, sharers);
-        }
-    }
-
     /// Learns how many entry boxes share what operators allow of retries: each holds its part
     /// alone, so that the sum keeps in bounds whatever is cut off.
     pub fn share_retries(&self, known: u32) {
@@ -373,13 +310,6 @@
         }
     }
 
-    /// What this box took of each quota in the slots from `first` on.
-    pub fn own_quota_use(&self, first: Slot) -> Vec<(String, Vec<(Slot, f64)>)> {
-        let quotas = self.quotas.borrow();
-        let used = quotas.iter().map(|(name, quota)| (name.clone(), quota.own(first).collect()));
-        used.filter(|(_, slots): &(String, Vec<_>)| !slots.is_empty()).collect()
-    }
-
     /// The cluster's time since 1970, or this box's before it knows better.
     pub fn cluster_time(&self) -> Duration {
         let clock = self.used.borrow().clock();
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod occupancy;
 pub mod operators;
+pub mod quotas;
 pub mod running;
 pub mod settings;
 pub mod usage;
--- a/crates/vaneway-server/src/util/logline.rs
+++ b/crates/vaneway-server/src/util/logline.rs
@@ -94,6 +94,13 @@
         self.log(Level::Info);
     }
 
+    /// Logs the line that `build` makes at level `debug`; it is made only where that level is logged.
+    pub fn debug(build: impl FnOnce() -> Self) {
+        if log::log_enabled!(Level::Debug) {
+            build().log(Level::Debug);
+        }
+    }
+
     /// Logs the line at level `warn`.
     pub fn warn(self) {
         self.log(Level::Warn);
