--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod platform_path;
 mod property;
 mod quota;
+mod quota_fleet;
 mod registry;
 mod routing;
 mod schema;
