--- a/tests/testsuite/quota_fleet.rs
+++ b/tests/testsuite/quota_fleet.rs
@@ -443,6 +443,22 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// A fleet of the size that the users aim at, with news that is 0.3 s old.
+#[test]
+fn flood_in_a_large_fleet_with_old_news_stays_in_bounds() {
+    let limit = Limit { rate: 409_000.0, burst: 409_000.0 };
+    for seed in 1..=2 {
+        let mut fleet = Fleet::new(295, seed, limit);
+        fleet.way = Duration::from_millis(105);
+        fleet.offer(0.56 * limit.rate, Duration::from_secs(4));
+        fleet.offer(4.4 * limit.rate, Duration::from_secs(14));
+        let (most, allowed) = (fleet.most_since(START), limit.allowed());
+        println!("seed {seed}: {:.3} of what is allowed", most / allowed);
+        assert!(most <= allowed, "seed {seed}: {most} of {allowed}");
+        assert!(most >= 8.0 * limit.rate, "seed {seed}: {most} of {allowed}");
+    }
+}
+
 #[test]
 fn organisation_within_its_limit_is_refused_nothing() {
     for seed in 1..=8 {
