--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -20,8 +20,8 @@
 use crate::core::usage::UseReport;
 
 /// Time between two tellings of what requests used, in either direction. With one from the entry box and one from
-/// the control box, and the time on the way, it must stay well below the time for which quotas keep a reserve
-/// for what is not heard of yet.
+/// the control box, and the time on the way, it must stay well below the age up to which quotas go by the use
+/// of all boxes.
 pub const USE_EVERY: Duration = Duration::from_millis(100);
 
 /// Time between two tellings of what is open at endpoints, in either direction. An endpoint serves a request
