--- a/crates/vaneway-quota/src/demand.rs
+++ b/crates/vaneway-quota/src/demand.rs
@@ -25,6 +25,11 @@
         self.left(now) / AVERAGED_OVER.as_secs_f64()
     }
 
+    /// When units were last asked for.
+    pub fn latest(&self) -> Duration {
+        self.at
+    }
+
     fn left(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
         self.units * (-age / AVERAGED_OVER.as_secs_f64()).exp()
--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -55,6 +55,10 @@
 /// floods let an organisation take up to 1.004 of what is allowed, with 0.4 s none.
 const NEWS_KEPT: Duration = Duration::from_millis(400);
 
+/// Time in which what a box was asked for has been told on every connection: more than two tellings. What is
+/// told later is told whole.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+
 /// Difference of the boxes' ideas of the cluster's time that is no step of it.
 const AHEAD_MOST: Duration = Duration::from_millis(100);
 
@@ -308,7 +312,7 @@
 
     /// Whether the control boxes may not know yet all that was asked for here and taken.
     pub fn was_asked_lately(&self, now: Duration) -> bool {
-        self.demand.rate(now) >= 1.0 || !self.own.is_empty()
+        now.saturating_sub(self.demand.latest()) <= TOLD_WITHIN
     }
 
     /// Whether nothing is kept that still counts.
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -308,7 +308,7 @@
         UseReport {
             at: clock.map(|clock| clock.since_epoch(Instant::now())),
             windows,
-            quotas: self.entry.quotas.own_use(self.entry.cluster_time(), first),
+            quotas: self.entry.quotas.own_use(self.entry.cluster_time(), first, all),
             loads: all.then(|| work_at_endpoints::open_loads(&self.entry)),
             work: self.entry.used.borrow_mut().work(),
         }
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -5,6 +5,7 @@
 //! time; loads and kept prompt parts as soon as they change ([`tell_loads`]), the same bytes to all.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -154,10 +155,11 @@
 
 /// What all entry boxes took of quotas, before each one's own is taken off for it.
 struct QuotasOfAll {
-    /// When each entry box that is heard made its last report; none if this box can't tell the time.
-    heard_at: Option<BTreeMap<EntryStart, Duration>>,
+    /// The entry boxes that are heard; none if this box can't tell the time.
+    heard: BTreeSet<EntryStart>,
+    /// Until when the use of all of them is known.
+    as_of: Option<Duration>,
     known: u32,
-    now: Duration,
     totals: QuotaTotals,
 }
 
@@ -165,17 +167,16 @@
     /// From the slot `first` on.
     fn of(control: &Control, first: Slot) -> Self {
         let Sharers { known, .. } = sharers(control);
-        let heard_at = control.known_time().map(|now| heard_at(control, now));
-        let ledger = control.use_ledger.borrow();
-        let now = control.time();
-        Self { heard_at, known, now, totals: ledger.quota_totals(now, first) }
+        let heard_at = control.known_time().map(|now| heard_at(control, now)).unwrap_or_default();
+        let as_of = heard_at.values().min().copied();
+        let totals = control.use_ledger.borrow().quota_totals(control.time(), first);
+        Self { heard: heard_at.into_keys().collect(), as_of, known, totals }
     }
 
     fn without(&self, control: &Control, entry: &EntryStart) -> ToEntry {
-        let quotas = control.use_ledger.borrow().without(self.now, &self.totals, entry);
-        let heard_at = self.heard_at.as_ref().filter(|heard_at| heard_at.contains_key(entry));
-        let as_of = heard_at.and_then(|heard_at| heard_at.values().min().copied());
-        let heard = heard_at.map_or(0, |heard_at| heard_at.len() as u32);
+        let quotas = control.use_ledger.borrow().without(&self.totals, entry);
+        let as_of = self.as_of.filter(|_| self.heard.contains(entry));
+        let heard = self.heard.len() as u32;
         ToEntry::OthersUse { as_of, heard, known: self.known, quotas }
     }
 }
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -163,10 +163,13 @@
         self.heard.get().is_some() || self.by_organisation.borrow().is_empty()
     }
 
-    /// What this box took of each quota in the slots from `first` on, and what it was asked for.
-    pub fn own_use(&self, now: Duration, first: Slot) -> Vec<(String, OwnQuotaUse)> {
+    /// What this box took of each quota in the slots from `first` on, and what it was asked for: of those that
+    /// it was asked for lately, or of all since it started, for a control box that has not heard of it before.
+    pub fn own_use(&self, now: Duration, first: Slot, all: bool) -> Vec<(String, OwnQuotaUse)> {
         let quotas = self.by_organisation.borrow();
-        let asked = quotas.iter().filter(|(_, known)| known.quota.was_asked_lately(now));
+        let asked = quotas.iter().filter(|(_, known)| {
+            known.quota.was_asked_lately(now) || all && known.quota.asked() > 0
+        });
         let use_of = |(name, known): (&String, &OrganisationQuota)| {
             let slots = known.quota.own(first).collect();
             (name.clone(), OwnQuotaUse { asked: known.quota.asked(), slots })
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -197,6 +197,8 @@
     loads: LoadLedger,
     /// When each entry box last told anything.
     told: BTreeMap<EntryStart, Told>,
+    /// The slot in which starts were last forgotten.
+    forgot_in: Slot,
     /// What each entry box last told of the engines of each service.
     work: BTreeMap<EntryStart, BTreeMap<String, EngineUse>>,
     /// Work told in the latest slots, by service.
@@ -281,10 +283,15 @@
         let is_new = !self.asked.contains_key(entry);
         let asked = self.asked.entry(entry.clone()).or_default();
         for (organisation, told) in quotas {
-            let before = asked.insert(organisation.clone(), told.asked).unwrap_or_default();
-            if !is_new {
-                let units = told.asked.saturating_sub(before) as f64;
-                self.demands.entry(organisation.clone()).or_default().add(now.time, units);
+            let before =
+                asked.get_mut(organisation).map(|asked| std::mem::replace(asked, told.asked));
+            if before.is_none() {
+                asked.insert(organisation.clone(), told.asked);
+            }
+            let units = told.asked.saturating_sub(before.unwrap_or_default());
+            if units > 0 && !is_new {
+                let demand = self.demands.entry(organisation.clone()).or_default();
+                demand.add(now.time, units as f64);
             }
             for (slot, units) in &told.slots {
                 if *slot > now.slot + AHEAD_MOST {
@@ -304,8 +311,11 @@
     }
 
     /// Forgets the starts of entry boxes that have been silent for long: what they saw of engines must
-    /// not outweigh what is seen now.
+    /// not outweigh what is seen now. Once in a slot: with each report it would cost the square of the boxes.
     fn forget_starts(&mut self, now: ClusterNow) {
+        if std::mem::replace(&mut self.forgot_in, now.slot) == now.slot {
+            return;
+        }
         let Self { told, work, asked, .. } = self;
         told.retain(|_, told| told.slot + STARTS_KEPT >= now.slot);
         work.retain(|entry, _| told.contains_key(entry));
@@ -324,11 +334,6 @@
         (now.abs_diff(at) <= HEARD_WITHIN).then_some(at)
     }
 
-    /// Units that all entry boxes were asked for of an organisation's quota in a second.
-    pub fn demand(&self, now: Duration, organisation: &str) -> f64 {
-        self.demands.get(organisation).map_or(0.0, |demand| demand.rate(now))
-    }
-
     /// Starts of entry boxes that are remembered.
     pub fn starts(&self) -> usize {
         self.told.len()
@@ -411,12 +416,18 @@
     pub fn quota_totals(&self, now: Duration, first: Slot) -> QuotaTotals {
         // An organisation that is refused everything is told of too: what it asks for decides.
         let wanted = self.demands.iter().filter(|(_, demand)| demand.rate(now) >= 1.0);
-        let mut totals: QuotaTotals =
-            wanted.map(|(organisation, _)| (organisation.clone(), BTreeMap::new())).collect();
+        let with_demand = |(organisation, demand): (&String, &Demand)| {
+            let demand = demand.rate(now).round() as u64;
+            (organisation.clone(), QuotaTotal { demand, slots: BTreeMap::new() })
+        };
+        let mut totals: QuotaTotals = wanted.map(with_demand).collect();
         for (slot, entries) in self.slots.range(first..) {
             for (organisation, units) in entries.values().flatten() {
-                let slots = totals.entry(organisation.clone()).or_default();
-                *slots.entry(*slot).or_default() += units;
+                if !totals.contains_key(organisation) {
+                    totals.insert(organisation.clone(), QuotaTotal::default());
+                }
+                let Some(total) = totals.get_mut(organisation) else { continue };
+                *total.slots.entry(*slot).or_default() += units;
             }
         }
         totals
@@ -425,7 +436,6 @@
     /// What is left of `totals` without the units of one entry box.
     pub fn without(
         &self,
-        now: Duration,
         totals: &QuotaTotals,
         entry: &EntryStart,
     ) -> Vec<(String, OthersQuotaUse)> {
@@ -433,16 +443,25 @@
             let entries = self.slots.get(&slot)?;
             entries.get(entry)?.get(organisation).copied()
         };
-        let rest = |organisation: &str, slots: &BTreeMap<Slot, u64>| {
-            let rest = slots
+        let rest = |organisation: &str, total: &QuotaTotal| {
+            let slots = total
+                .slots
                 .iter()
                 .map(|(slot, units)| (*slot, units - own(*slot, organisation).unwrap_or_default()));
-            let demand = self.demand(now, organisation).round() as u64;
-            OthersQuotaUse { demand, slots: rest.collect() }
+            OthersQuotaUse { demand: total.demand, slots: slots.collect() }
         };
-        totals.iter().map(|(name, slots)| (name.clone(), rest(name, slots))).collect()
+        totals.iter().map(|(name, total)| (name.clone(), rest(name, total))).collect()
     }
 }
 
-/// Quota units by organisation and slot.
-pub type QuotaTotals = BTreeMap<String, BTreeMap<Slot, u64>>;
+/// What all entry boxes took of each organisation's quota, and were asked for.
+pub type QuotaTotals = BTreeMap<String, QuotaTotal>;
+
+/// What all entry boxes took of an organisation's quota.
+#[derive(Debug, Clone, Default)]
+pub struct QuotaTotal {
+    /// Units that they were asked for in a second, admitted or not.
+    pub demand: u64,
+    /// Units by slot.
+    pub slots: BTreeMap<Slot, u64>,
+}
