--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -5,8 +5,6 @@
 //! request is a [`CallRequest`] like any other. A refusal before that tells the caller that its
 //! request did not run and when to come back.
 
-use std::hash::DefaultHasher;
-use std::hash::Hasher as _;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +34,7 @@
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::entry::Entry;
 use crate::util::body::CallerBody;
+use crate::util::hash;
 use crate::util::logline::Line;
 
 /// Least and most of the time to come back that a refused caller is told, so that callers who were
@@ -100,8 +99,7 @@
 
 /// A time to come back that differs from caller to caller.
 fn spread(after: Duration, id: &str) -> Duration {
-    // The high bits of a hash as a number from 0 to 1.
-    let part = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
+    let part = hash::fraction(id);
     let Range { start, end } = COME_BACK_SPREAD;
     after.mul_f64(start + part * (end - start))
 }
@@ -130,7 +128,7 @@
     let charged = entry.quotas.charge(entry.cluster_time(), &head.id, name, units);
     charged.map_err(|wait| over_quota(name, wait))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let service = route.pick(hash(&head.id)).unwrap_or_default();
+    let service = route.pick(hash::of(&head.id)).unwrap_or_default();
     let request = CallRequest {
         id: head.id.clone(),
         service: entry.service_id(service),
@@ -199,13 +197,7 @@
     }
 }
 
-fn hash(value: impl std::hash::Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Hash of the last part of a prompt that other requests share.
 fn prefix(work: &Work) -> u64 {
-    work.shared().last().map_or(0, |part| hash(part.id).max(1))
+    work.shared().last().map_or(0, |part| hash::of(part.id).max(1))
 }
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -302,13 +302,15 @@
     fn report(&self, all: bool) -> UseReport {
         let (slots, windows) =
             if all { (SLOTS_KEPT, WINDOWS_KEPT) } else { (SLOTS_TOLD, WINDOWS_TOLD) };
-        let first = vaneway_quota::slot(self.entry.cluster_time()).saturating_sub(slots);
-        let windows = self.entry.used.borrow().windows(windows);
-        let clock = self.entry.used.borrow().clock();
+        let now = self.entry.cluster_time();
+        let first = vaneway_quota::slot(now).saturating_sub(slots);
+        let used = self.entry.used.borrow();
+        let (windows, knows_time) = (used.windows(windows), used.clock().is_some());
+        drop(used);
         UseReport {
-            at: clock.map(|clock| clock.since_epoch(Instant::now())),
+            at: knows_time.then_some(now),
             windows,
-            quotas: self.entry.quotas.own_use(self.entry.cluster_time(), first, all),
+            quotas: self.entry.quotas.own_use(now, first, all),
             loads: all.then(|| work_at_endpoints::open_loads(&self.entry)),
             work: self.entry.used.borrow_mut().work(),
         }
--- a/crates/vaneway-server/src/core/cluster/tellers.rs
+++ b/crates/vaneway-server/src/core/cluster/tellers.rs
@@ -8,14 +8,12 @@
 //! Every control box still hears what each entry box uses, which is short, so any of them can take over at
 //! once, and a part that is cut off goes on with those that it reaches.
 
-use std::hash::DefaultHasher;
-use std::hash::Hash as _;
-use std::hash::Hasher as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::core::cluster::wire::PING_EVERY;
 use crate::core::cluster::wire::USE_EVERY;
+use crate::util::hash;
 
 /// Control boxes that tell an entry box at a time.
 pub const TELLERS: usize = 2;
@@ -46,11 +44,7 @@
 /// The control boxes of `known` that are to tell the entry box `name`, the best first. Among equals each
 /// entry box has an order of its own, so that their work is spread.
 pub fn choose(name: &str, known: &[Teller]) -> Vec<SocketAddr> {
-    let order = |address: SocketAddr| {
-        let mut hasher = DefaultHasher::new();
-        (name, address).hash(&mut hasher);
-        hasher.finish()
-    };
+    let order = |address: SocketAddr| hash::of((name, address));
     let mut known = known.to_vec();
     known.sort_by_key(|teller| {
         let late = teller.silent > LATE_AFTER;
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -82,20 +82,13 @@
     if told.peek().is_none() {
         return;
     }
-    let first = if all { 0 } else { first_told(control) };
+    let first = if all { 0 } else { control.use_ledger.borrow_mut().first_to_tell(SLOTS_TOLD) };
     let quotas = QuotasOfAll::of(control, first);
     for link in told {
         link.outgoing.send(&quotas.without(control, &link.start));
     }
 }
 
-/// The first slot to tell: each telling repeats the latest, and earlier ones if more of them became known.
-fn first_told(control: &Control) -> Slot {
-    let mut ledger = control.use_ledger.borrow_mut();
-    let latest = ledger.last_slot().saturating_sub(SLOTS_TOLD);
-    ledger.take_grown_from().map_or(latest, |grown| grown.min(latest))
-}
-
 /// Tells entry boxes what all have open at endpoints and which prompt parts they brought there, as soon as
 /// it changes, until dropped.
 pub async fn tell_loads(control: Rc<Control>) {
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -6,9 +6,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash as _;
-use std::hash::Hasher as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +41,7 @@
 use crate::core::settings::Settings;
 use crate::core::usage::Used;
 use crate::util::clock;
+use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::timers::Timers;
 
@@ -146,9 +144,8 @@
         let Parts { claims, cluster, boot } = parts;
         let routing = &settings.routing;
         // Boxes of the same settings must not all draw the same numbers.
-        let mut hasher = DefaultHasher::new();
-        (routing.seed, &settings.name).hash(&mut hasher);
-        let pool = Pool::new(settings.replicas.clone(), routing.policy, hasher.finish());
+        let seed = hash::of((routing.seed, &settings.name));
+        let pool = Pool::new(settings.replicas.clone(), routing.policy, seed);
         let budget = |service: &crate::core::settings::Service| {
             RetryBudget::new(service.retry_percent, RETRY_RESERVE)
         };
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -9,9 +9,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash as _;
-use std::hash::Hasher as _;
 use std::time::Duration;
 
 use vaneway_quota::Limit;
@@ -26,6 +23,7 @@
 use crate::core::settings::QuotaAllowance;
 use crate::core::usage::OthersQuotaUse;
 use crate::core::usage::OwnQuotaUse;
+use crate::util::hash;
 use crate::util::logline::Line;
 
 /// Part of what operators allow beyond quotas that is used for bursts. The rest is for what boxes admit
@@ -114,7 +112,8 @@
         let limited = quotas.get_mut(organisation).filter(|known| known.in_force);
         let Some(OrganisationQuota { quota, .. }) = limited else { return Ok(()) };
         let view = Line::debug_is_logged().then(|| quota.view(now));
-        let charged = quota.take(now, units, draw(request, organisation));
+        // Not by the id alone: its hash also chooses the time to come back.
+        let charged = quota.take(now, units, hash::fraction((request, organisation)));
         if let Some(view) = view {
             charge_line(request, organisation, units, &view, charged.is_ok()).debug();
         }
@@ -178,13 +177,6 @@
     }
 }
 
-/// A number from 0 to 1 that is a request's own, as likely in any part of it.
-fn draw(request: &str, organisation: &str) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (request, organisation).hash(&mut hasher);
-    (hasher.finish() >> 32) as f64 / f64::from(u32::MAX)
-}
-
 fn log_limit(version: u64, organisation: &str, before: Option<Limit>, limit: Limit, level: f64) {
     Line::new("quota_limit")
         .with("organisation", organisation)
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -401,15 +401,13 @@
         sum
     }
 
-    /// The first slot of which more was told since the last call: an entry box that was cut off tells late, and
-    /// the others must hear of it at once.
-    pub fn take_grown_from(&mut self) -> Option<Slot> {
-        self.grown_from.take()
-    }
-
-    /// The last slot of which anything is known.
-    pub fn last_slot(&self) -> Slot {
-        self.slots.last_key_value().map_or(0, |(slot, _)| *slot)
+    /// The first slot to tell now, where each telling repeats so many of the latest: earlier ones too if more of
+    /// them was told since the last call. An entry box that was cut off tells late, and the others must hear of
+    /// it at once.
+    pub fn first_to_tell(&mut self, repeated: u64) -> Slot {
+        let last = self.slots.last_key_value().map_or(0, |(slot, _)| *slot);
+        let latest = last.saturating_sub(repeated);
+        self.grown_from.take().map_or(latest, |grown| grown.min(latest))
     }
 
     /// Units that all entry boxes took, in the slots from `first` on, of each organisation that took or wanted any.
@@ -423,10 +421,7 @@
         let mut totals: QuotaTotals = wanted.map(with_demand).collect();
         for (slot, entries) in self.slots.range(first..) {
             for (organisation, units) in entries.values().flatten() {
-                if !totals.contains_key(organisation) {
-                    totals.insert(organisation.clone(), QuotaTotal::default());
-                }
-                let Some(total) = totals.get_mut(organisation) else { continue };
+                let total = totals.entry(organisation.clone()).or_default();
                 *total.slots.entry(*slot).or_default() += units;
             }
         }
--- a/crates/vaneway-server/src/util/mod.rs
+++ b/crates/vaneway-server/src/util/mod.rs
@@ -6,6 +6,7 @@
 pub mod durable_file;
 pub mod findings;
 pub mod frames;
+pub mod hash;
 pub mod http_server;
 pub mod log_output;
 pub mod logline;
