--- a/crates/vaneway-server/src/ops/run.rs
+++ b/crates/vaneway-server/src/ops/run.rs
@@ -1,7 +1,12 @@
 //! `vaneway run`: runs an entry or control box until it is told to stop.
 
+use std::io;
 use std::path::Path;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
 
 use compio::signal::unix;
 use eyre::WrapErr as _;
@@ -84,20 +89,26 @@
     let runtime = compio::runtime::Runtime::new().wrap_err("failed to start the event loop")?;
     Line::new("loop").with("driver", format!("{:?}", runtime.driver_type())).info();
     runtime.block_on(async {
+        let signals = Signals::listen();
         match settings {
-            ProcessSettings::Entry(settings) => run_entry(*settings, protocols.callers()).await,
+            ProcessSettings::Entry(settings) => {
+                run_entry(*settings, protocols.callers(), signals).await
+            }
             ProcessSettings::Control(settings) => {
-                run_control(*settings, protocols.control(), protocols.cloud()).await
+                run_control(*settings, protocols.control(), protocols.cloud(), signals).await
             }
         }
     })
 }
 
-async fn run_entry<C: CallerProtocol>(settings: Settings, callers: C) -> eyre::Result<()> {
+async fn run_entry<C: CallerProtocol>(
+    settings: Settings,
+    callers: C,
+    signals: Signals,
+) -> eyre::Result<()> {
     let entry = running::spawn_with(settings, callers).await?;
     let state = Rc::clone(entry.entry());
-    compio::runtime::spawn(dump_on_hangup(move || state.dump())).detach();
-    wait_for_stop().await?;
+    signals.wait_for_stop(move || state.dump()).await?;
     match entry.stop().await {
         0 => Ok(()),
         cut_off => bail!("the stop cut off {cut_off} requests; raise `$.stop.finish_ms`"),
@@ -108,25 +119,62 @@
     settings: ControlSettings,
     protocol: P,
     cloud: C,
+    signals: Signals,
 ) -> eyre::Result<()> {
     let control = control::running::spawn(settings, protocol, cloud).await?;
     let state = Rc::clone(control.control());
-    compio::runtime::spawn(dump_on_hangup(move || state.dump())).detach();
-    wait_for_stop().await?;
+    signals.wait_for_stop(move || state.dump()).await?;
     control.stop().await;
     Ok(())
 }
 
-async fn wait_for_stop() -> eyre::Result<()> {
-    let terminate = unix::signal(signal_number::TERMINATE);
-    let interrupt = unix::signal(signal_number::INTERRUPT);
-    futures_util::pin_mut!(terminate, interrupt);
-    let stopped = futures_util::future::select(terminate, interrupt).await;
-    stopped.factor_first().0.wrap_err("failed to wait for a signal")
+/// The wait for a signal.
+type SignalFuture = Pin<Box<dyn Future<Output = io::Result<()>>>>;
+
+/// The signals that a process heeds.
+///
+/// Why from the first moment on and without a gap: where nothing listens, the system ends the process, also
+/// for a hangup.
+struct Signals {
+    hangup: SignalFuture,
+    terminate: SignalFuture,
+    interrupt: SignalFuture,
+}
+
+impl Signals {
+    /// Listens from now on.
+    fn listen() -> Self {
+        Self {
+            hangup: listen(signal_number::HANGUP),
+            terminate: listen(signal_number::TERMINATE),
+            interrupt: listen(signal_number::INTERRUPT),
+        }
+    }
+
+    /// Waits until the process is asked to stop; each hangup writes `dump` to the log, also during the stop.
+    async fn wait_for_stop(self, dump: impl Fn() -> Value + 'static) -> eyre::Result<()> {
+        let Self { hangup, terminate, interrupt } = self;
+        compio::runtime::spawn(dump_on_hangup(hangup, dump)).detach();
+        let stopped = futures_util::future::select(terminate, interrupt).await;
+        stopped.factor_first().0.wrap_err("failed to wait for a signal")
+    }
+}
+
+/// Waits for a signal; it is listened for from this call on, not from the first wait.
+fn listen(number: i32) -> SignalFuture {
+    let mut signal = Box::pin(unix::signal(number));
+    match signal.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Pending => signal,
+        Poll::Ready(came) => Box::pin(std::future::ready(came)),
+    }
 }
 
-async fn dump_on_hangup(dump: impl Fn() -> Value) {
-    while unix::signal(signal_number::HANGUP).await.is_ok() {
+async fn dump_on_hangup(first: SignalFuture, dump: impl Fn() -> Value) {
+    // Listens while the other does not, between a hangup and the wait for the next.
+    let _kept = listen(signal_number::HANGUP);
+    let mut hangup = first;
+    while hangup.await.is_ok() {
+        hangup = listen(signal_number::HANGUP);
         log::info!("event=dump state={}", dump());
     }
 }
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -5,6 +5,9 @@
 use std::net::TcpStream;
 
 use hyper::Method;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
 use vaneway_test_support::deployment::MODEL;
 
 use crate::support::block_on;
@@ -88,6 +91,22 @@
     assert_eq!(entry.wait(), Some(0));
 }
 
+/// Seen: a process ended by a hangup right after it had said that it had started, and could by one that came while
+/// it wrote its state: in both moments nothing listened, and the system's default for a hangup is to end.
+#[test]
+fn hangups_in_a_row_from_the_first_moment_on_end_nothing() {
+    let a = engine();
+    let deployment = deployment().engines(&replicas(&[&a]));
+    let entry = deployment.start();
+    let pid = Pid::from_raw(entry.id().cast_signed()).unwrap();
+    for _ in 0..2_000 {
+        kill_process(pid, Signal::HUP).unwrap();
+    }
+    entry.wait_for_log(&["event=dump"]);
+    entry.signal("TERM");
+    entry.wait_for_log(&["event=phase", "phase=finishing"]);
+}
+
 #[test]
 fn hangup_writes_the_state_to_the_log() {
     let a = engine();
