--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -165,9 +165,9 @@
         self.boxes[i] = Some(process);
     }
 
-    /// Starts an entry box that follows the control boxes.
-    pub fn start_entry(&self, name: &str) -> Process {
-        let settings = json!({
+    /// Settings of an entry box that follows the control boxes.
+    pub fn entry_settings(&self, name: &str) -> Value {
+        json!({
             "name": name,
             "availability_zone": "a",
             "availability_zones": ["a", "b"],
@@ -176,7 +176,12 @@
             "control": { "seeds": self.seeds, "port": self.port },
             "routing": { "policy": "expected_work", "fresh_for_at_most_once": false },
             "stop": { "accept_ms": 200, "finish_ms": 5_000 },
-        });
+        })
+    }
+
+    /// Starts an entry box that follows the control boxes.
+    pub fn start_entry(&self, name: &str) -> Process {
+        let settings = self.entry_settings(name);
         let folder = self.folder.path();
         match self.adapter {
             Some(adapter) => Process::spawn_adapted(&self.program, folder, &settings, adapter),
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod several;
 pub mod soak;
 pub mod standin;
+pub mod throttle;
 pub mod weight_store;
 pub mod wire_endpoint;
 
@@ -34,5 +35,6 @@
 pub use process::Process;
 pub use proxy::Proxy;
 pub use several::Several;
+pub use throttle::Throttle;
 pub use weight_store::WeightStore;
 pub use wire_endpoint::WireEndpoint;
--- /dev/null
+++ b/tests/testsuite/control_overload.rs
@@ -0,0 +1,93 @@
+//! Control boxes with little processor time and a large fleet of entry boxes.
+//!
+//! Seen: in a fleet of 295 entry boxes all control boxes were killed and were back within a second. From then on
+//! they used all of their processor time, twice of what they had needed before, until the end. None led again,
+//! no configuration was accepted or could be read, and half of the callers' requests were refused.
+//!
+//! How it came about: entry boxes gave up a connection after 1.5 s without a message and opened another one. To take
+//! one in cost a control box 3 ms of its processor, 10 ms of time, so that 3 s passed until it had taken in
+//! the last; by then the first had given up. What it did was for connections that were closed already, and the
+//! messages of the agreement waited behind it for seconds, while an election has to be won within one.
+//!
+//! Cause: work that grows with the number of those who wait, no order in which it is done, and callers
+//! that come again after a fixed time. It never ended by itself, though there was time enough for all of them.
+
+use std::path::Path;
+
+use serde_json::Value;
+use serde_json::json;
+use vaneway_test_support::ControlGroup;
+use vaneway_test_support::Throttle;
+use vaneway_test_support::control_group::empty_configuration;
+
+use crate::fleet::Fleet;
+use crate::fleet::ORGANISATIONS;
+
+/// Entry boxes: as many as the largest fleet has.
+const ENTRIES: usize = 300;
+
+/// Control boxes of that fleet.
+const BOXES: u8 = 5;
+
+/// Endpoints of that fleet.
+const ENDPOINTS: u16 = 165;
+
+/// Requests after which the use of quotas of all slots that are kept has been told: 12 s of them.
+const REQUESTS: u64 = 12_000;
+
+/// In calm each control box needs 0.16 of a core here, half of what it gets after it has started again.
+#[test]
+fn control_boxes_that_start_together_lead_and_tell_a_large_fleet() {
+    let mut group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), BOXES);
+    group.configure(&configuration(1));
+    register_endpoints(&group);
+    let fleet = Fleet::start(&group, ENTRIES);
+    fleet.wait_for_version(1);
+    fleet.wait_for_requests(REQUESTS);
+
+    for i in 0..usize::from(BOXES) {
+        group.kill(i);
+    }
+    for i in 0..usize::from(BOXES) {
+        group.start_box(i, false);
+    }
+    let throttles: Vec<Throttle> =
+        group.running().into_iter().map(|i| Throttle::start(group.process(i))).collect();
+
+    group.configure(&configuration(2));
+    fleet.wait_for_version(2);
+    assert_eq!(group.configuration()["version"], 2);
+    drop(throttles);
+}
+
+fn configuration(version: u64) -> Value {
+    let mut configuration = empty_configuration(version);
+    let organisation = |i: usize| {
+        json!({
+            "name": format!("organisation-{i}"), "keys": [format!("key-{i}")], "priority": null,
+            "unit": "Requests", "rate": 1_000.0, "burst": 1_000.0,
+        })
+    };
+    configuration["organisations"] = (0..ORGANISATIONS).map(organisation).collect();
+    configuration["services"] = json!([
+        { "name": "engine", "health_path": "", "max_connections": 1, "engine": null, "capacity": null }
+    ]);
+    configuration
+}
+
+fn register_endpoints(group: &ControlGroup) {
+    for i in 0..ENDPOINTS {
+        let report = json!({
+            "instance": format!("endpoint-{i}"), "sequence": 1, "standing": "Ready",
+            "ends_in_ms": null, "age_ms": 0,
+            "details": {
+                "service": "engine", "address": format!("127.0.0.1:{}", 10_000 + i),
+                "availability_zone": "a", "slots": 48, "reclaimable": true,
+            },
+        });
+        group.until("a box takes a registration", |b| {
+            let answer = group.call(b, "POST", "/v1/endpoints", &report.to_string());
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+    }
+}
