--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -22,8 +22,9 @@
 use crate::core::cluster::wire::Wanted;
 use crate::core::control::links;
 use crate::core::control::state::Control;
+use crate::core::quota_ledger::QuotaTotals;
 use crate::core::usage::EntryStart;
-use crate::core::usage::QuotaTotals;
+
 use crate::util::frames::Encoded;
 
 /// How long an entry box that was lost counts as one that may still take requests.
@@ -82,7 +83,8 @@
     if told.peek().is_none() {
         return;
     }
-    let first = if all { 0 } else { control.use_ledger.borrow_mut().first_to_tell(SLOTS_TOLD) };
+    let first =
+        if all { 0 } else { control.use_ledger.borrow_mut().quotas().first_to_tell(SLOTS_TOLD) };
     let quotas = QuotasOfAll::of(control, first);
     for link in told {
         link.outgoing.send(&quotas.without(control, &link.start));
@@ -162,12 +164,12 @@
         let Sharers { known, .. } = sharers(control);
         let heard_at = control.known_time().map(|now| heard_at(control, now)).unwrap_or_default();
         let as_of = heard_at.values().min().copied();
-        let totals = control.use_ledger.borrow().quota_totals(control.time(), first);
+        let totals = control.use_ledger.borrow_mut().quotas().totals(control.time(), first);
         Self { heard: heard_at.into_keys().collect(), as_of, known, totals }
     }
 
     fn without(&self, control: &Control, entry: &EntryStart) -> ToEntry {
-        let quotas = control.use_ledger.borrow().without(&self.totals, entry);
+        let quotas = control.use_ledger.borrow_mut().quotas().without(&self.totals, entry);
         let as_of = self.as_of.filter(|_| self.heard.contains(entry));
         let heard = self.heard.len() as u32;
         ToEntry::OthersUse { as_of, heard, known: self.known, quotas }
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -16,12 +16,11 @@
 use vaneway_engine::Run;
 use vaneway_engine::Speeds;
 use vaneway_engine::Totals;
-use vaneway_quota::Demand;
-use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Slot;
 
 use crate::core::loads::LoadLedger;
 use crate::core::loads::Loads;
+use crate::core::quota_ledger::QuotaLedger;
 
 /// Number of an accounting window since 1970.
 pub type Window = u64;
@@ -188,12 +187,7 @@
 #[derive(Debug, Default)]
 pub struct UseLedger {
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
-    slots: BTreeMap<Slot, BTreeMap<EntryStart, BTreeMap<String, u64>>>,
-    /// Units that each entry box was asked for, as it last told.
-    asked: BTreeMap<EntryStart, BTreeMap<String, u64>>,
-    /// The first slot of which more was told since it was last asked for.
-    grown_from: Option<Slot>,
-    demands: BTreeMap<String, Demand>,
+    quotas: QuotaLedger,
     loads: LoadLedger,
     /// When each entry box last told anything.
     told: BTreeMap<EntryStart, Told>,
@@ -217,9 +211,6 @@
 /// Windows that a control box remembers.
 const LEDGER_WINDOWS: usize = 16;
 
-/// Slots of quotas that a control box remembers.
-const LEDGER_SLOTS: usize = SLOTS_KEPT as usize + 4;
-
 /// Where the cluster's time stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClusterNow {
@@ -236,7 +227,7 @@
 const HEARD_WITHIN: Duration = Duration::from_millis(250);
 
 /// Windows and slots that another box's time may be ahead.
-const AHEAD_MOST: u64 = 1;
+pub(super) const AHEAD_MOST: u64 = 1;
 
 /// Slots over which the demand is measured: a few seconds.
 const DEMAND_SLOTS: u64 = 8;
@@ -264,7 +255,7 @@
         while self.windows.len() > LEDGER_WINDOWS {
             self.windows.pop_first();
         }
-        self.merge_quotas(now, entry, &report.quotas);
+        self.quotas.merge(now, entry, &report.quotas);
         self.told.insert(entry.clone(), Told { slot: now.slot, at: report.at });
         self.forget_starts(now);
         if let Some(loads) = &report.loads {
@@ -273,53 +264,16 @@
         self.merge_work(now, entry, &report.work);
     }
 
-    fn merge_quotas(
-        &mut self,
-        now: ClusterNow,
-        entry: &EntryStart,
-        quotas: &[(String, OwnQuotaUse)],
-    ) {
-        // What was asked for before this box heard of the entry for the first time says nothing of now.
-        let is_new = !self.asked.contains_key(entry);
-        let asked = self.asked.entry(entry.clone()).or_default();
-        for (organisation, told) in quotas {
-            let before =
-                asked.get_mut(organisation).map(|asked| std::mem::replace(asked, told.asked));
-            if before.is_none() {
-                asked.insert(organisation.clone(), told.asked);
-            }
-            let units = told.asked.saturating_sub(before.unwrap_or_default());
-            if units > 0 && !is_new {
-                let demand = self.demands.entry(organisation.clone()).or_default();
-                demand.add(now.time, units as f64);
-            }
-            for (slot, units) in &told.slots {
-                if *slot > now.slot + AHEAD_MOST {
-                    continue;
-                }
-                let known = self.slots.entry(*slot).or_default().entry(entry.clone()).or_default();
-                let known = known.entry(organisation.clone()).or_default();
-                if *units > *known {
-                    *known = *units;
-                    self.grown_from = Some(self.grown_from.map_or(*slot, |grown| grown.min(*slot)));
-                }
-            }
-        }
-        while self.slots.len() > LEDGER_SLOTS {
-            self.slots.pop_first();
-        }
-    }
-
     /// Forgets the starts of entry boxes that have been silent for long: what they saw of engines must
     /// not outweigh what is seen now. Once in a slot: with each report it would cost the square of the boxes.
     fn forget_starts(&mut self, now: ClusterNow) {
         if std::mem::replace(&mut self.forgot_in, now.slot) == now.slot {
             return;
         }
-        let Self { told, work, asked, .. } = self;
+        let Self { told, work, quotas, .. } = self;
         told.retain(|_, told| told.slot + STARTS_KEPT >= now.slot);
         work.retain(|entry, _| told.contains_key(entry));
-        asked.retain(|entry, _| told.contains_key(entry));
+        quotas.forget(|entry| told.contains_key(entry));
     }
 
     /// Learns that a start of an entry box has told all that it ever will.
@@ -401,62 +355,8 @@
         sum
     }
 
-    /// The first slot to tell now, where each telling repeats so many of the latest: earlier ones too if more of
-    /// them was told since the last call. An entry box that was cut off tells late, and the others must hear of
-    /// it at once.
-    pub fn first_to_tell(&mut self, repeated: u64) -> Slot {
-        let last = self.slots.last_key_value().map_or(0, |(slot, _)| *slot);
-        let latest = last.saturating_sub(repeated);
-        self.grown_from.take().map_or(latest, |grown| grown.min(latest))
-    }
-
-    /// Units that all entry boxes took, in the slots from `first` on, of each organisation that took or wanted any.
-    pub fn quota_totals(&self, now: Duration, first: Slot) -> QuotaTotals {
-        // An organisation that is refused everything is told of too: what it asks for decides.
-        let wanted = self.demands.iter().filter(|(_, demand)| demand.rate(now) >= 1.0);
-        let with_demand = |(organisation, demand): (&String, &Demand)| {
-            let demand = demand.rate(now).round() as u64;
-            (organisation.clone(), QuotaTotal { demand, slots: BTreeMap::new() })
-        };
-        let mut totals: QuotaTotals = wanted.map(with_demand).collect();
-        for (slot, entries) in self.slots.range(first..) {
-            for (organisation, units) in entries.values().flatten() {
-                let total = totals.entry(organisation.clone()).or_default();
-                *total.slots.entry(*slot).or_default() += units;
-            }
-        }
-        totals
+    /// What entry boxes took of quotas.
+    pub fn quotas(&mut self) -> &mut QuotaLedger {
+        &mut self.quotas
     }
-
-    /// What is left of `totals` without the units of one entry box.
-    pub fn without(
-        &self,
-        totals: &QuotaTotals,
-        entry: &EntryStart,
-    ) -> Vec<(String, OthersQuotaUse)> {
-        let own = |slot: Slot, organisation: &str| {
-            let entries = self.slots.get(&slot)?;
-            entries.get(entry)?.get(organisation).copied()
-        };
-        let rest = |organisation: &str, total: &QuotaTotal| {
-            let slots = total
-                .slots
-                .iter()
-                .map(|(slot, units)| (*slot, units - own(*slot, organisation).unwrap_or_default()));
-            OthersQuotaUse { demand: total.demand, slots: slots.collect() }
-        };
-        totals.iter().map(|(name, total)| (name.clone(), rest(name, total))).collect()
-    }
-}
-
-/// What all entry boxes took of each organisation's quota, and were asked for.
-pub type QuotaTotals = BTreeMap<String, QuotaTotal>;
-
-/// What all entry boxes took of an organisation's quota.
-#[derive(Debug, Clone, Default)]
-pub struct QuotaTotal {
-    /// Units that they were asked for in a second, admitted or not.
-    pub demand: u64,
-    /// Units by slot.
-    pub slots: BTreeMap<Slot, u64>,
 }
