--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -24,6 +24,8 @@
 use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::tellers;
 use crate::core::cluster::tellers::Teller;
+use crate::core::cluster::wire::BEHIND_AFTER;
+use crate::core::cluster::wire::BUSY_MOST;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::LOADS_EVERY;
 use crate::core::cluster::wire::PING_EVERY;
@@ -46,6 +48,8 @@
 use crate::util::frames;
 use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
+use crate::util::frames::Silence;
+use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::socket;
 
@@ -62,6 +66,8 @@
     open: RefCell<BTreeMap<SocketAddr, Link>>,
     /// What this box last told of its open work at endpoints.
     told: RefCell<BTreeMap<InstanceId, Load>>,
+    /// When it last changed which control boxes tell what the others use.
+    told_by_since: Cell<Instant>,
     /// Whether it told that this box is done.
     said_done: Cell<bool>,
     /// Round trip of the exchange that gave the present estimate of the cluster's time, and when.
@@ -75,12 +81,23 @@
     opened: Instant,
     /// When anything last came.
     heard: Cell<Instant>,
+    /// Whether the control box has taken this box in. Until then it is told nothing, since it would only have to
+    /// read that too.
+    taken_in: Cell<bool>,
+    /// When the ping was sent to which no answer has come yet.
+    pinged: Cell<Option<Instant>>,
+    /// Whether a report was left out since the answer to a ping was late.
+    missed: Cell<bool>,
     /// Whether it said that it stands in this box's availability zone.
     at_home: Cell<bool>,
     /// What it was asked to tell of the other entry boxes.
     wanted: Cell<Wanted>,
 }
 
+/// Time for which tellers stay as they are while all connections do. Each new one has to tell all that it
+/// knows, and those that are late together would be left for each other in turn.
+const TELLERS_KEPT: Duration = Duration::from_secs(2);
+
 /// How old an estimate of the cluster's time may be before a worse one replaces it.
 const CLOCK_KEPT: Duration = Duration::from_secs(20);
 
@@ -94,6 +111,7 @@
         kept: RefCell::default(),
         open: RefCell::default(),
         told: RefCell::default(),
+        told_by_since: Cell::new(Instant::now()),
         said_done: Cell::new(false),
         clock_from: Cell::new(None),
     });
@@ -121,9 +139,12 @@
         follower.send_to_all(FromEntry::Use(report));
         if pinged.elapsed() >= PING_EVERY {
             pinged = Instant::now();
-            follower.send_to_all(FromEntry::Ping { sent_us: follower.steady_us() });
+            let sent_us = follower.steady_us();
+            follower.open.borrow().values().for_each(|link| link.ping(sent_us));
+        }
+        if follower.told_by_since.get().elapsed() >= TELLERS_KEPT {
+            follower.choose_tellers();
         }
-        follower.choose_tellers();
     }
 }
 
@@ -138,11 +159,34 @@
             outgoing,
             opened: now,
             heard: Cell::new(now),
+            taken_in: Cell::new(false),
+            pinged: Cell::new(None),
+            missed: Cell::new(false),
             at_home: Cell::new(false),
             wanted: Cell::default(),
         }
     }
 
+    /// Sends a message, unless the control box has not taken in what it was told before.
+    fn tell(&self, message: &Encoded) {
+        if !self.taken_in.get() {
+            return;
+        }
+        if self.pinged.get().is_some_and(|at| at.elapsed() > BEHIND_AFTER) {
+            self.missed.set(true);
+            return;
+        }
+        self.outgoing.send_encoded(message);
+    }
+
+    /// Asks for a sign that all before it was taken in, unless one is still to come.
+    fn ping(&self, sent_us: u64) {
+        if self.taken_in.get() && self.pinged.get().is_none() {
+            self.pinged.set(Some(Instant::now()));
+            send(&self.outgoing, FromEntry::Ping { sent_us });
+        }
+    }
+
     fn teller(&self, address: SocketAddr) -> Teller {
         Teller {
             address,
@@ -175,28 +219,59 @@
     async fn keep_one(self: Rc<Self>, address: SocketAddr) {
         let wanted = || self.kept.borrow().contains(&address);
         let run = async |stream| self.run(address, stream).await;
-        keep_connected(&self.entry.timers, address, wanted, run).await;
+        let seed = hash::of(&self.entry.settings.name);
+        keep_connected(&self.entry.timers, seed, address, wanted, run).await;
     }
 
     async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
         let outgoing = Outgoing::default();
-        let name = self.entry.settings.name.clone();
-        send(&outgoing, FromEntry::Hello { name, boot: self.entry.boot() });
-        send(&outgoing, FromEntry::Leaving(self.leaving()));
-        send(&outgoing, FromEntry::Use(self.report(true)));
-        send(&outgoing, FromEntry::Ping { sent_us: self.steady_us() });
+        send(&outgoing, self.hello());
         let link = Link::new(outgoing.clone());
         self.open.borrow_mut().insert(address, link);
-        Line::new("control_connected").with("address", address).info();
-        let on_frame = |frame: &[u8]| match frames::decode::<ToEntry>(frame) {
+        let on_frame = async |frame: &[u8]| match frames::decode::<ToEntry>(frame) {
             Some(message) => self.received(address, message),
             None => self.entry.metrics.datagrams_dropped.inc(),
         };
         let timers = &self.entry.timers;
-        let why = frames::drive(timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
-        self.open.borrow_mut().remove(&address);
+        let silence = Silence { system: SILENCE_MOST, process: BUSY_MOST };
+        let why = frames::drive(timers, &stream, &outgoing, silence, on_frame).await;
+        let link = self.open.borrow_mut().remove(&address);
         self.choose_tellers();
-        Line::new("control_lost").with("address", address).with("why", why).info();
+        Line::new("control_lost")
+            .with("address", address)
+            .with("why", why)
+            .with("taken_in", link.is_some_and(|link| link.taken_in.get()))
+            .info();
+    }
+
+    fn hello(&self) -> FromEntry {
+        FromEntry::Hello {
+            name: self.entry.settings.name.clone(),
+            boot: self.entry.boot(),
+            configuration: self.entry.table().map_or(0, |table| table.configuration().version),
+            known: self.entry.quotas.known_boxes(),
+        }
+    }
+
+    /// Tells a control box that has taken this box in what it must know.
+    fn introduce(&self, address: SocketAddr, link: &Link) {
+        link.taken_in.set(true);
+        send(&link.outgoing, FromEntry::Leaving(self.leaving()));
+        send(&link.outgoing, FromEntry::Use(self.report(true)));
+        link.ping(self.steady_us());
+        Line::new("control_connected")
+            .with("address", address)
+            .with("waited_ms", link.opened.elapsed().as_millis())
+            .info();
+    }
+
+    /// A control box has taken in all that it was told before; tells it what was left out meanwhile.
+    fn taken_in(&self, link: &Link) {
+        link.pinged.set(None);
+        if link.missed.replace(false) {
+            send(&link.outgoing, FromEntry::Use(self.report(true)));
+            link.ping(self.steady_us());
+        }
     }
 
     fn received(self: &Rc<Self>, from: SocketAddr, message: ToEntry) {
@@ -207,12 +282,19 @@
             ToEntry::Hello { availability_zone } => {
                 if let Some(link) = self.open.borrow().get(&from) {
                     link.at_home.set(availability_zone == self.entry.settings.availability_zone);
+                    self.introduce(from, link);
                 }
                 self.choose_tellers();
             }
-            ToEntry::Pong { sent_us, time_us: Some(time_us) } => self.learn_time(sent_us, time_us),
-            // The control box has just started and doesn't know the time yet.
-            ToEntry::Pong { time_us: None, .. } => {}
+            ToEntry::Pong { sent_us, time_us } => {
+                if let Some(link) = self.open.borrow().get(&from) {
+                    self.taken_in(link);
+                }
+                // None if the control box has just started and doesn't know the time yet.
+                if let Some(time_us) = time_us {
+                    self.learn_time(sent_us, time_us);
+                }
+            }
             ToEntry::Configuration(configuration) => self.entry.configure(configuration),
             ToEntry::Registry(reports) => registered::apply(&self.entry, &reports),
             ToEntry::Remembered { endpoints, left_ms } => {
@@ -246,7 +328,8 @@
     /// Asks the control boxes that are to tell what the others use, and lets the others cease.
     fn choose_tellers(&self) {
         let open = self.open.borrow();
-        let known: Vec<Teller> = open.iter().map(|(address, link)| link.teller(*address)).collect();
+        let taken_in = open.iter().filter(|(_, link)| link.taken_in.get());
+        let known: Vec<Teller> = taken_in.map(|(address, link)| link.teller(*address)).collect();
         let chosen = tellers::choose(&self.entry.settings.name, &known);
         for (address, link) in open.iter() {
             let wanted = Wanted {
@@ -255,6 +338,7 @@
                 loads: chosen.first() == Some(address),
             };
             if link.wanted.replace(wanted) != wanted {
+                self.told_by_since.set(Instant::now());
                 send(&link.outgoing, FromEntry::Tell(wanted));
                 log::debug!("event=teller address={address} wanted={wanted:?}");
             }
@@ -287,14 +371,20 @@
     /// Tells the control boxes all that this box used, and that it was all: they need not wait for more.
     fn say_done(&self) {
         self.said_done.set(true);
-        self.send_to_all(FromEntry::Use(self.report(true)));
-        self.send_to_all(FromEntry::Done);
+        let report = Encoded::new(&ToControl::Entry(FromEntry::Use(self.report(true))));
+        let done = Encoded::new(&ToControl::Entry(FromEntry::Done));
+        let open = self.open.borrow();
+        for link in open.values().filter(|link| link.taken_in.get()) {
+            // Also to one that is behind: there will be no later report.
+            link.outgoing.send_encoded(&report);
+            link.outgoing.send_encoded(&done);
+        }
     }
 
     fn send_to_all(&self, message: FromEntry) {
         let message = Encoded::new(&ToControl::Entry(message));
         for link in self.open.borrow().values() {
-            link.outgoing.send_encoded(&message);
+            link.tell(&message);
         }
     }
 
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -45,9 +45,20 @@
 /// Time between two signs of life on a connection.
 pub const PING_EVERY: Duration = Duration::from_millis(400);
 
-/// Silence after which a connection counts as broken.
+/// Silence after which a connection counts as broken: of the other box's system, which answers for it while its
+/// process is busy, and of another control box, whose signs of life go before all else.
 pub const SILENCE_MOST: Duration = Duration::from_millis(1_500);
 
+/// Silence of a process after which a connection between an entry and a control box counts as broken. While its
+/// system answers, it is busy: who goes and comes again only gives it more to do. Long enough for a
+/// control box with 0.06 of a core to take in 300 entry boxes.
+pub const BUSY_MOST: Duration = Duration::from_secs(8);
+
+/// Age of a ping without an answer from which on an entry box tells a control box no more until the answer
+/// comes: what it has told is not taken in yet, and what it would tell now is told later with newer
+/// figures. So a control box is told as much as it can take in.
+pub const BEHIND_AFTER: Duration = Duration::from_millis(500);
+
 /// Longest wait for a connection to open: one round trip between regions. A box without power
 /// answers nothing, and when it is back the next try must not be far.
 pub const CONNECT_WITHIN: Duration = Duration::from_millis(250);
@@ -58,12 +69,17 @@
 /// A message of an entry box to a control box.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FromEntry {
-    /// Who I am; the first message.
+    /// Who I am; the first message, and the only one until the control box has answered with
+    /// [`ToEntry::Hello`].
     Hello {
         /// The box's name.
         name: String,
         /// A number that no earlier start of this box had.
         boot: u64,
+        /// Version of the configuration that I have; 0 if none.
+        configuration: u64,
+        /// Entry boxes that there may be, as I was last told; 0 if I never was.
+        known: u32,
     },
     /// I am there.
     Ping {
@@ -89,7 +105,7 @@
 /// A message of a control box to an entry box.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
-    /// Who I am; the first message.
+    /// Who I am, and that I have taken you in; the first message.
     Hello {
         /// The availability zone in which the control box stands.
         availability_zone: String,
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -16,6 +16,7 @@
 use vaneway_registry::Report;
 
 use crate::core::cluster::reconnect::keep_connected;
+use crate::core::cluster::wire::BUSY_MOST;
 use crate::core::cluster::wire::BetweenControl;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::PING_EVERY;
@@ -33,6 +34,8 @@
 use crate::util::frames;
 use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
+use crate::util::frames::Silence;
+use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::socket::SocketListener;
 use crate::util::socket::SocketStream;
@@ -160,14 +163,22 @@
 async fn serve(control: Rc<Control>, stream: SocketStream) {
     let outgoing = Outgoing::default();
     let mut sender = Sender::Unknown;
-    let on_frame = |frame: &[u8]| {
-        if let Some(message) = frames::decode::<ToControl>(frame) {
-            received(&control, &outgoing, &mut sender, message);
-        } else {
+    let on_frame = async |frame: &[u8]| {
+        // Entry boxes are many and can wait; other control boxes can't.
+        if matches!(sender, Sender::Entry { .. }) {
+            control.turns.next().await;
+        }
+        let Some(message) = frames::decode::<ToControl>(frame) else {
             control.unreadable.update(|count| count + 1);
+            return;
+        };
+        if matches!(message, ToControl::Entry(FromEntry::Hello { .. })) {
+            control.turns.next().await;
         }
+        received(&control, &outgoing, &mut sender, message);
     };
-    let why = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
+    let silence = Silence { system: SILENCE_MOST, process: BUSY_MOST };
+    let why = frames::drive(&control.timers, &stream, &outgoing, silence, on_frame).await;
     if let Sender::Entry { link, start } = sender {
         control.entries.borrow_mut().remove(&link);
         // It may have connected again before this connection was found to be lost.
@@ -180,8 +191,9 @@
 
 fn received(control: &Rc<Control>, outgoing: &Outgoing, sender: &mut Sender, message: ToControl) {
     match message {
-        ToControl::Entry(FromEntry::Hello { name, boot }) => {
-            *sender = welcome(control, outgoing, (name, boot));
+        ToControl::Entry(FromEntry::Hello { name, boot, configuration, known }) => {
+            control.entries_told.update(|told| told.max(known));
+            *sender = welcome(control, outgoing, (name, boot), configuration);
         }
         ToControl::Entry(FromEntry::Ping { sent_us }) => {
             let time = control.known_time();
@@ -222,15 +234,17 @@
     }
 }
 
-/// Takes an entry box in and tells it all that it must know.
-fn welcome(control: &Control, outgoing: &Outgoing, start: EntryStart) -> Sender {
+/// Takes an entry box in and tells it all that it must know; it has the version `has` of the configuration.
+fn welcome(control: &Control, outgoing: &Outgoing, start: EntryStart, has: u64) -> Sender {
     control.next_link.update(|link| link + 1);
     let link = control.next_link.get();
     Line::new("entry_connected").with("entry", &start.0).with("boot", start.1).info();
     let availability_zone = control.settings.availability_zone.clone();
     outgoing.send(&ToEntry::Hello { availability_zone });
     outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
-    if let Some(held) = control.machine.borrow().held() {
+    if let Some(held) = control.machine.borrow().held()
+        && held.configuration.version > has
+    {
         outgoing.send(&ToEntry::Configuration(held.configuration.clone()));
     }
     let reports = control.registry.borrow().reports(Instant::now());
@@ -328,7 +342,8 @@
 async fn keep_peer(control: Rc<Control>, address: SocketAddr) {
     let wanted = || control.peers.borrow().contains_key(&address);
     let run = async |stream| run_peer(&control, address, stream).await;
-    keep_connected(&control.timers, address, wanted, run).await;
+    let seed = hash::of(control.settings.cluster_listen);
+    keep_connected(&control.timers, seed, address, wanted, run).await;
 }
 
 async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
@@ -341,7 +356,7 @@
         *peer.outgoing.borrow_mut() = Some(outgoing.clone());
     }
     Line::new("peer_connected").with("address", address).info();
-    let on_frame = |frame: &[u8]| {
+    let on_frame = async |frame: &[u8]| {
         match frames::decode::<BetweenControl>(frame) {
             Some(BetweenControl::Registry(reports)) => learn_endpoints(control, &reports, false),
             // The answer to a ping; the time in it comes on the peer's own connection too.
@@ -349,7 +364,8 @@
             None => control.unreadable.update(|count| count + 1),
         }
     };
-    let why = frames::drive(&control.timers, &stream, &outgoing, SILENCE_MOST, on_frame).await;
+    let silence = Silence { system: SILENCE_MOST, process: SILENCE_MOST };
+    let why = frames::drive(&control.timers, &stream, &outgoing, silence, on_frame).await;
     if let Some(peer) = control.peers.borrow().get(&address) {
         *peer.outgoing.borrow_mut() = None;
     }
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -46,6 +46,7 @@
 use crate::util::socket::SocketListener;
 use crate::util::task;
 use crate::util::timers::Timers;
+use crate::util::turns::Turns;
 
 /// Largest head of a call.
 const HEADER_BYTES: usize = 16 << 10;
@@ -109,6 +110,7 @@
     let control = Rc::new(Control {
         node: RefCell::new(Node::start(config, stored.durable, now)),
         timers: timers.clone(),
+        turns: Turns::spawn(),
         started: now,
         persist,
         machine: RefCell::new(machine),
@@ -118,6 +120,7 @@
         registry: RefCell::default(),
         entries: RefCell::default(),
         entries_seen: RefCell::default(),
+        entries_told: Cell::new(0),
         next_link: Cell::new(0),
         peers: RefCell::default(),
         joining: RefCell::default(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -37,6 +37,7 @@
 use crate::core::usage::Window;
 use crate::util::clock;
 use crate::util::timers::Timers;
+use crate::util::turns::Turns;
 
 /// Incarnation of the nodes that form a group at the first start.
 pub const FIRST_INCARNATION: u32 = 1;
@@ -81,6 +82,8 @@
     pub settings: ControlSettings,
     /// The timer service.
     pub timers: Timers,
+    /// Turns for what entry boxes tell and are told, of which there can be more than there is time for.
+    pub turns: Turns,
     /// When this box started.
     pub started: Instant,
     /// This box's part in the agreement.
@@ -100,6 +103,8 @@
     pub(crate) entries: RefCell<BTreeMap<u64, Rc<EntryLink>>>,
     /// When entry boxes were last connected, by name.
     pub(crate) entries_seen: RefCell<BTreeMap<String, Instant>>,
+    /// Entry boxes that there may be, as those that connected had last been told.
+    pub(crate) entries_told: Cell<u32>,
     pub(crate) next_link: Cell<u64>,
     /// Connections to other control boxes.
     pub(crate) peers: RefCell<BTreeMap<SocketAddr, PeerLink>>,
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -21,8 +21,8 @@
 use crate::core::cluster::wire::USE_EVERY;
 use crate::core::cluster::wire::Wanted;
 use crate::core::control::links;
+use crate::core::control::links::EntryLink;
 use crate::core::control::state::Control;
-use crate::core::quota_ledger::QuotaTotals;
 use crate::core::usage::EntryStart;
 
 use crate::util::frames::Encoded;
@@ -45,7 +45,7 @@
             links::send_to_entries(&control, &ToEntry::ControlBoxes(now_boxes.clone()));
         }
         boxes = now_boxes;
-        tell_use(&control, round.is_multiple_of(TELL_ALL_EVERY));
+        tell_use(&control, round.is_multiple_of(TELL_ALL_EVERY)).await;
     }
 }
 
@@ -59,10 +59,16 @@
         seen.insert(link.start.0.clone(), now);
     }
     let heard = seen.values().filter(|at| **at == now).count() as u32;
-    if now.saturating_duration_since(control.led_at.get()) < LED_WITHIN {
+    let is_led = now.saturating_duration_since(control.led_at.get()) < LED_WITHIN;
+    if is_led {
         seen.retain(|_, at| now.saturating_duration_since(*at) < LOST_COUNTED);
     }
-    Sharers { heard, known: seen.len() as u32 }
+    let seen = seen.len() as u32;
+    // A box that has just started has not seen those that still come, and would share out the whole limit
+    // among the first.
+    let may_come = control.started.elapsed() < LOST_COUNTED || !is_led;
+    let known = if may_come { seen.max(control.entries_told.get()) } else { seen };
+    Sharers { heard, known }
 }
 
 /// When each connected entry box made its last report that is recent.
@@ -77,20 +83,26 @@
 }
 
 /// Tells entry boxes what the others took of quotas, if they want to know; all slots, or the latest.
-fn tell_use(control: &Control, all: bool) {
-    let links = control.entries.borrow();
-    let mut told = links.values().filter(|link| link.wanted.get().quotas).peekable();
-    if told.peek().is_none() {
+async fn tell_use(control: &Control, all: bool) {
+    let told = links_that_want(control, |wanted| wanted.quotas);
+    if told.is_empty() {
         return;
     }
     let first =
         if all { 0 } else { control.use_ledger.borrow_mut().quotas().first_to_tell(SLOTS_TOLD) };
-    let quotas = QuotasOfAll::of(control, first);
+    let news = QuotaNews::of(control, first);
     for link in told {
-        link.outgoing.send(&quotas.without(control, &link.start));
+        control.turns.next().await;
+        link.outgoing.send(&news.for_entry(control, &link.start));
     }
 }
 
+/// The connections of entry boxes that want to be told something.
+fn links_that_want(control: &Control, what: impl Fn(Wanted) -> bool) -> Vec<Rc<EntryLink>> {
+    let links = control.entries.borrow();
+    links.values().filter(|link| what(link.wanted.get())).cloned().collect()
+}
+
 /// Tells entry boxes what all have open at endpoints and which prompt parts they brought there, as soon as
 /// it changes, until dropped.
 pub async fn tell_loads(control: Rc<Control>) {
@@ -99,7 +111,7 @@
         control.timers.sleep(LOADS_EVERY).await;
         round += 1;
         let whole = round.is_multiple_of(TELL_ALL_LOADS_EVERY);
-        tell_parts(&control, whole);
+        tell_parts(&control, whole).await;
         let loads = {
             let mut ledger = control.use_ledger.borrow_mut();
             let changed = ledger.loads().take_changed();
@@ -108,29 +120,30 @@
         if loads.is_empty() && !whole {
             continue;
         }
-        send_to_told(&control, &ToEntry::Loads { whole, loads });
+        send_to_told(&control, &ToEntry::Loads { whole, loads }).await;
     }
 }
 
 /// Tells the prompt parts that entry boxes brought to endpoints; forgets old ones now and then.
-fn tell_parts(control: &Control, forget: bool) {
-    let mut parts = control.parts.borrow_mut();
-    let news = parts.take_news();
-    if forget {
-        parts.forget(Instant::now());
-    }
+async fn tell_parts(control: &Control, forget: bool) {
+    let news = {
+        let mut parts = control.parts.borrow_mut();
+        if forget {
+            parts.forget(Instant::now());
+        }
+        parts.take_news()
+    };
     if !news.is_empty() {
-        send_to_told(control, &ToEntry::Parts(news));
+        send_to_told(control, &ToEntry::Parts(news)).await;
     }
 }
 
 /// Sends a message to every entry box that wants to know of loads.
-fn send_to_told(control: &Control, message: &ToEntry) {
+async fn send_to_told(control: &Control, message: &ToEntry) {
     let message = Encoded::new(message);
-    for link in control.entries.borrow().values() {
-        if link.wanted.get().loads {
-            link.outgoing.send_encoded(&message);
-        }
+    for link in links_that_want(control, |wanted| wanted.loads) {
+        control.turns.next().await;
+        link.outgoing.send_encoded(&message);
     }
 }
 
@@ -139,7 +152,7 @@
     let Some(link) = control.entries.borrow().get(&link).cloned() else { return };
     let before = link.wanted.replace(wanted);
     if wanted.quotas && !before.quotas {
-        link.outgoing.send(&QuotasOfAll::of(control, 0).without(control, &link.start));
+        link.outgoing.send(&QuotaNews::of(control, 0).for_entry(control, &link.start));
     }
     if wanted.loads && !before.loads {
         let loads = control.use_ledger.borrow_mut().loads().all();
@@ -148,28 +161,32 @@
     }
 }
 
-/// What all entry boxes took of quotas, before each one's own is taken off for it.
-struct QuotasOfAll {
+/// Who shares the quotas, as all that are told at a time are told.
+struct QuotaNews {
     /// The entry boxes that are heard; none if this box can't tell the time.
     heard: BTreeSet<EntryStart>,
     /// Until when the use of all of them is known.
     as_of: Option<Duration>,
     known: u32,
-    totals: QuotaTotals,
+    /// The first slot that is told.
+    first: Slot,
 }
 
-impl QuotasOfAll {
+impl QuotaNews {
     /// From the slot `first` on.
     fn of(control: &Control, first: Slot) -> Self {
         let Sharers { known, .. } = sharers(control);
         let heard_at = control.known_time().map(|now| heard_at(control, now)).unwrap_or_default();
         let as_of = heard_at.values().min().copied();
-        let totals = control.use_ledger.borrow_mut().quotas().totals(control.time(), first);
-        Self { heard: heard_at.into_keys().collect(), as_of, known, totals }
+        Self { heard: heard_at.into_keys().collect(), as_of, known, first }
     }
 
-    fn without(&self, control: &Control, entry: &EntryStart) -> ToEntry {
-        let quotas = control.use_ledger.borrow_mut().quotas().without(&self.totals, entry);
+    /// What an entry box is told. The sums are of now, and not of when the telling began: this box may have told
+    /// of more since, and its own use is taken off them.
+    fn for_entry(&self, control: &Control, entry: &EntryStart) -> ToEntry {
+        let time = control.time();
+        let mut ledger = control.use_ledger.borrow_mut();
+        let quotas = ledger.quotas().others(time, self.first, entry);
         let as_of = self.as_of.filter(|_| self.heard.contains(entry));
         let heard = self.heard.len() as u32;
         ToEntry::OthersUse { as_of, heard, known: self.known, quotas }
--- a/crates/vaneway-server/src/core/quota_ledger.rs
+++ b/crates/vaneway-server/src/core/quota_ledger.rs
@@ -150,21 +150,21 @@
         totals
     }
 
-    /// What is left of `totals` without the units of one entry box.
-    pub fn without(
+    /// Units that the boxes but `entry` took in the slots from `first` on.
+    pub fn others(
         &self,
-        totals: &QuotaTotals,
+        now: Duration,
+        first: Slot,
         entry: &EntryStart,
     ) -> Vec<(String, OthersQuotaUse)> {
         let taken = self.told.get(entry).map(|told| &told.taken);
         let own = |slot: Slot, organisation: &str| taken?.get(&slot)?.get(organisation).copied();
-        let rest = |organisation: &str, total: &QuotaTotal| {
-            let slots = total
-                .slots
-                .iter()
-                .map(|(slot, units)| (*slot, units - own(*slot, organisation).unwrap_or_default()));
-            OthersQuotaUse { demand: total.demand, slots: slots.collect() }
+        let rest = |(organisation, total): (String, QuotaTotal)| {
+            let without_own =
+                |(slot, units)| (slot, units - own(slot, &organisation).unwrap_or_default());
+            let slots = total.slots.into_iter().map(without_own).collect();
+            (organisation, OthersQuotaUse { demand: total.demand, slots })
         };
-        totals.iter().map(|(name, total)| (name.clone(), rest(name, total))).collect()
+        self.totals(now, first).into_iter().map(rest).collect()
     }
 }
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Entry boxes that there may be, as was last told; 0 if it never was.
+    pub fn known_boxes(&self) -> u32 {
+        self.heard.get().map_or(0, |(_, sharers)| sharers.known)
+    }
+
     /// Whether the others' use has been heard of since this box started, if there are quotas.
     pub fn are_heard(&self) -> bool {
         self.heard.get().is_some() || self.by_organisation.borrow().is_empty()
--- a/crates/vaneway-server/src/util/frames.rs
+++ b/crates/vaneway-server/src/util/frames.rs
@@ -119,20 +119,29 @@
     }
 }
 
-/// Moves frames in both directions until the connection ends, is closed, or brings nothing for
-/// `silence`. Returns why it ended, for the log: closed by either side, the operating system's
+/// How long a connection may be silent.
+#[derive(Debug, Clone, Copy)]
+pub struct Silence {
+    /// Of the other side's operating system, which answers also while its process is busy.
+    pub system: Duration,
+    /// Of the other side's process.
+    pub process: Duration,
+}
+
+/// Moves frames in both directions until the connection ends, is closed, or brings nothing for longer than
+/// `silence` allows. Returns why it ended, for the log: closed by either side, the operating system's
 /// error, too long a silence, or a frame that is too long.
 pub async fn drive(
     timers: &Timers,
     stream: &SocketStream,
     outgoing: &Outgoing,
-    silence: Duration,
-    on_frame: impl FnMut(&[u8]),
+    silence: Silence,
+    on_frame: impl AsyncFnMut(&[u8]),
 ) -> String {
-    if let Err(error) = stream.fail_when_silent(silence) {
+    if let Err(error) = stream.fail_when_silent(silence.system) {
         log::warn!("event=socket_option_failed error={error:?}");
     }
-    let ended = move_frames(timers, stream, outgoing, silence, on_frame).await;
+    let ended = move_frames(timers, stream, outgoing, silence.process, on_frame).await;
     outgoing.close();
     ended.err().map_or_else(|| "closed".to_owned(), |error| error.to_string())
 }
@@ -142,44 +151,56 @@
     stream: &SocketStream,
     outgoing: &Outgoing,
     silence: Duration,
-    mut on_frame: impl FnMut(&[u8]),
+    mut on_frame: impl AsyncFnMut(&[u8]),
 ) -> io::Result<()> {
     let mut held = BytesMut::new();
+    let mut drained = false;
     loop {
         let until = Instant::now() + silence;
-        let read = timers.until(until, poll_fn(|cx| poll_both(stream, outgoing, &mut held, cx)));
+        let read = timers
+            .until(until, poll_fn(|cx| poll_both(stream, outgoing, (&mut held, &mut drained), cx)));
         match read.await {
             None => return Err(io::ErrorKind::TimedOut.into()),
             Some(Err(error)) => return Err(error),
             Some(Ok(0)) => return Ok(()),
-            Some(Ok(_)) => take_frames(&mut held, &mut on_frame)?,
+            Some(Ok(_)) => take_frames(&mut held, &mut on_frame).await?,
         }
     }
 }
 
 /// Writes what it can and reads some bytes; 0 means that the connection ended.
+///
+/// A read that filled less than was offered found all that had come. The next one waits until the socket is
+/// ready before it asks the system: this is polled for each write too, and the calls that find
+/// nothing were a third of all.
 fn poll_both(
     stream: &SocketStream,
     outgoing: &Outgoing,
-    held: &mut BytesMut,
+    (held, drained): (&mut BytesMut, &mut bool),
     cx: &mut Context<'_>,
 ) -> Poll<io::Result<usize>> {
     if let Poll::Ready(written) = outgoing.poll_write(stream, cx) {
         return Poll::Ready(written.map(|()| 0));
     }
-    let begin = held.len();
-    held.resize(begin + READ_BYTES, 0);
-    let read = stream.poll_recv(cx, &mut held[begin..]);
-    let count = match &read {
-        Poll::Ready(Ok(count)) => *count,
-        _ => 0,
-    };
-    held.truncate(begin + count);
-    read
+    if *drained {
+        std::task::ready!(stream.poll_recv_ready(cx))?;
+        *drained = false;
+    }
+    READ_BUF.with_borrow_mut(|buf| {
+        let count = std::task::ready!(stream.poll_recv(cx, buf))?;
+        *drained = count < buf.len();
+        held.extend_from_slice(&buf[..count]);
+        Poll::Ready(Ok(count))
+    })
+}
+
+thread_local! {
+    /// What was read last; one for all connections, since each hands it on at once.
+    static READ_BUF: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
 }
 
 /// Hands whole frames on.
-fn take_frames(held: &mut BytesMut, on_frame: &mut impl FnMut(&[u8])) -> io::Result<()> {
+async fn take_frames(held: &mut BytesMut, on_frame: &mut impl AsyncFnMut(&[u8])) -> io::Result<()> {
     while let Some(length) = held.first_chunk::<LENGTH_BYTES>() {
         let length = u32::from_le_bytes(*length) as usize;
         if length > FRAME_BYTES_MOST {
@@ -190,7 +211,7 @@
         }
         held.advance(LENGTH_BYTES);
         let frame = held.split_to(length);
-        on_frame(&frame);
+        on_frame(&frame).await;
     }
     Ok(())
 }
--- a/crates/vaneway-server/src/util/mod.rs
+++ b/crates/vaneway-server/src/util/mod.rs
@@ -14,3 +14,4 @@
 pub mod socket;
 pub mod task;
 pub mod timers;
+pub mod turns;
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -175,6 +175,11 @@
         })
     }
 
+    /// Waits until there may be bytes to read.
+    pub fn poll_recv_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.fd.poll_read_ready(cx)
+    }
+
     /// Writes some bytes.
     pub fn poll_send(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.fd.poll_write_with(cx, |socket| socket.send(buf))
--- a/tests/testsuite/control_overload.rs
+++ b/tests/testsuite/control_overload.rs
@@ -69,6 +69,11 @@
     group.configure(&configuration(2));
     fleet.wait_for_version(2);
     assert_eq!(group.configuration()["version"], 2);
+    for i in group.running() {
+        group.until("the box still answers", |answering| {
+            answering == i && !group.state(i).is_null()
+        });
+    }
     drop(throttles);
 }
 
