--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -9,6 +9,7 @@
 use vaneway_agreement::Entry;
 use vaneway_agreement::Event;
 use vaneway_agreement::Index;
+use vaneway_agreement::Message;
 use vaneway_agreement::NodeId;
 use vaneway_agreement::Payload;
 use vaneway_agreement::Role;
@@ -114,6 +115,7 @@
 fn perform(control: &Rc<Control>, action: Action) {
     match action {
         Action::Send { to, message } => {
+            log_refused_vote(control, to, &message);
             links::send_to_node(control, to, BetweenControl::Agreement { to, message });
         }
         Action::Persist(persist) => store(control, Write::Persist(persist)),
@@ -140,6 +142,22 @@
     }
 }
 
+/// Logs that this node does not vote for another one.
+fn log_refused_vote(control: &Control, to: NodeId, message: &Message) {
+    let (Message::PreVoteReply { granted: false, .. } | Message::VoteReply { granted: false, .. }) =
+        message
+    else {
+        return;
+    };
+    let node = control.node.borrow();
+    Line::new("vote_refused")
+        .with("node", crate::core::control::state::node_address(to))
+        .with("term", message.term())
+        .with("leader", node.leader().is_some())
+        .with("last", node.log().last_index())
+        .info();
+}
+
 fn committed(control: &Rc<Control>, entry: Entry) {
     let Entry { term, index, payload } = entry;
     match payload {
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -372,12 +372,32 @@
     Line::new("peer_lost").with("address", address).with("why", why).info();
 }
 
+/// Lateness of the loop, and of turns, from which on it is logged: half of the shortest time in which a leader
+/// must be heard.
+const BUSY_FROM: Duration = Duration::from_millis(250);
+
+/// Logs that this box has more to do than time: the loop is `late`, or entry boxes wait long for turns.
+fn log_if_busy(control: &Control, late: Duration) {
+    let turn_waited = control.turns.take_longest_wait();
+    if late.max(turn_waited) < BUSY_FROM {
+        return;
+    }
+    Line::new("busy")
+        .with("loop_late_ms", late.as_millis())
+        .with("turn_waited_ms", turn_waited.as_millis())
+        .with("turns_waiting", control.turns.waiting())
+        .with("entries", control.entries.borrow().len())
+        .warn();
+}
+
 /// Gives signs of life to the other control boxes until dropped.
 pub async fn ping_peers(control: Rc<Control>) {
     let mut refreshed_at = Instant::now();
     let mut unreadable = 0;
     loop {
-        control.timers.sleep(PING_EVERY).await;
+        let due = Instant::now() + PING_EVERY;
+        control.timers.sleep_until(due).await;
+        log_if_busy(&control, due.elapsed());
         send_to_all(&control, ping(&control));
         let count = control.unreadable.get();
         if count > unreadable {
--- a/crates/vaneway-server/src/core/control/operations.rs
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -50,7 +50,7 @@
     if !findings.is_empty() {
         return Err(Refusal::Invalid(findings));
     }
-    require_leader(control)?;
+    require_leader(control, "configure")?;
     let version = held.configuration.version;
     if control.leads_surely() && control.machine.borrow().version() >= version {
         return Ok(());
@@ -71,21 +71,39 @@
 ///
 /// [`Refusal`] if this box can't be sure.
 pub fn newest_configuration(control: &Control) -> Result<Option<Rc<Held>>, Refusal> {
-    require_leader(control)?;
+    require_leader(control, "read")?;
     if !control.leads_surely() {
+        log_refused(control, "read", "no quorum answered within the lease");
         return Err(Refusal::Unavailable);
     }
     Ok(control.machine.borrow().held().cloned())
 }
 
-fn require_leader(control: &Control) -> Result<(), Refusal> {
+/// Logs why an operator's call was refused, where the reason is not in what was sent.
+fn log_refused(control: &Control, call: &str, why: &str) {
+    let node = control.node.borrow();
+    Line::new("operator_refused")
+        .with("call", call)
+        .with("why", why)
+        .with("role", format!("{:?}", node.role()))
+        .with("term", node.term())
+        .with("committed", node.committed())
+        .with("led_ms_ago", control.led_at.get().elapsed().as_millis())
+        .info();
+}
+
+fn require_leader(control: &Control, call: &str) -> Result<(), Refusal> {
     let node = control.node.borrow();
     if node.role() == Role::Leader {
         return Ok(());
     }
     match node.leader() {
         Some(leader) if leader != node.id() => Err(Refusal::NotLeader { leader }),
-        _ => Err(Refusal::Unavailable),
+        _ => {
+            drop(node);
+            log_refused(control, call, "no leader is known");
+            Err(Refusal::Unavailable)
+        }
     }
 }
 
--- a/crates/vaneway-server/src/util/turns.rs
+++ b/crates/vaneway-server/src/util/turns.rs
@@ -13,16 +13,26 @@
 use std::rc::Weak;
 use std::task::Poll;
 use std::task::Waker;
+use std::time::Duration;
+use std::time::Instant;
 
 use futures_channel::oneshot;
 
 #[derive(Debug, Default)]
 struct Queue {
-    waiting: VecDeque<oneshot::Sender<()>>,
+    waiting: VecDeque<Waiting>,
+    /// Longest wait of a turn that was given since it was last asked for.
+    longest: Duration,
     /// Wakes the task that gives turns, while nobody waits for one.
     idle: Option<Waker>,
 }
 
+#[derive(Debug)]
+struct Waiting {
+    tx: oneshot::Sender<()>,
+    since: Instant,
+}
+
 /// Gives turns on the current loop; clones share it.
 #[derive(Debug, Clone)]
 pub struct Turns(Rc<RefCell<Queue>>);
@@ -40,7 +50,7 @@
         let (tx, rx) = oneshot::channel();
         let idle = {
             let mut queue = self.0.borrow_mut();
-            queue.waiting.push_back(tx);
+            queue.waiting.push_back(Waiting { tx, since: Instant::now() });
             queue.idle.take()
         };
         if let Some(waker) = idle {
@@ -54,6 +64,11 @@
     pub fn waiting(&self) -> usize {
         self.0.borrow().waiting.len()
     }
+
+    /// Longest wait of a turn that was given since this was last asked.
+    pub fn take_longest_wait(&self) -> Duration {
+        std::mem::take(&mut self.0.borrow_mut().longest)
+    }
 }
 
 impl Drop for Turns {
@@ -91,8 +106,10 @@
 /// Gives a turn to the first who still wants one.
 fn give_one(queue: &Weak<RefCell<Queue>>) {
     let Some(queue) = queue.upgrade() else { return };
-    while let Some(tx) = queue.borrow_mut().waiting.pop_front() {
+    let mut queue = queue.borrow_mut();
+    while let Some(Waiting { tx, since }) = queue.waiting.pop_front() {
         if tx.send(()).is_ok() {
+            queue.longest = queue.longest.max(since.elapsed());
             return;
         }
     }
