--- a/crates/vaneway-server/src/core/control/remembered.rs
+++ b/crates/vaneway-server/src/core/control/remembered.rs
@@ -1,4 +1,4 @@
-//! Endpoints that a control box remembers over a loss of power.
+//! What a control box remembers over a loss of power: the endpoints, and how many entry boxes there were.
 //!
 //! Why: after all boxes went down together, endpoints become known again only with their next
 //! heartbeats, over a second or more in which every request is refused though the endpoints are
@@ -9,6 +9,9 @@
 //! What is remembered may be out of date: an endpoint may have said that it drains, and everyone
 //! who heard it may be down. It therefore counts only until heartbeats must have come again
 //! (the setting `remembered_ms`), and nothing waits for the file to be written.
+//!
+//! The entry boxes share quotas, also while most of them still have to connect: the first ones must not take
+//! the others' parts.
 
 use std::io;
 use std::path::PathBuf;
@@ -22,6 +25,7 @@
 use vaneway_registry::Standing;
 
 use crate::core::control::state::Control;
+use crate::core::control::telling;
 use crate::util::clock;
 use crate::util::durable_file;
 use crate::util::logline::Line;
@@ -46,15 +50,26 @@
     written: Duration,
     /// The endpoints that were ready.
     endpoints: Vec<Report>,
+    /// Entry boxes that there were.
+    entries: u32,
+}
+
+/// What the file says.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Remembered {
+    /// The endpoints that were ready.
+    pub(super) endpoints: Vec<Report>,
+    /// Entry boxes that there were.
+    pub(super) entries: u32,
 }
 
 /// What the file says; nothing if there is none, or it is damaged or old, which is logged.
-pub(super) fn load(control: &Control) -> Vec<Report> {
+pub(super) fn load(control: &Control) -> Remembered {
     match read(control) {
-        Ok(endpoints) => endpoints,
+        Ok(remembered) => remembered,
         Err(why) => {
             Line::new("endpoints_not_remembered").with("why", why).info();
-            Vec::new()
+            Remembered::default()
         }
     }
 }
@@ -63,10 +78,10 @@
     control.settings.data_folder.join(FILE_NAME)
 }
 
-fn read(control: &Control) -> Result<Vec<Report>, String> {
+fn read(control: &Control) -> Result<Remembered, String> {
     let bytes = durable_file::read(&path(control));
     let bytes = bytes.map_err(|error| format!("the file can't be read: {error}"))?;
-    let Some(bytes) = bytes else { return Ok(Vec::new()) };
+    let Some(bytes) = bytes else { return Ok(Remembered::default()) };
     let recovered = vaneway_log::recover(&bytes).map_err(|error| error.to_string())?;
     let record = recovered.records.first().ok_or("the file has no whole record")?;
     let record: Record = postcard::from_bytes(record).map_err(|error| error.to_string())?;
@@ -74,7 +89,7 @@
     if age > AGE_MOST {
         return Err(format!("the file was written {} s ago", age.as_secs()));
     }
-    Ok(record.endpoints)
+    Ok(Remembered { endpoints: record.endpoints, entries: record.entries })
 }
 
 /// How long remembered endpoints still count; none if they do no more.
@@ -93,16 +108,20 @@
             continue;
         }
         let endpoints = ready(&control);
-        let stands = |(known, at): &(Vec<Report>, Instant)| {
-            *known == endpoints && at.elapsed() < AGE_MOST / 2
+        let entries = telling::sharers(&control).known;
+        let stands = |(known, known_entries, at): &(Vec<Report>, u32, Instant)| {
+            *known == endpoints && *known_entries >= entries && at.elapsed() < AGE_MOST / 2
         };
         if written.as_ref().is_some_and(stands) {
             continue;
         }
-        match write(&control, endpoints.clone()).await {
+        match write(&control, endpoints.clone(), entries).await {
             Ok(()) => {
-                Line::new("endpoints_written").with("count", endpoints.len()).info();
-                written = Some((endpoints, Instant::now()));
+                Line::new("endpoints_written")
+                    .with("count", endpoints.len())
+                    .with("entries", entries)
+                    .info();
+                written = Some((endpoints, entries, Instant::now()));
             }
             Err(error) => {
                 Line::new("endpoints_not_written").with("error", error).warn();
@@ -123,8 +142,8 @@
     endpoints
 }
 
-async fn write(control: &Control, endpoints: Vec<Report>) -> io::Result<()> {
-    let record = Record { written: clock::since_epoch(), endpoints };
+async fn write(control: &Control, endpoints: Vec<Report>, entries: u32) -> io::Result<()> {
+    let record = Record { written: clock::since_epoch(), endpoints, entries };
     let payload = postcard::to_stdvec(&record).map_err(io::Error::other)?;
     durable_file::replace(&path(control), vaneway_log::record(&payload)).await?;
     Ok(())
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -29,6 +29,7 @@
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::ControlProtocol;
 use crate::core::control::remembered;
+use crate::core::control::remembered::Remembered;
 use crate::core::control::state::Control;
 use crate::core::control::state::FIRST_INCARNATION;
 use crate::core::control::state::node_id;
@@ -135,8 +136,9 @@
         stopping: Cell::new(false),
         settings,
     });
-    let endpoints = remembered::load(&control);
+    let Remembered { endpoints, entries } = remembered::load(&control);
     control.remembered.replace(endpoints);
+    control.entries_told.set(entries);
     let persisted = Rc::clone(&control);
     let writing = store.write_forever(timers.clone(), queue, move |number| {
         group::step(&persisted, Event::Persisted { number });
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -29,6 +29,7 @@
 use crate::core::control::machine::Machine;
 use crate::core::control::protocol::Holder;
 use crate::core::control::store::Write;
+use crate::core::control::telling;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::kept_parts::PartLedger;
 use crate::core::settings::ControlSettings;
@@ -103,7 +104,7 @@
     pub(crate) entries: RefCell<BTreeMap<u64, Rc<EntryLink>>>,
     /// When entry boxes were last connected, by name.
     pub(crate) entries_seen: RefCell<BTreeMap<String, Instant>>,
-    /// Entry boxes that there may be, as those that connected had last been told.
+    /// Entry boxes that there may be, as this box's disk says or those that connected had last been told.
     pub(crate) entries_told: Cell<u32>,
     pub(crate) next_link: Cell<u64>,
     /// Connections to other control boxes.
@@ -209,6 +210,7 @@
             "configuration": self.machine.borrow().version(),
             "endpoints": endpoints,
             "entry_boxes": self.entries.borrow().len(),
+            "entry_boxes_known": telling::sharers(self).known,
             "entry_boxes_told_quotas": self.count_told(|wanted| wanted.quotas),
             "entry_boxes_told_loads": self.count_told(|wanted| wanted.loads),
         })
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -65,6 +65,30 @@
     assert_eq!(choose("entry", &known), [address(0)]);
 }
 
+/// Entry boxes share quotas by how many they may be. A control box that counted only those that are connected
+/// already would share out whole quotas among the first.
+#[test]
+fn control_box_that_starts_again_counts_entry_boxes_that_may_still_come() {
+    let mut group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 1);
+    group.leader();
+    let entries: Vec<_> = (0..3).map(|i| group.start_entry(&format!("entry-{i}"))).collect();
+    for entry in &entries {
+        entry.wait_for_log(&["event=quotas_heard"]);
+    }
+    let is = |group: &ControlGroup, connected: u64, known: u64| {
+        let state = group.state(0);
+        state["entry_boxes"] == connected && state["entry_boxes_known"] == known
+    };
+    group.until("all are known", |_| is(&group, 3, 3));
+    group.process(0).wait_for_log(&["event=endpoints_written", "entries=3"]);
+
+    group.kill(0);
+    drop(entries);
+    group.start_box(0, false);
+    let _first = group.start_entry("entry-0");
+    group.until("one is back and two are known besides", |_| is(&group, 1, 3));
+}
+
 #[test]
 fn two_control_boxes_tell_each_entry_box_also_after_one_of_them_died() {
     let mut group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 4);
