--- a/crates/vaneway-registry/src/lib.rs
+++ b/crates/vaneway-registry/src/lib.rs
@@ -7,8 +7,10 @@
 //!
 //! Rules: an endpoint's standing goes from ready over draining to gone and never back, whatever a
 //! later heartbeat says; within one standing the report with the higher sequence number wins; the
-//! earliest announced end wins. An id names one incarnation, so a mark can't hurt the next one,
-//! and ids that are gone are remembered for long enough that a late heartbeat can't revive them.
+//! earliest announced end wins. An endpoint that starts again under its id is another incarnation, told apart by
+//! when it was born: it knows nothing of the one before, no mark of that one hurts it, and what that one
+//! said late changes nothing. Ids that are gone are remembered for long enough that a late heartbeat can't
+//! revive them.
 //!
 //! Times travel as ages and remaining times, since the boxes' clocks may differ.
 
@@ -19,9 +21,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Names one incarnation of an endpoint.
+/// Names an endpoint, whose incarnations share it.
 pub type InstanceId = String;
 
+/// When an incarnation of an endpoint started, in milliseconds since 1970; 0 if it was not told.
+pub type Born = u64;
+
 /// How long an endpoint that is gone is remembered: far longer than a heartbeat can be late.
 const GONE_KEPT: Duration = Duration::from_mins(10);
 
@@ -73,6 +78,9 @@
 pub struct Report {
     /// Which endpoint.
     pub instance: InstanceId,
+    /// Which incarnation of it.
+    #[serde(default)]
+    pub born: Born,
     /// Number of the heartbeat, which rises; 0 for a report that came with no number.
     pub sequence: u64,
     /// Where it stands.
@@ -88,6 +96,8 @@
 /// What one box knows of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Known {
+    /// The latest incarnation; all else is of it.
+    pub born: Born,
     /// Number of the newest heartbeat.
     pub sequence: u64,
     /// Where it stands.
@@ -122,18 +132,21 @@
     pub fn merge(&mut self, now: Instant, report: &Report) -> Change {
         let heard = now.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(now);
         let ends_at = report.ends_in_ms.map(|left| now + Duration::from_millis(left));
-        let Some(known) = self.known.get_mut(&report.instance) else {
-            let known = Known {
-                sequence: report.sequence,
-                standing: report.standing,
-                ends_at,
-                heard,
-                details: report.details.clone(),
-            };
-            self.known.insert(report.instance.clone(), known);
-            return Change::News;
+        if let Some(known) = self.known.get_mut(&report.instance)
+            && !report.is_reborn(known)
+        {
+            return known.merge(report, heard, ends_at);
+        }
+        let known = Known {
+            born: report.born,
+            sequence: report.sequence,
+            standing: report.standing,
+            ends_at,
+            heard,
+            details: report.details.clone(),
         };
-        known.merge(report, heard, ends_at)
+        self.known.insert(report.instance.clone(), known);
+        Change::News
     }
 
     /// Everything that is known.
@@ -175,8 +188,20 @@
     }
 }
 
+impl Report {
+    /// Whether it is of a later incarnation than the one that is known. One that doesn't tell when it was
+    /// born is taken for the one that is known.
+    fn is_reborn(&self, known: &Known) -> bool {
+        known.born > 0 && self.born > known.born
+    }
+}
+
 impl Known {
     fn merge(&mut self, report: &Report, heard: Instant, ends_at: Option<Instant>) -> Change {
+        if report.born > 0 && report.born < self.born {
+            return Change::Nothing;
+        }
+        self.born = self.born.max(report.born);
         let refreshed = heard > self.heard;
         self.heard = self.heard.max(heard);
         let mut news = false;
@@ -207,6 +232,7 @@
         let left = self.ends_at.map(|at| at.saturating_duration_since(now).as_millis() as u64);
         Report {
             instance: instance.to_owned(),
+            born: self.born,
             sequence: self.sequence,
             standing: self.standing,
             ends_in_ms: left,
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -13,6 +13,7 @@
 use vaneway_agreement::NodeId;
 use vaneway_registry::Change;
 use vaneway_registry::InstanceId;
+use vaneway_registry::Registry;
 use vaneway_registry::Report;
 
 use crate::core::cluster::reconnect::keep_connected;
@@ -113,7 +114,13 @@
     let now = Instant::now();
     let mut news = Vec::new();
     for report in reports {
+        let born = |registry: &Registry| registry.get(&report.instance).map_or(0, |k| k.born);
+        let born_before = born(&control.registry.borrow());
         let change = control.registry.borrow_mut().merge(now, report);
+        if born_before > 0 && born(&control.registry.borrow()) > born_before {
+            // It holds nothing of what the incarnation before kept.
+            control.parts.borrow_mut().forget_endpoint(&report.instance);
+        }
         match change {
             Change::News => news.extend(control.registry.borrow().report(now, &report.instance)),
             Change::Refreshed if direct => {
@@ -130,6 +137,7 @@
     for report in &news {
         Line::new("endpoint")
             .with("replica", &report.instance)
+            .with("born", report.born)
             .with("standing", report.standing.name())
             .with("sequence", report.sequence)
             .with("reclaimable", report.details.as_ref().is_some_and(|d| d.reclaimable))
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use vaneway_registry::Born;
 use vaneway_registry::Change;
 use vaneway_registry::Details;
 use vaneway_registry::InstanceId;
@@ -33,16 +34,37 @@
 pub fn apply(entry: &Entry, reports: &[Report]) {
     let now = Instant::now();
     for report in reports {
+        let born_before = born(entry, &report.instance);
         let change = entry.registry.borrow_mut().merge(now, report);
-        if change == Change::News {
-            let known = entry.registry.borrow().get(&report.instance).cloned();
-            if let Some(known) = known {
-                apply_news(entry, &report.instance, &known);
+        if change != Change::News {
+            continue;
+        }
+        let known = entry.registry.borrow().get(&report.instance).cloned();
+        if let Some(known) = known {
+            if born_before > 0 && known.born > born_before {
+                abandon(entry, &report.instance);
             }
+            apply_news(entry, &report.instance, &known);
         }
     }
 }
 
+/// The incarnation of an endpoint that is known; 0 if none is, or it did not tell.
+fn born(entry: &Entry, instance: &InstanceId) -> Born {
+    entry.registry.borrow().get(instance).map_or(0, |known| known.born)
+}
+
+/// Gives up an endpoint that has started again: what ran there is lost, and what it kept too. The incarnation
+/// that runs now joins the pool as another endpoint.
+fn abandon(entry: &Entry, instance: &InstanceId) {
+    let Some(endpoint) = entry.registered.borrow_mut().remove(instance) else { return };
+    Line::new("endpoint_reborn").with("replica", instance).info();
+    entry.change(|pool, now, out| {
+        pool.notice(now, endpoint, now, out);
+        pool.expire(now, out);
+    });
+}
+
 /// Uses endpoints that were ready before all boxes went down, unless this box has heard of any
 /// since; those that are not heard of within `left` are used no more.
 pub fn remember(entry: &Rc<Entry>, reports: &[Report], left: Duration) {
--- a/crates/vaneway-server/src/core/kept_parts.rs
+++ b/crates/vaneway-server/src/core/kept_parts.rs
@@ -56,6 +56,12 @@
         news.into_iter().collect()
     }
 
+    /// Forgets all that was at an endpoint, which has started anew.
+    pub fn forget_endpoint(&mut self, instance: &InstanceId) {
+        self.known.remove(instance);
+        self.news.retain(|(at, _)| at != instance);
+    }
+
     /// Forgets what no longer counts.
     pub fn forget(&mut self, now: Instant) {
         for parts in self.known.values_mut() {
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -387,6 +387,59 @@
     assert_eq!(setup.endpoints[1].seen().len(), 8);
 }
 
+#[test]
+fn endpoint_that_starts_again_under_its_id_gets_work_whatever_is_said_late_of_the_one_before() {
+    let setup = Setup::start();
+    let [reborn, other] = &setup.endpoints;
+    let call = |path: &str, body: &str| {
+        setup.control.call(0, "POST", path, body).expect("an answer").status
+    };
+    let beat = |born: u64, seq: u64| {
+        let (path, body) = reborn.heartbeat("maps", "ready", seq);
+        call(&path, &body.replace("\"seq\"", &format!("\"born\":{born},\"seq\"")))
+    };
+    let end = |born: u64| call("/instances/i-a/deregister", &format!(r#"{{"born":{born}}}"#));
+    assert_eq!((beat(1_000, 40), end(1_000)), (200, 200));
+    setup.entry.wait_for_log(&["event=endpoint", "replica=i-a", "standing=gone"]);
+
+    assert_eq!((beat(2_000, 1), beat(1_000, 41), end(1_000)), (200, 200, 200));
+    setup.entry.wait_for_log(&["event=endpoint_reborn", "replica=i-a"]);
+    setup.beat(other, "draining", 2);
+    setup.entry.wait_for_log(&["event=endpoint", "replica=i-b", "standing=draining"]);
+    block_on(async {
+        let sent = headers("q", "2000");
+        let answer = setup.caller().send_with(Method::POST, "/safe/x", &sent, "b").await;
+        assert_eq!(answer.status, 200);
+    });
+    assert_eq!((reborn.runs("q"), other.runs("q")), (1, 0));
+}
+
+/// Another writer may use the same calls: what it sends names no endpoint to use.
+#[test]
+fn heartbeat_in_another_form_registers_no_endpoint() {
+    let setup = Setup::start();
+    let (_, body) = setup.endpoints[0].heartbeat("maps", "ready", 1);
+    let forms = [
+        body.replace("\"slots\":8,", ""),
+        body.replace("\"seq\":1", "\"seq\":\"1\""),
+        body.replace("\"ready\"", "\"resting\""),
+        body.replace("\"seq\":1", "\"seq\":1,\"born\":1.5"),
+        body[..body.len() / 2].to_owned(),
+        "\u{1}\u{2}".to_owned(),
+    ];
+    for form in forms {
+        let answer = setup.control.call(0, "POST", "/instances/i-c/heartbeat", &form);
+        assert_eq!(answer.expect("an answer").status, 400, "{form}");
+    }
+    // The two others hold.
+    block_on(async {
+        let sent = headers("q", "2000");
+        let answer = setup.caller().send_with(Method::POST, "/safe/x", &sent, "b").await;
+        assert_eq!(answer.status, 200);
+    });
+    assert!(!setup.entry.log().contains("replica=i-c"));
+}
+
 #[test]
 fn organisation_over_its_quota_is_told_when_to_come_back() {
     let setup = Setup::start();
