--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,3 +36,4 @@
 mod style;
 mod support;
 mod telling;
+mod turns;
