--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -120,7 +120,14 @@
         if loads.is_empty() && !whole {
             continue;
         }
-        send_to_told(&control, &ToEntry::Loads { whole, loads }).await;
+        let message = Encoded::new(&ToEntry::Loads { whole, loads });
+        for link in links_that_want(&control, |wanted| wanted.loads) {
+            control.turns.next().await;
+            // One that has not taken in the last telling gets the next whole one, not a queue of old ones.
+            if !link.outgoing.is_waiting() {
+                link.outgoing.send_encoded(&message);
+            }
+        }
     }
 }
 
@@ -134,16 +141,11 @@
         parts.take_news()
     };
     if !news.is_empty() {
-        send_to_told(control, &ToEntry::Parts(news)).await;
-    }
-}
-
-/// Sends a message to every entry box that wants to know of loads.
-async fn send_to_told(control: &Control, message: &ToEntry) {
-    let message = Encoded::new(message);
-    for link in links_that_want(control, |wanted| wanted.loads) {
-        control.turns.next().await;
-        link.outgoing.send_encoded(&message);
+        let message = Encoded::new(&ToEntry::Parts(news));
+        for link in links_that_want(control, |wanted| wanted.loads) {
+            control.turns.next().await;
+            link.outgoing.send_encoded(&message);
+        }
     }
 }
 
--- a/crates/vaneway-server/src/util/frames.rs
+++ b/crates/vaneway-server/src/util/frames.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether anything waits for the peer.
+    pub fn is_waiting(&self) -> bool {
+        !self.0.borrow().bytes.is_empty()
+    }
+
     /// Ends the connection.
     pub fn close(&self) {
         let mut queue = self.0.borrow_mut();
