--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -21,10 +21,10 @@
 use vaneway_registry::Standing;
 use vaneway_route::Load;
 
+use crate::core::cluster::control_link::ControlLink;
 use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::tellers;
 use crate::core::cluster::tellers::Teller;
-use crate::core::cluster::wire::BEHIND_AFTER;
 use crate::core::cluster::wire::BUSY_MOST;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::LOADS_EVERY;
@@ -63,7 +63,7 @@
     /// Control boxes to which a connection is kept.
     kept: RefCell<BTreeSet<SocketAddr>>,
     /// Connections that are open.
-    open: RefCell<BTreeMap<SocketAddr, Link>>,
+    open: RefCell<BTreeMap<SocketAddr, ControlLink>>,
     /// What this box last told of its open work at endpoints.
     told: RefCell<BTreeMap<InstanceId, Load>>,
     /// When it last changed which control boxes tell what the others use.
@@ -74,26 +74,6 @@
     clock_from: Cell<Option<(Duration, Instant)>>,
 }
 
-/// An open connection to a control box.
-#[derive(Debug)]
-struct Link {
-    outgoing: Outgoing,
-    opened: Instant,
-    /// When anything last came.
-    heard: Cell<Instant>,
-    /// Whether the control box has taken this box in. Until then it is told nothing, since it would only have to
-    /// read that too.
-    taken_in: Cell<bool>,
-    /// When the ping was sent to which no answer has come yet.
-    pinged: Cell<Option<Instant>>,
-    /// Whether a report was left out since the answer to a ping was late.
-    missed: Cell<bool>,
-    /// Whether it said that it stands in this box's availability zone.
-    at_home: Cell<bool>,
-    /// What it was asked to tell of the other entry boxes.
-    wanted: Cell<Wanted>,
-}
-
 /// Time for which tellers stay as they are while all connections do. Each new one has to tell all that it
 /// knows, and those that are late together would be left for each other in turn.
 const TELLERS_KEPT: Duration = Duration::from_secs(2);
@@ -148,55 +128,6 @@
     }
 }
 
-fn send(outgoing: &Outgoing, message: FromEntry) {
-    outgoing.send(&ToControl::Entry(message));
-}
-
-impl Link {
-    fn new(outgoing: Outgoing) -> Self {
-        let now = Instant::now();
-        Self {
-            outgoing,
-            opened: now,
-            heard: Cell::new(now),
-            taken_in: Cell::new(false),
-            pinged: Cell::new(None),
-            missed: Cell::new(false),
-            at_home: Cell::new(false),
-            wanted: Cell::default(),
-        }
-    }
-
-    /// Sends a message, unless the control box has not taken in what it was told before.
-    fn tell(&self, message: &Encoded) {
-        if !self.taken_in.get() {
-            return;
-        }
-        if self.pinged.get().is_some_and(|at| at.elapsed() > BEHIND_AFTER) {
-            self.missed.set(true);
-            return;
-        }
-        self.outgoing.send_encoded(message);
-    }
-
-    /// Asks for a sign that all before it was taken in, unless one is still to come.
-    fn ping(&self, sent_us: u64) {
-        if self.taken_in.get() && self.pinged.get().is_none() {
-            self.pinged.set(Some(Instant::now()));
-            send(&self.outgoing, FromEntry::Ping { sent_us });
-        }
-    }
-
-    fn teller(&self, address: SocketAddr) -> Teller {
-        Teller {
-            address,
-            at_home: self.at_home.get(),
-            silent: self.heard.get().elapsed(),
-            connected: self.opened.elapsed(),
-        }
-    }
-}
-
 impl Follower {
     /// Keeps a connection to each of these control boxes and to the seeds, and to no others.
     fn keep(self: &Rc<Self>, addresses: &[SocketAddr]) {
@@ -225,8 +156,8 @@
 
     async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
         let outgoing = Outgoing::default();
-        send(&outgoing, self.hello());
-        let link = Link::new(outgoing.clone());
+        let link = ControlLink::new(outgoing.clone());
+        link.send(self.hello());
         self.open.borrow_mut().insert(address, link);
         let on_frame = async |frame: &[u8]| match frames::decode::<ToEntry>(frame) {
             Some(message) => self.received(address, message),
@@ -254,10 +185,10 @@
     }
 
     /// Tells a control box that has taken this box in what it must know.
-    fn introduce(&self, address: SocketAddr, link: &Link) {
+    fn introduce(&self, address: SocketAddr, link: &ControlLink) {
         link.taken_in.set(true);
-        send(&link.outgoing, FromEntry::Leaving(self.leaving()));
-        send(&link.outgoing, FromEntry::Use(self.report(true)));
+        link.send(FromEntry::Leaving(self.leaving()));
+        link.send(FromEntry::Use(self.report(true)));
         link.ping(self.steady_us());
         Line::new("control_connected")
             .with("address", address)
@@ -266,10 +197,10 @@
     }
 
     /// A control box has taken in all that it was told before; tells it what was left out meanwhile.
-    fn taken_in(&self, link: &Link) {
+    fn taken_in(&self, link: &ControlLink) {
         link.pinged.set(None);
         if link.missed.replace(false) {
-            send(&link.outgoing, FromEntry::Use(self.report(true)));
+            link.send(FromEntry::Use(self.report(true)));
             link.ping(self.steady_us());
         }
     }
@@ -339,7 +270,7 @@
             };
             if link.wanted.replace(wanted) != wanted {
                 self.told_by_since.set(Instant::now());
-                send(&link.outgoing, FromEntry::Tell(wanted));
+                link.send(FromEntry::Tell(wanted));
                 log::debug!("event=teller address={address} wanted={wanted:?}");
             }
         }
@@ -371,13 +302,11 @@
     /// Tells the control boxes all that this box used, and that it was all: they need not wait for more.
     fn say_done(&self) {
         self.said_done.set(true);
-        let report = Encoded::new(&ToControl::Entry(FromEntry::Use(self.report(true))));
-        let done = Encoded::new(&ToControl::Entry(FromEntry::Done));
-        let open = self.open.borrow();
-        for link in open.values().filter(|link| link.taken_in.get()) {
+        let report = self.report(true);
+        for link in self.open.borrow().values().filter(|link| link.taken_in.get()) {
             // Also to one that is behind: there will be no later report.
-            link.outgoing.send_encoded(&report);
-            link.outgoing.send_encoded(&done);
+            link.send(FromEntry::Use(report.clone()));
+            link.send(FromEntry::Done);
         }
     }
 
--- a/crates/vaneway-server/src/core/cluster/mod.rs
+++ b/crates/vaneway-server/src/core/cluster/mod.rs
@@ -3,10 +3,11 @@
 //! - [`marks`] and [`datagram`]: leaving marks between entry boxes that their settings list;
 //! - [`wire`]: the messages between entry and control boxes;
 //! - [`reconnect`]: connections to other boxes that are opened again whenever they break;
-//! - [`follow`]: how an entry box follows the control boxes;
+//! - [`follow`]: how an entry box follows the control boxes, over `control_link`;
 //! - [`tellers`]: which of them tell it what the others use;
 //! - [`work_at_endpoints`]: what it tells and learns of the work at endpoints.
 
+mod control_link;
 pub mod datagram;
 pub mod follow;
 pub mod marks;
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -26,6 +26,7 @@
 use crate::core::control::state::Control;
 use crate::core::control::state::Pending;
 use crate::core::control::state::Proposed;
+use crate::core::control::state::node_address;
 use crate::core::control::store::Write;
 use crate::util::logline::Line;
 
@@ -151,7 +152,7 @@
     };
     let node = control.node.borrow();
     Line::new("vote_refused")
-        .with("node", crate::core::control::state::node_address(to))
+        .with("node", node_address(to))
         .with("term", message.term())
         .with("leader", node.leader().is_some())
         .with("last", node.log().last_index())
@@ -184,9 +185,7 @@
 }
 
 fn list(nodes: impl IntoIterator<Item = NodeId>) -> String {
-    let names = nodes
-        .into_iter()
-        .map(|node| format!("{}/{}", crate::core::control::state::node_address(node), node as u32));
+    let names = nodes.into_iter().map(|node| format!("{}/{}", node_address(node), node as u32));
     names.collect::<Vec<_>>().join(",")
 }
 
--- a/crates/vaneway-server/src/core/control/operations.rs
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -82,7 +82,7 @@
 /// Logs why an operator's call was refused, where the reason is not in what was sent.
 fn log_refused(control: &Control, call: &str, why: &str) {
     let node = control.node.borrow();
-    Line::new("operator_refused")
+    Line::new("configuration_call_refused")
         .with("call", call)
         .with("why", why)
         .with("role", format!("{:?}", node.role()))
