--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -23,6 +23,7 @@
 use crate::core::control::machine::Machine;
 use crate::core::control::membership;
 use crate::core::control::membership::MemberView;
+use crate::core::control::peers;
 use crate::core::control::state::Control;
 use crate::core::control::state::Pending;
 use crate::core::control::state::Proposed;
@@ -117,7 +118,7 @@
     match action {
         Action::Send { to, message } => {
             log_refused_vote(control, to, &message);
-            links::send_to_node(control, to, BetweenControl::Agreement { to, message });
+            peers::send_to_node(control, to, BetweenControl::Agreement { to, message });
         }
         Action::Persist(persist) => store(control, Write::Persist(persist)),
         Action::Proposed { ticket, term, index } => {
@@ -261,7 +262,7 @@
         if leads {
             change_members(&control);
         } else if !is_member(&control) || control.led_at.get().elapsed() > JOIN_AFTER {
-            links::send_to_all(&control, BetweenControl::Join);
+            peers::send_to_all(&control, BetweenControl::Join);
         }
     }
 }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -1,8 +1,6 @@
-//! Connections of a control box: those that entry boxes and other control boxes open to it, and
-//! those that it opens to other control boxes.
+//! Connections that entry boxes and other control boxes open to a control box.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,41 +10,31 @@
 use vaneway_agreement::Event;
 use vaneway_agreement::NodeId;
 use vaneway_registry::Change;
-use vaneway_registry::InstanceId;
 use vaneway_registry::Registry;
 use vaneway_registry::Report;
 
-use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::wire::BUSY_MOST;
 use crate::core::cluster::wire::BetweenControl;
 use crate::core::cluster::wire::FromEntry;
-use crate::core::cluster::wire::PING_EVERY;
 use crate::core::cluster::wire::SILENCE_MOST;
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
 use crate::core::cluster::wire::Wanted;
 use crate::core::configuration::Configuration;
 use crate::core::control::group;
+use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
 use crate::core::control::telling;
 use crate::core::usage::EntryStart;
-use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::Encoded;
 use crate::util::frames::Outgoing;
 use crate::util::frames::Silence;
-use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::socket::SocketListener;
 use crate::util::socket::SocketStream;
 
-/// Time between two looks at which control boxes to be connected with.
-const PEERS_EVERY: Duration = Duration::from_millis(300);
-
-/// Time between two reports to other control boxes of endpoints that are merely still there.
-const REFRESH_EVERY: Duration = Duration::from_millis(500);
-
 /// A connection of an entry box.
 #[derive(Debug)]
 pub struct EntryLink {
@@ -57,30 +45,6 @@
     pub(super) wanted: Cell<Wanted>,
 }
 
-/// A connection to another control box, opened again whenever it breaks.
-#[derive(Debug, Default)]
-pub struct PeerLink {
-    outgoing: RefCell<Option<Outgoing>>,
-    /// Endpoints of which the peer has to hear again.
-    refreshed: RefCell<BTreeSet<InstanceId>>,
-}
-
-/// Sends a message to a node, if there is a connection to its box.
-pub fn send_to_node(control: &Control, node: NodeId, message: BetweenControl) {
-    let address = control.cluster_address(node);
-    if let Some(peer) = control.peers.borrow().get(&address) {
-        peer.send(&Encoded::new(&ToControl::Control(message)));
-    }
-}
-
-/// Sends a message to every control box that is known.
-pub fn send_to_all(control: &Control, message: BetweenControl) {
-    let message = Encoded::new(&ToControl::Control(message));
-    for peer in control.peers.borrow().values() {
-        peer.send(&message);
-    }
-}
-
 impl EntryLink {
     /// What it is told of the others.
     pub fn wanted(&self) -> Wanted {
@@ -88,14 +52,6 @@
     }
 }
 
-impl PeerLink {
-    fn send(&self, message: &Encoded) {
-        if let Some(outgoing) = &*self.outgoing.borrow() {
-            outgoing.send_encoded(message);
-        }
-    }
-}
-
 /// Sends a message to every entry box that is connected.
 pub(super) fn send_to_entries(control: &Control, message: &ToEntry) {
     let message = Encoded::new(message);
@@ -149,7 +105,7 @@
             .info();
     }
     send_to_entries(control, &ToEntry::Registry(news.clone()));
-    send_to_all(control, BetweenControl::Registry(news));
+    peers::send_to_all(control, BetweenControl::Registry(news));
 }
 
 /// Accepts connections until dropped.
@@ -303,7 +259,7 @@
                 clock.learn_kept(now, node, Duration::from_micros(kept));
             }
             drop(clock);
-            outgoing.send(&ping(control));
+            outgoing.send(&peers::ping(control));
         }
         BetweenControl::Agreement { to, message } => {
             if to == control.node.borrow().id() {
@@ -316,116 +272,3 @@
         BetweenControl::Registry(reports) => learn_endpoints(control, &reports, false),
     }
 }
-
-fn ping(control: &Control) -> BetweenControl {
-    let kept = control.clock.borrow().kept(Instant::now());
-    BetweenControl::Ping {
-        time_us: clock::since_epoch().as_micros() as u64,
-        kept_us: kept.map(|kept| kept.as_micros() as u64),
-    }
-}
-
-/// Keeps a connection to every other control box until dropped.
-pub async fn keep_peers(control: Rc<Control>) {
-    let own = control.settings.cluster_listen;
-    loop {
-        let mut wanted: BTreeSet<SocketAddr> = control.settings.seeds.iter().copied().collect();
-        wanted.extend(control_boxes(&control));
-        wanted.remove(&own);
-        for address in &wanted {
-            let known = control.peers.borrow().contains_key(address);
-            if !known {
-                control.peers.borrow_mut().insert(*address, PeerLink::default());
-                let control = Rc::clone(&control);
-                let address = *address;
-                compio::runtime::spawn(async move { keep_peer(control, address).await }).detach();
-            }
-        }
-        // Whoever is left out ends its connection by itself.
-        control.peers.borrow_mut().retain(|address, _| wanted.contains(address));
-        control.timers.sleep(PEERS_EVERY).await;
-    }
-}
-
-async fn keep_peer(control: Rc<Control>, address: SocketAddr) {
-    let wanted = || control.peers.borrow().contains_key(&address);
-    let run = async |stream| run_peer(&control, address, stream).await;
-    let seed = hash::of(control.settings.cluster_listen);
-    keep_connected(&control.timers, seed, address, wanted, run).await;
-}
-
-async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
-    let outgoing = Outgoing::default();
-    let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
-    send(BetweenControl::Hello { node: control.node.borrow().id() });
-    send(ping(control));
-    send(BetweenControl::Registry(control.registry.borrow().reports(Instant::now())));
-    if let Some(peer) = control.peers.borrow().get(&address) {
-        *peer.outgoing.borrow_mut() = Some(outgoing.clone());
-    }
-    Line::new("peer_connected").with("address", address).info();
-    let on_frame = async |frame: &[u8]| {
-        match frames::decode::<BetweenControl>(frame) {
-            Some(BetweenControl::Registry(reports)) => learn_endpoints(control, &reports, false),
-            // The answer to a ping; the time in it comes on the peer's own connection too.
-            Some(_) => {}
-            None => control.unreadable.update(|count| count + 1),
-        }
-    };
-    let silence = Silence { system: SILENCE_MOST, process: SILENCE_MOST };
-    let why = frames::drive(&control.timers, &stream, &outgoing, silence, on_frame).await;
-    if let Some(peer) = control.peers.borrow().get(&address) {
-        *peer.outgoing.borrow_mut() = None;
-    }
-    Line::new("peer_lost").with("address", address).with("why", why).info();
-}
-
-/// Lateness of the loop, and of turns, from which on it is logged: half of the shortest time in which a leader
-/// must be heard.
-const BUSY_FROM: Duration = Duration::from_millis(250);
-
-/// Logs that this box has more to do than time: the loop is `late`, or entry boxes wait long for turns.
-fn log_if_busy(control: &Control, late: Duration) {
-    let turn_waited = control.turns.take_longest_wait();
-    if late.max(turn_waited) < BUSY_FROM {
-        return;
-    }
-    Line::new("busy")
-        .with("loop_late_ms", late.as_millis())
-        .with("turn_waited_ms", turn_waited.as_millis())
-        .with("turns_waiting", control.turns.waiting())
-        .with("entries", control.entries.borrow().len())
-        .warn();
-}
-
-/// Gives signs of life to the other control boxes until dropped.
-pub async fn ping_peers(control: Rc<Control>) {
-    let mut refreshed_at = Instant::now();
-    let mut unreadable = 0;
-    loop {
-        let due = Instant::now() + PING_EVERY;
-        control.timers.sleep_until(due).await;
-        log_if_busy(&control, due.elapsed());
-        send_to_all(&control, ping(&control));
-        let count = control.unreadable.get();
-        if count > unreadable {
-            Line::new("messages_unreadable").with("since_start", count).warn();
-            unreadable = count;
-        }
-        if refreshed_at.elapsed() < REFRESH_EVERY {
-            continue;
-        }
-        refreshed_at = Instant::now();
-        control.registry.borrow_mut().expire(refreshed_at);
-        for peer in control.peers.borrow().values() {
-            let refreshed = peer.refreshed.take();
-            let registry = control.registry.borrow();
-            let reports = refreshed.iter().filter_map(|id| registry.report(refreshed_at, id));
-            let reports: Vec<Report> = reports.collect();
-            if !reports.is_empty() {
-                let message = ToControl::Control(BetweenControl::Registry(reports));
-                peer.send(&Encoded::new(&message));
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -0,0 +1,184 @@
+//! The connections that a control box opens to other control boxes, and what it tells them.
+//!
+//! What comes over them is never made to wait for a turn: the agreement lives by it. This is also where a
+//! control box measures, by its signs of life, whether it has more to do than time.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use vaneway_agreement::NodeId;
+use vaneway_registry::InstanceId;
+use vaneway_registry::Report;
+
+use crate::core::cluster::reconnect::keep_connected;
+use crate::core::cluster::wire::BetweenControl;
+use crate::core::cluster::wire::PING_EVERY;
+use crate::core::cluster::wire::SILENCE_MOST;
+use crate::core::cluster::wire::ToControl;
+use crate::core::control::links;
+use crate::core::control::state::Control;
+use crate::util::clock;
+use crate::util::frames;
+use crate::util::frames::Encoded;
+use crate::util::frames::Outgoing;
+use crate::util::frames::Silence;
+use crate::util::hash;
+use crate::util::logline::Line;
+use crate::util::socket::SocketStream;
+
+/// Time between two looks at which control boxes to be connected with.
+const PEERS_EVERY: Duration = Duration::from_millis(300);
+
+/// Time between two reports to other control boxes of endpoints that are merely still there.
+const REFRESH_EVERY: Duration = Duration::from_millis(500);
+
+/// A connection to another control box, opened again whenever it breaks.
+#[derive(Debug, Default)]
+pub struct PeerLink {
+    outgoing: RefCell<Option<Outgoing>>,
+    /// Endpoints of which the peer has to hear again.
+    pub(super) refreshed: RefCell<BTreeSet<InstanceId>>,
+}
+
+/// Sends a message to a node, if there is a connection to its box.
+pub fn send_to_node(control: &Control, node: NodeId, message: BetweenControl) {
+    let address = control.cluster_address(node);
+    if let Some(peer) = control.peers.borrow().get(&address) {
+        peer.send(&Encoded::new(&ToControl::Control(message)));
+    }
+}
+
+/// Sends a message to every control box that is known.
+pub fn send_to_all(control: &Control, message: BetweenControl) {
+    let message = Encoded::new(&ToControl::Control(message));
+    for peer in control.peers.borrow().values() {
+        peer.send(&message);
+    }
+}
+
+impl PeerLink {
+    fn send(&self, message: &Encoded) {
+        if let Some(outgoing) = &*self.outgoing.borrow() {
+            outgoing.send_encoded(message);
+        }
+    }
+}
+
+pub(super) fn ping(control: &Control) -> BetweenControl {
+    let kept = control.clock.borrow().kept(Instant::now());
+    BetweenControl::Ping {
+        time_us: clock::since_epoch().as_micros() as u64,
+        kept_us: kept.map(|kept| kept.as_micros() as u64),
+    }
+}
+
+/// Keeps a connection to every other control box until dropped.
+pub async fn keep_peers(control: Rc<Control>) {
+    let own = control.settings.cluster_listen;
+    loop {
+        let mut wanted: BTreeSet<SocketAddr> = control.settings.seeds.iter().copied().collect();
+        wanted.extend(links::control_boxes(&control));
+        wanted.remove(&own);
+        for address in &wanted {
+            let known = control.peers.borrow().contains_key(address);
+            if !known {
+                control.peers.borrow_mut().insert(*address, PeerLink::default());
+                let control = Rc::clone(&control);
+                let address = *address;
+                compio::runtime::spawn(async move { keep_peer(control, address).await }).detach();
+            }
+        }
+        // Whoever is left out ends its connection by itself.
+        control.peers.borrow_mut().retain(|address, _| wanted.contains(address));
+        control.timers.sleep(PEERS_EVERY).await;
+    }
+}
+
+async fn keep_peer(control: Rc<Control>, address: SocketAddr) {
+    let wanted = || control.peers.borrow().contains_key(&address);
+    let run = async |stream| run_peer(&control, address, stream).await;
+    let seed = hash::of(control.settings.cluster_listen);
+    keep_connected(&control.timers, seed, address, wanted, run).await;
+}
+
+async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
+    let outgoing = Outgoing::default();
+    let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
+    send(BetweenControl::Hello { node: control.node.borrow().id() });
+    send(ping(control));
+    send(BetweenControl::Registry(control.registry.borrow().reports(Instant::now())));
+    if let Some(peer) = control.peers.borrow().get(&address) {
+        *peer.outgoing.borrow_mut() = Some(outgoing.clone());
+    }
+    Line::new("peer_connected").with("address", address).info();
+    let on_frame = async |frame: &[u8]| {
+        match frames::decode::<BetweenControl>(frame) {
+            Some(BetweenControl::Registry(reports)) => {
+                links::learn_endpoints(control, &reports, false);
+            }
+            // The answer to a ping; the time in it comes on the peer's own connection too.
+            Some(_) => {}
+            None => control.unreadable.update(|count| count + 1),
+        }
+    };
+    let silence = Silence { system: SILENCE_MOST, process: SILENCE_MOST };
+    let why = frames::drive(&control.timers, &stream, &outgoing, silence, on_frame).await;
+    if let Some(peer) = control.peers.borrow().get(&address) {
+        *peer.outgoing.borrow_mut() = None;
+    }
+    Line::new("peer_lost").with("address", address).with("why", why).info();
+}
+
+/// Lateness of the loop, and of turns, from which on it is logged: half of the shortest time in which a leader
+/// must be heard.
+const BUSY_FROM: Duration = Duration::from_millis(250);
+
+/// Logs that this box has more to do than time: the loop is `late`, or entry boxes wait long for turns.
+fn log_if_busy(control: &Control, late: Duration) {
+    let turn_waited = control.turns.take_longest_wait();
+    if late.max(turn_waited) < BUSY_FROM {
+        return;
+    }
+    Line::new("busy")
+        .with("loop_late_ms", late.as_millis())
+        .with("turn_waited_ms", turn_waited.as_millis())
+        .with("turns_waiting", control.turns.waiting())
+        .with("entries", control.entries.borrow().len())
+        .warn();
+}
+
+/// Gives signs of life to the other control boxes until dropped.
+pub async fn ping_peers(control: Rc<Control>) {
+    let mut refreshed_at = Instant::now();
+    let mut unreadable = 0;
+    loop {
+        let due = Instant::now() + PING_EVERY;
+        control.timers.sleep_until(due).await;
+        log_if_busy(&control, due.elapsed());
+        send_to_all(&control, ping(&control));
+        let count = control.unreadable.get();
+        if count > unreadable {
+            Line::new("messages_unreadable").with("since_start", count).warn();
+            unreadable = count;
+        }
+        if refreshed_at.elapsed() < REFRESH_EVERY {
+            continue;
+        }
+        refreshed_at = Instant::now();
+        control.registry.borrow_mut().expire(refreshed_at);
+        for peer in control.peers.borrow().values() {
+            let refreshed = peer.refreshed.take();
+            let registry = control.registry.borrow();
+            let reports = refreshed.iter().filter_map(|id| registry.report(refreshed_at, id));
+            let reports: Vec<Report> = reports.collect();
+            if !reports.is_empty() {
+                let message = ToControl::Control(BetweenControl::Registry(reports));
+                peer.send(&Encoded::new(&message));
+            }
+        }
+    }
+}
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -26,6 +26,7 @@
 use crate::core::control::links;
 use crate::core::control::machine::Machine;
 use crate::core::control::own::OwnControl;
+use crate::core::control::peers;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::protocol::ControlProtocol;
 use crate::core::control::remembered;
@@ -161,8 +162,8 @@
     }
     let background = vec![
         task::spawn_until_dropped(links::accept(Rc::clone(&control), listener)),
-        task::spawn_until_dropped(links::keep_peers(Rc::clone(&control))),
-        task::spawn_until_dropped(links::ping_peers(Rc::clone(&control))),
+        task::spawn_until_dropped(peers::keep_peers(Rc::clone(&control))),
+        task::spawn_until_dropped(peers::ping_peers(Rc::clone(&control))),
         task::spawn_until_dropped(telling::tell_entries(Rc::clone(&control))),
         task::spawn_until_dropped(telling::tell_loads(Rc::clone(&control))),
         task::spawn_until_dropped(group::run_timers(Rc::clone(&control))),
