--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -142,6 +142,15 @@
         } else {
             running.into_iter().map(|i| self.cluster_address(i)).collect()
         };
+        self.start_with_seeds(i, form_group, &seeds);
+    }
+
+    /// Starts a box that is down, and tells it only of box `seed`.
+    pub fn start_box_that_knows_one(&mut self, i: usize, seed: usize) {
+        self.start_with_seeds(i, false, &[self.cluster_address(seed)]);
+    }
+
+    fn start_with_seeds(&mut self, i: usize, form_group: bool, seeds: &[SocketAddr]) {
         let settings = json!({
             "role": "control",
             "name": format!("control-{i}"),
