--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -186,8 +186,12 @@
         /// The message.
         message: vaneway_agreement::Message,
     },
-    /// I have no part in the agreement, or hear no leader: let me join.
-    Join,
+    /// A node has no part in the agreement, or hears no leader: let it join. Who gets this from the node itself
+    /// tells the leader, which the node may not know.
+    Join {
+        /// The node.
+        node: NodeId,
+    },
     /// News of endpoints.
     Registry(Vec<Report>),
 }
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -262,11 +262,25 @@
         if leads {
             change_members(&control);
         } else if !is_member(&control) || control.led_at.get().elapsed() > JOIN_AFTER {
-            peers::send_to_all(&control, BetweenControl::Join);
+            let node = control.node.borrow().id();
+            peers::send_to_all(&control, BetweenControl::Join { node });
         }
     }
 }
 
+/// Takes in that `node` wants to join, as `from` says. A box that has no part in the agreement may know only
+/// boxes that don't lead.
+pub(super) fn learn_joining(control: &Control, from: NodeId, node: NodeId) {
+    control.joining.borrow_mut().insert(node, Instant::now());
+    let (own, leader) = {
+        let node = control.node.borrow();
+        (node.id(), node.leader())
+    };
+    if let Some(leader) = leader.filter(|leader| *leader != own && from == node) {
+        peers::send_to_node(control, leader, BetweenControl::Join { node });
+    }
+}
+
 fn is_member(control: &Control) -> bool {
     let node = control.node.borrow();
     node.log().members().all().any(|member| member == node.id())
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -266,9 +266,7 @@
                 group::step(control, Event::Message { from: node, message });
             }
         }
-        BetweenControl::Join => {
-            control.joining.borrow_mut().insert(node, Instant::now());
-        }
+        BetweenControl::Join { node: joining } => group::learn_joining(control, node, joining),
         BetweenControl::Registry(reports) => learn_endpoints(control, &reports, false),
     }
 }
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -82,6 +82,9 @@
     loop {
         let mut wanted: BTreeSet<SocketAddr> = control.settings.seeds.iter().copied().collect();
         wanted.extend(links::control_boxes(&control));
+        // A box that has just been let in knows no members yet; to get them it has to answer who leads.
+        let leader = control.node.borrow().leader();
+        wanted.extend(leader.map(|leader| control.cluster_address(leader)));
         wanted.remove(&own);
         for address in &wanted {
             let known = control.peers.borrow().contains_key(address);
