--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -24,7 +24,6 @@
 use crate::core::control::links::EntryLink;
 use crate::core::control::state::Control;
 use crate::core::usage::EntryStart;
-
 use crate::util::frames::Encoded;
 
 /// How long an entry box that was lost counts as one that may still take requests.
