--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod routing;
 mod schema;
 mod settings;
+mod simulated_fleet;
 mod soak;
 mod standins;
 mod stop;
