--- a/tests/testsuite/fleet.rs
+++ b/crates/vaneway-test-support/src/fleet.rs
@@ -12,14 +12,21 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use serde_json::Value;
+use serde_json::json;
 use vaneway_server::core::entry::Entry;
 use vaneway_server::core::running;
 use vaneway_server::core::running::RunningEntry;
 use vaneway_server::core::settings::read;
-use vaneway_test_support::ControlGroup;
 
-/// Organisations for which requests come.
-pub(crate) const ORGANISATIONS: usize = 40;
+use crate::ControlGroup;
+use crate::control_group::empty_configuration;
+
+/// Organisations for which requests come: as many as the largest fleet has.
+const ORGANISATIONS: usize = 40;
+
+/// Endpoints of that fleet.
+const ENDPOINTS: u16 = 165;
 
 /// How long a fleet may take for anything that it waits for; far beyond what it needs.
 const WITHIN: Duration = Duration::from_mins(1);
@@ -34,12 +41,13 @@
 const REQUEST_TAKES: Duration = Duration::from_millis(150);
 
 /// A fleet that runs until it is dropped.
-pub(crate) struct Fleet {
+#[derive(Debug)]
+pub struct Fleet {
     shared: Arc<Shared>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Shared {
     /// The oldest version of the configuration that is in force at any entry box.
     version: AtomicU64,
@@ -50,7 +58,11 @@
 
 impl Fleet {
     /// Starts entry boxes that follow the control boxes of a group.
-    pub(crate) fn start(group: &ControlGroup, entries: usize) -> Self {
+    ///
+    /// # Panics
+    ///
+    /// In the fleet's thread, if a box can't be started.
+    pub fn start(group: &ControlGroup, entries: usize) -> Self {
         let settings =
             (0..entries).map(|i| group.entry_settings(&format!("entry-{i}")).to_string());
         let settings: Vec<String> = settings.collect();
@@ -64,12 +76,20 @@
     }
 
     /// Waits until each entry box has a version of the configuration in force, or a later one.
-    pub(crate) fn wait_for_version(&self, version: u64) {
+    ///
+    /// # Panics
+    ///
+    /// If that does not come about in time.
+    pub fn wait_for_version(&self, version: u64) {
         wait_for(&self.shared.version, version, "version of the configuration in force everywhere");
     }
 
     /// Waits until so many requests were made since the start.
-    pub(crate) fn wait_for_requests(&self, requests: u64) {
+    ///
+    /// # Panics
+    ///
+    /// If that does not come about in time.
+    pub fn wait_for_requests(&self, requests: u64) {
         wait_for(&self.shared.requests, requests, "requests");
     }
 }
@@ -137,3 +157,41 @@
         drop(occupied);
     }
 }
+
+/// A configuration with the fleet's organisations, each with a limit that it never reaches.
+pub fn configuration(version: u64) -> Value {
+    let mut configuration = empty_configuration(version);
+    let organisation = |i: usize| {
+        json!({
+            "name": format!("organisation-{i}"), "keys": [format!("key-{i}")], "priority": null,
+            "unit": "Requests", "rate": 1_000.0, "burst": 1_000.0,
+        })
+    };
+    configuration["organisations"] = (0..ORGANISATIONS).map(organisation).collect();
+    configuration["services"] = json!([
+        { "name": "engine", "health_path": "", "max_connections": 1, "engine": null, "capacity": null }
+    ]);
+    configuration
+}
+
+/// Registers the fleet's endpoints.
+///
+/// # Panics
+///
+/// If no control box takes them in time.
+pub fn register_endpoints(group: &ControlGroup) {
+    for i in 0..ENDPOINTS {
+        let report = json!({
+            "instance": format!("endpoint-{i}"), "sequence": 1, "standing": "Ready",
+            "ends_in_ms": null, "age_ms": 0,
+            "details": {
+                "service": "engine", "address": format!("127.0.0.1:{}", 10_000 + i),
+                "availability_zone": "a", "slots": 48, "reclaimable": true,
+            },
+        });
+        group.until("a box takes a registration", |b| {
+            let answer = group.call(b, "POST", "/v1/endpoints", &report.to_string());
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+    }
+}
