--- a/tests/testsuite/control_overload.rs
+++ b/tests/testsuite/control_overload.rs
@@ -11,6 +11,10 @@
 //!
 //! Cause: work that grows with the number of those who wait, no order in which it is done, and callers
 //! that come again after a fixed time. It never ended by itself, though there was time enough for all of them.
+//!
+//! Proved by these tests: a profile of the first shows 60% of the time in sums over all boxes that were made for each box
+//! newly told; with sums that are kept it passes, but with half of the processor time or less still nobody leads;
+//! with an order of work, and entry boxes that wait, a fifth of the time is enough.
 
 use std::collections::BTreeMap;
 use std::path::Path;
