--- a/crates/vaneway-server/src/core/control/remembered.rs
+++ b/crates/vaneway-server/src/core/control/remembered.rs
@@ -10,8 +10,8 @@
 //! who heard it may be down. It therefore counts only until heartbeats must have come again
 //! (the setting `remembered_ms`), and nothing waits for the file to be written.
 //!
-//! The entry boxes share quotas, also while most of them still have to connect: the first ones must not take
-//! the others' parts.
+//! Each entry box's part of the retries goes by how many there may be, also while most of them still have to
+//! connect: the first ones must not take the others' parts.
 
 use std::io;
 use std::path::PathBuf;
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -63,8 +63,8 @@
         seen.retain(|_, at| now.saturating_duration_since(*at) < LOST_COUNTED);
     }
     let seen = seen.len() as u32;
-    // A box that has just started has not seen those that still come, and would share out the whole limit
-    // among the first.
+    // A box that has just started has not seen those that still come, and would share out all retries among the
+    // first.
     let may_come = control.started.elapsed() < LOST_COUNTED || !is_led;
     let known = if may_come { seen.max(control.entries_told.get()) } else { seen };
     Sharers { heard, known }
--- a/crates/vaneway-server/src/util/frames.rs
+++ b/crates/vaneway-server/src/util/frames.rs
@@ -176,8 +176,8 @@
 /// Writes what it can and reads some bytes; 0 means that the connection ended.
 ///
 /// A read that filled less than was offered found all that had come. The next one waits until the socket is
-/// ready before it asks the system: this is polled for each write too, and the calls that find
-/// nothing were a third of all.
+/// ready before it asks the system: this is polled after each read and for each write, and would
+/// mostly find nothing.
 fn poll_both(
     stream: &SocketStream,
     outgoing: &Outgoing,
