--- /dev/null
+++ b/tests/testsuite/simulated_crashes.rs
@@ -0,0 +1,367 @@
+//! A simulated fleet of entry boxes and engines, of which some requests end whatever engine runs them.
+//!
+//! The product's own relays and pools decide; time, runs and callers are made up by a seed. A caller whose request
+//! fails sends it again once, at any box, unless it is told that the answer is final.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use vaneway_relay::Action;
+use vaneway_relay::AnswerForm;
+use vaneway_relay::AttemptId;
+use vaneway_relay::Event;
+use vaneway_relay::Outcome;
+use vaneway_relay::Patience;
+use vaneway_relay::Plan;
+use vaneway_relay::Relay;
+use vaneway_relay::RetryBudget;
+use vaneway_route::Choice;
+use vaneway_route::EndpointEvent;
+use vaneway_route::EndpointId;
+use vaneway_route::EndpointSpec;
+use vaneway_route::Policy;
+use vaneway_route::Pool;
+use vaneway_route::PromptPart;
+use vaneway_route::Query;
+use vaneway_route::Work;
+
+/// Time between a run's start and the end of its engine, if its request is one that ends engines: a few hundred
+/// milliseconds, in which its prompt is read.
+const ENDS_AFTER: Duration = Duration::from_millis(300);
+
+/// Time in which an engine that ended is back.
+const BACK_AFTER: Duration = Duration::from_secs(4);
+
+/// Time on the way between two boxes, or a caller and a box.
+const WAY: Duration = Duration::from_millis(3);
+
+/// Time for which callers wait.
+const DEADLINE: Duration = Duration::from_secs(8);
+
+/// What a fleet is made of, and the load that it has.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    pub(crate) boxes: usize,
+    pub(crate) engines: u32,
+    /// Requests a second.
+    pub(crate) rate: f64,
+    /// Part of the requests that end the engine which runs them.
+    pub(crate) deadly: f64,
+    /// Time in which requests come.
+    pub(crate) lasts: Duration,
+    /// When some engines crash by themselves, all at once, and how many.
+    pub(crate) crashes: &'static [(Duration, u32)],
+}
+
+/// What became of the requests.
+#[derive(Debug, Default)]
+pub(crate) struct Outcomes {
+    /// Requests that end engines.
+    pub(crate) deadly: u64,
+    /// Engines that such requests ended.
+    pub(crate) ended: u64,
+    /// Most engines that one request ended.
+    pub(crate) ended_by_one: u64,
+    /// All other requests.
+    pub(crate) others: u64,
+    /// Those of them that were served.
+    pub(crate) served: u64,
+}
+
+type RequestNumber = usize;
+type TryNumber = usize;
+
+#[derive(Debug)]
+enum Happening {
+    /// A new request comes.
+    Arrival,
+    /// A caller sends a request to a box.
+    Sent(RequestNumber),
+    /// Something happened to a try.
+    To(TryNumber, Event),
+    /// A run ends well, unless its engine ended before.
+    RunOver(TryNumber, AttemptId),
+    /// A request ends the engine that runs it.
+    EngineEnds(EndpointId, u64, Option<RequestNumber>),
+    EngineBack(EndpointId),
+    /// So many engines crash by themselves.
+    Crash(u32),
+}
+
+#[derive(Debug, Default)]
+struct SimulatedRequest {
+    deadly: bool,
+    sent: u32,
+    ended: u64,
+    served: bool,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    down: bool,
+    /// Starts so far.
+    start: u64,
+    /// What runs there.
+    runs: BTreeSet<(TryNumber, AttemptId)>,
+}
+
+struct EntryBox {
+    pool: Pool,
+    budget: RetryBudget,
+}
+
+struct Try {
+    request: RequestNumber,
+    at: usize,
+    relay: Relay,
+}
+
+/// The fleet while it runs.
+pub(crate) struct SimulatedCrashes {
+    load: Load,
+    now: Instant,
+    started: Instant,
+    random: Pcg64Mcg,
+    queue: BTreeMap<(Instant, u64), Happening>,
+    queued: u64,
+    boxes: Vec<EntryBox>,
+    engines: Vec<Engine>,
+    requests: Vec<SimulatedRequest>,
+    tries: Vec<Try>,
+}
+
+impl SimulatedCrashes {
+    /// Plays a load to its end.
+    pub(crate) fn play(load: Load, seed: u64) -> Outcomes {
+        println!("{load:?}, seed {seed}");
+        let now = Instant::now();
+        let mut fleet = Self {
+            load,
+            now,
+            started: now,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            queued: 0,
+            boxes: (0..load.boxes).map(|i| entry_box(load, seed + i as u64)).collect(),
+            engines: (0..load.engines).map(|_| Engine::default()).collect(),
+            requests: Vec::new(),
+            tries: Vec::new(),
+        };
+        fleet.after(Duration::ZERO, Happening::Arrival);
+        for (at, count) in load.crashes {
+            fleet.after(*at, Happening::Crash(*count));
+        }
+        while let Some(((now, _), happening)) = fleet.queue.pop_first() {
+            fleet.now = now;
+            fleet.happen(happening);
+        }
+        fleet.outcomes()
+    }
+
+    fn outcomes(&self) -> Outcomes {
+        let mut outcomes = Outcomes::default();
+        for request in &self.requests {
+            if request.deadly {
+                outcomes.deadly += 1;
+                outcomes.ended += request.ended;
+                outcomes.ended_by_one = outcomes.ended_by_one.max(request.ended);
+            } else {
+                outcomes.others += 1;
+                outcomes.served += u64::from(request.served);
+            }
+        }
+        println!("{outcomes:?}");
+        outcomes
+    }
+
+    fn after(&mut self, wait: Duration, happening: Happening) {
+        self.queued += 1;
+        self.queue.insert((self.now + wait, self.queued), happening);
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrival => self.arrive(),
+            Happening::Sent(request) => self.serve(request),
+            Happening::To(of, event) => self.decide(of, event),
+            Happening::RunOver(of, attempt) => self.run_over(of, attempt),
+            Happening::EngineEnds(engine, start, by) => self.end_engine(engine, start, by),
+            Happening::EngineBack(engine) => self.engines[engine as usize].down = false,
+            Happening::Crash(count) => self.crash(count),
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now >= self.started + self.load.lasts {
+            return;
+        }
+        let deadly = self.random.random_bool(self.load.deadly);
+        self.requests.push(SimulatedRequest { deadly, ..SimulatedRequest::default() });
+        self.after(WAY, Happening::Sent(self.requests.len() - 1));
+        let pause = -self.random.random_range(f64::EPSILON..1.0).ln() / self.load.rate;
+        self.after(Duration::from_secs_f64(pause), Happening::Arrival);
+    }
+
+    /// A box that is drawn at random takes the request.
+    fn serve(&mut self, request: RequestNumber) {
+        self.requests[request].sent += 1;
+        let at = self.random.random_range(0..self.boxes.len());
+        let plan = Plan {
+            repeatable: true,
+            form: AnswerForm::Events { resumable: true },
+            wants_usage: false,
+            max_attempts: 2,
+            deadline: self.now + DEADLINE,
+            patience: Patience::Expected { by: self.now + DEADLINE / 8 },
+            prompt_tokens: 0,
+            max_tokens: 0,
+            seed: request as u64,
+        };
+        self.tries.push(Try { request, at, relay: Relay::new(plan) });
+        self.decide(self.tries.len() - 1, Event::Begin);
+    }
+
+    fn decide(&mut self, of: TryNumber, event: Event) {
+        let mut actions = Vec::new();
+        let this = &mut self.tries[of];
+        let budget = &mut self.boxes[this.at].budget;
+        this.relay.handle(self.now, event, budget, &mut actions);
+        for action in actions {
+            self.act(of, action);
+        }
+    }
+
+    fn act(&mut self, of: TryNumber, action: Action) {
+        match action {
+            Action::Choose => {
+                let event = self.choose(of);
+                self.after(Duration::ZERO, Happening::To(of, event));
+            }
+            Action::Start { attempt, endpoint, .. } => self.start(of, attempt, endpoint),
+            Action::Wake { at } => {
+                self.after(at - self.now, Happening::To(of, Event::Woken));
+            }
+            Action::Complete => self.requests[self.tries[of].request].served = true,
+            Action::Fail { .. } => self.fail(of),
+            Action::Transfer { .. }
+            | Action::Detach { .. }
+            | Action::Cancel { .. }
+            | Action::Release { .. }
+            | Action::Emit { .. } => {}
+        }
+    }
+
+    fn choose(&mut self, of: TryNumber) -> Event {
+        let this = &self.tries[of];
+        let work = work(this.request);
+        let query = Query {
+            service: 0,
+            home: "a",
+            avoid: this.relay.tried(),
+            prefix: 0,
+            work: Some(&work),
+        };
+        match self.boxes[this.at].pool.choose(self.now, query) {
+            Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
+            Choice::Full => Event::Unavailable { full: true, until: None },
+            Choice::Unavailable { until } => Event::Unavailable { full: false, until },
+        }
+    }
+
+    fn start(&mut self, of: TryNumber, attempt: AttemptId, endpoint: EndpointId) {
+        let engine = &mut self.engines[endpoint as usize];
+        if engine.down {
+            // A port at which nothing listens answers at once.
+            let event = Event::Ended { attempt, outcome: Outcome::NotSent };
+            self.endpoint_failed(of, endpoint);
+            self.after(WAY, Happening::To(of, event));
+            return;
+        }
+        engine.runs.insert((of, attempt));
+        let start = engine.start;
+        let request = self.tries[of].request;
+        if self.requests[request].deadly {
+            self.after(ENDS_AFTER, Happening::EngineEnds(endpoint, start, Some(request)));
+        } else {
+            let takes = Duration::from_millis(self.random.random_range(300..1_500));
+            self.after(takes, Happening::RunOver(of, attempt));
+        }
+    }
+
+    fn run_over(&mut self, of: TryNumber, attempt: AttemptId) {
+        let running = |engine: &Engine| engine.runs.contains(&(of, attempt));
+        let Some(engine) = self.engines.iter_mut().find(|engine| running(engine)) else { return };
+        engine.runs.remove(&(of, attempt));
+        self.decide(of, Event::Ended { attempt, outcome: Outcome::Done });
+    }
+
+    fn end_engine(&mut self, endpoint: EndpointId, start: u64, by: Option<RequestNumber>) {
+        let engine = &mut self.engines[endpoint as usize];
+        if engine.down || engine.start != start {
+            return;
+        }
+        engine.down = true;
+        engine.start += 1;
+        let runs = std::mem::take(&mut engine.runs);
+        if let Some(request) = by {
+            self.requests[request].ended += 1;
+        }
+        self.after(BACK_AFTER, Happening::EngineBack(endpoint));
+        for (of, attempt) in runs {
+            self.endpoint_failed(of, endpoint);
+            let event = Event::Ended { attempt, outcome: Outcome::Unknown };
+            self.after(WAY, Happening::To(of, event));
+        }
+    }
+
+    fn endpoint_failed(&mut self, of: TryNumber, endpoint: EndpointId) {
+        let pool = &mut self.boxes[self.tries[of].at].pool;
+        pool.handle(self.now, endpoint, EndpointEvent::Failed, &mut Vec::new());
+    }
+
+    fn crash(&mut self, count: u32) {
+        for _ in 0..count {
+            let endpoint = self.random.random_range(0..self.load.engines);
+            let start = self.engines[endpoint as usize].start;
+            self.end_engine(endpoint, start, None);
+        }
+    }
+
+    /// The caller is told that its request failed, and comes again once.
+    fn fail(&mut self, of: TryNumber) {
+        let request = self.tries[of].request;
+        if self.requests[request].sent < 2 {
+            self.after(2 * WAY, Happening::Sent(request));
+        }
+    }
+}
+
+fn entry_box(load: Load, seed: u64) -> EntryBox {
+    let spec = |i: u32| EndpointSpec {
+        name: format!("engine-{i}"),
+        service: 0,
+        address: format!("127.0.0.1:{}", 1 + i).parse().unwrap(),
+        availability_zone: "a".to_owned(),
+        box_name: format!("engine-{i}"),
+        reclaimable: false,
+        max_open: 288,
+    };
+    let specs = (0..load.engines).map(spec).collect();
+    EntryBox {
+        pool: Pool::new(specs, Policy::ExpectedWork, seed),
+        // What one of 69 boxes may retry where operators allow a fifth of the requests and 178 on top.
+        budget: RetryBudget::new(15, 1),
+    }
+}
+
+/// A prompt with a part that many share and one of its own.
+fn work(request: RequestNumber) -> Work {
+    let shared = PromptPart { id: request as u64 % 47, tokens: 6_300 };
+    let own = PromptPart { id: 1_000 + request as u64, tokens: 2_890 };
+    Work { prompt_tokens: 9_190, max_tokens: 51, parts: vec![shared, own] }
+}
