--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -10,6 +10,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_channel::oneshot;
+use futures_util::future::select;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -64,8 +66,13 @@
     runs: BTreeMap<String, u32>,
     /// When a request last arrived.
     arrived: Option<Instant>,
+    /// Ends it; none once it has ended.
+    end: Option<oneshot::Sender<()>>,
 }
 
+/// Header of a request that ends the endpoint which runs it, as the crash of its process would.
+pub const ENDS_ENDPOINT: &str = "x-ends-endpoint";
+
 /// A running endpoint. Requests with `x-token-usage` are answered with a stream of ten numbered
 /// events, others with their own body.
 #[derive(Debug)]
@@ -91,10 +98,16 @@
 impl WireEndpoint {
     /// Starts an endpoint with this id.
     pub fn spawn(instance: &str) -> Self {
-        let state = Arc::new(Mutex::new(State::default()));
+        let (end, ended) = oneshot::channel();
+        let state = Arc::new(Mutex::new(State { end: Some(end), ..State::default() }));
         let (theirs, id) = (Arc::clone(&state), instance.to_owned());
         let standin = Standin::spawn("wire-endpoint", move |listener| {
-            server::serve(listener, move |req| handle(Arc::clone(&theirs), id.clone(), req))
+            let serving =
+                server::serve(listener, move |req| handle(Arc::clone(&theirs), id.clone(), req));
+            async move {
+                futures_util::pin_mut!(serving);
+                select(serving, ended).await;
+            }
         });
         Self { standin, instance: instance.to_owned(), state }
     }
@@ -114,6 +127,11 @@
         lock(&self.state).seen.clone()
     }
 
+    /// Whether a request has ended it.
+    pub fn has_ended(&self) -> bool {
+        lock(&self.state).end.is_none()
+    }
+
     /// When a request last arrived, if one ever did.
     pub fn last_arrival(&self) -> Option<Instant> {
         lock(&self.state).arrived
@@ -186,6 +204,10 @@
             CallerBody::full(Bytes::new()),
         );
     }
+    if lock(&state).seen.last().is_some_and(|seen| seen.headers.contains_key(ENDS_ENDPOINT)) {
+        drop(lock(&state).end.take());
+        return std::future::pending().await;
+    }
     match behaviour {
         Behaviour::Refuse => {
             let body = CallerBody::full(Bytes::new());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod plain;
 mod platform_path;
 mod property;
+mod quarantine;
 mod quota;
 mod quota_fleet;
 mod registrations;
