--- a/crates/vaneway-relay/src/event.rs
+++ b/crates/vaneway-relay/src/event.rs
@@ -60,12 +60,9 @@
         /// What is known of it.
         outcome: Outcome,
     },
-    /// An attempt ended with its endpoint, and the request is held to be the cause: no other endpoint may
-    /// run it.
-    Condemned {
-        /// The attempt.
-        attempt: AttemptId,
-    },
+    /// The request is held to end the endpoints that run it: an attempt that runs is taken back, and no other
+    /// begins.
+    Condemned,
     /// The endpoint gave a final answer that is not a stream, such as a refusal of the request's
     /// content.
     Answered {
--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -167,7 +167,7 @@
             Event::Head { attempt } => self.head(attempt),
             Event::Chunk { attempt, chunk } => self.chunk(now, attempt, chunk, out),
             Event::Ended { attempt, outcome } => self.ended(now, attempt, outcome, budget, out),
-            Event::Condemned { attempt } => self.condemned(now, attempt, out),
+            Event::Condemned => self.condemned(now, out),
             Event::Answered { attempt } => self.answered(now, attempt, budget, out),
             Event::Leaving { endpoint, gone_at } => self.leaving(now, endpoint, gone_at, out),
             Event::Gone { endpoint } => self.gone(now, endpoint, budget, out),
@@ -298,13 +298,16 @@
         }
     }
 
-    fn condemned(&mut self, now: Instant, attempt: AttemptId, out: &mut Vec<Action>) {
-        if self.current.is_none_or(|current| current.attempt != attempt) {
-            return;
-        }
-        self.give_up();
+    fn condemned(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.failure = FailureKind::EndsEndpoints;
-        self.step(now, RequestEvent::LostForGood, out);
+        if let Some(Current { attempt, .. }) = self.give_up() {
+            out.push(Action::Detach { attempt });
+        }
+        let event = match self.state {
+            RequestState::Choosing => RequestEvent::Hopeless,
+            _ => RequestEvent::LostForGood,
+        };
+        self.step(now, event, out);
     }
 
     fn answered(
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -99,6 +99,8 @@
         seed: entry.request_seed(open.request().number),
     };
     let (tx, rx) = oneshot::channel();
+    let request = Rc::new(request);
+    open.request().set_call(Rc::clone(&request));
     let call = Call {
         events: CallEvents::new(open, &entry.timers, plan.deadline),
         relay: Relay::new(plan),
@@ -108,7 +110,7 @@
         began: false,
         ended_under: Vec::new(),
         received: Instant::now(),
-        request: Rc::new(request),
+        request,
         entry,
         protocol,
         limits,
@@ -251,7 +253,7 @@
                 let event = self.ended(attempt, endpoint, outcome, &cause);
                 match seen {
                     Seen::Ended(progress) if self.is_condemned(endpoint, progress) => {
-                        Event::Condemned { attempt }
+                        Event::Condemned
                     }
                     _ => event,
                 }
@@ -355,7 +357,11 @@
                 let ended_here = !self.ended_under.is_empty();
                 let apart = quarantine::placed_apart(&self.entry, request, ended_here);
                 let service = request.service as usize;
-                let event = self.entry.choose(service, tried, request.prefix, work, apart);
+                let event = if quarantine::is_condemned(&self.entry, request) {
+                    Event::Condemned
+                } else {
+                    self.entry.choose(service, tried, request.prefix, work, apart)
+                };
                 if matches!(event, Event::Unavailable { .. }) {
                     log::debug!("event=no_endpoint request={} {event:?}", request.id);
                 }
--- a/crates/vaneway-server/src/core/calls/open_requests.rs
+++ b/crates/vaneway-server/src/core/calls/open_requests.rs
@@ -2,6 +2,7 @@
 //! tell them that their endpoint leaves.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -19,6 +20,8 @@
 use vaneway_relay::RequestState;
 use vaneway_route::EndpointId;
 
+use crate::core::endpoints::protocol::CallRequest;
+
 /// Number of a request at this box since its start.
 pub type RequestNumber = u64;
 
@@ -38,6 +41,8 @@
     state: Cell<RequestState>,
     endpoint: Cell<Option<EndpointId>>,
     sent: Cell<u32>,
+    /// What it asks of its service, if it passes through.
+    call: OnceCell<Rc<CallRequest>>,
     signals: RefCell<VecDeque<Event>>,
     waker: RefCell<Option<Waker>>,
 }
@@ -51,6 +56,12 @@
         }
     }
 
+    /// Keeps what it asks of its service.
+    pub fn set_call(&self, call: Rc<CallRequest>) {
+        // Set once, when the request is entered.
+        let _first = self.call.set(call);
+    }
+
     /// The next event that was delivered.
     pub fn poll_signal(&self, cx: &Context<'_>) -> Poll<Event> {
         if let Some(event) = self.signals.borrow_mut().pop_front() {
@@ -120,6 +131,7 @@
             state: Cell::new(RequestState::Accepted),
             endpoint: Cell::new(None),
             sent: Cell::new(0),
+            call: OnceCell::new(),
             signals: RefCell::default(),
             waker: RefCell::default(),
         });
@@ -144,6 +156,15 @@
         }
     }
 
+    /// Delivers an event to the open requests whose call is one of `which`.
+    pub fn signal_calls(&self, event: &Event, which: impl Fn(&CallRequest) -> bool) {
+        for request in self.0.open.borrow().values() {
+            if request.call.get().is_some_and(|call| which(call)) {
+                request.signal(event.clone());
+            }
+        }
+    }
+
     /// Ready once none is open.
     pub fn poll_empty(&self, cx: &Context<'_>) -> Poll<()> {
         if self.is_empty() {
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -5,8 +5,11 @@
 //! answered whole is cleared ([`request_served`]), and a request that is condemned is refused wherever it is sent
 //! again ([`check`]). What is found is told to the other boxes, and what they found is learned ([`learn`]).
 
+use std::collections::BTreeSet;
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::StatusCode;
 use vaneway_quarantine::EndpointName;
@@ -14,6 +17,7 @@
 use vaneway_quarantine::Fingerprint;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
+use vaneway_relay::Event;
 use vaneway_relay::FailureKind;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointState;
@@ -29,6 +33,16 @@
 /// availability zones. Without an answer it counts as reached no more, which is no evidence.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(50);
 
+/// Connections that are opened to learn it: an endpoint that has too many resets them too, and must not get many more.
+const CONFIRM_TRIES: usize = 3;
+
+/// Pause between two of them.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(5);
+
+/// How long a connection that opens must last for its endpoint to count as alive: the system of a process that dies closes
+/// its connections and its listening socket one after another.
+const LASTS: Duration = Duration::from_millis(20);
+
 /// What makes a request the same when its caller sends it again, under another id and to any box: who sent it, where
 /// to, its body and its prompt. Nobody can get another organisation's request condemned.
 pub fn fingerprint(request: &CallRequest) -> Fingerprint {
@@ -58,8 +72,19 @@
     if matches!(state, EndpointState::Leaving | EndpointState::Gone) {
         return false;
     }
-    let connected = socket::connect_within(&entry.timers, address, CONFIRM_WITHIN).await;
-    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    for _ in 0..CONFIRM_TRIES {
+        let stream = match socket::connect_within(&entry.timers, address, CONFIRM_WITHIN).await {
+            Ok(stream) => stream,
+            Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
+        };
+        // Nothing was asked of it, so whatever comes is its end.
+        let ends = poll_fn(|cx| stream.poll_recv_ready(cx));
+        if entry.timers.until(Instant::now() + LASTS, ends).await.is_none() {
+            return false;
+        }
+        entry.timers.sleep(CONFIRM_PAUSE).await;
+    }
+    false
 }
 
 /// Counts that an endpoint ended under a request, the last of `ends`; the others ended under it before.
@@ -125,14 +150,11 @@
 ///
 /// If it is.
 pub fn check(entry: &Entry, request: &CallRequest) -> Result<(), ApiError> {
-    let quarantine = entry.quarantine.borrow();
-    if quarantine.is_empty() {
+    if !is_condemned(entry, request) {
         return Ok(());
     }
     let fingerprint = fingerprint(request);
-    if quarantine.verdict(fingerprint) != Some(Verdict::Condemned) {
-        return Ok(());
-    }
+    let quarantine = entry.quarantine.borrow();
     let ends = quarantine.cases().get(&fingerprint).map_or(0, |case| case.ends.len());
     let message = format!(
         "{ends} endpoints that ran this request ended under it, so it is run no more; send it in another form, or \
@@ -142,10 +164,29 @@
     Err(ApiError::rejected(StatusCode::UNPROCESSABLE_ENTITY, code, message))
 }
 
-/// Learns what other boxes found.
+/// Whether a request is condemned.
+pub fn is_condemned(entry: &Entry, request: &CallRequest) -> bool {
+    let quarantine = entry.quarantine.borrow();
+    !quarantine.is_empty() && quarantine.verdict(fingerprint(request)) == Some(Verdict::Condemned)
+}
+
+/// Learns what other boxes found. What runs here and is condemned now is taken back before its endpoint ends too.
 pub fn learn(entry: &Entry, findings: &[Finding]) {
     let now = entry.cluster_time();
-    for finding in entry.quarantine.borrow_mut().merge(now, findings) {
+    let news = entry.quarantine.borrow_mut().merge(now, findings);
+    let changed = |finding: &Finding| match finding {
+        Finding::Case { fingerprint, .. } => Some(*fingerprint),
+        Finding::EndpointEnded { .. } => None,
+    };
+    let is_condemned = |fingerprint: &Fingerprint| {
+        entry.quarantine.borrow().verdict(*fingerprint) == Some(Verdict::Condemned)
+    };
+    let condemned: BTreeSet<Fingerprint> =
+        news.iter().filter_map(changed).filter(is_condemned).collect();
+    if !condemned.is_empty() {
+        entry.open.signal_calls(&Event::Condemned, |call| condemned.contains(&fingerprint(call)));
+    }
+    for finding in news {
         if let Finding::Case { fingerprint, case } = finding {
             Line::new("request_case_told")
                 .with("fingerprint", format!("{fingerprint:016x}"))
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -70,9 +70,13 @@
     end: Option<oneshot::Sender<()>>,
 }
 
-/// Header of a request that ends the endpoint which runs it, as the crash of its process would.
+/// Header of a request that ends the endpoint which runs it, as the crash of its process would; with the value `late`
+/// its connection breaks first and the endpoint listens for [`LISTENS_FOR`] more.
 pub const ENDS_ENDPOINT: &str = "x-ends-endpoint";
 
+/// Time between a connection's end and the listening socket's where a process dies: its system closes one after another.
+const LISTENS_FOR: Duration = Duration::from_millis(5);
+
 /// A running endpoint. Requests with `x-token-usage` are answered with a stream of ten numbered
 /// events, others with their own body.
 #[derive(Debug)]
@@ -186,6 +190,7 @@
     let expected = headers.get("x-expect-instance").is_none_or(|expected| *expected == instance);
     let streamed = headers.contains_key("x-token-usage");
     let after = headers.get("last-event-id").and_then(|after| after.parse().ok()).unwrap_or(0);
+    let ends_by = headers.get(ENDS_ENDPOINT).cloned();
     let behaviour = {
         let mut state = lock(&state);
         let body = String::from_utf8_lossy(&body).into_owned();
@@ -204,9 +209,22 @@
             CallerBody::full(Bytes::new()),
         );
     }
-    if lock(&state).seen.last().is_some_and(|seen| seen.headers.contains_key(ENDS_ENDPOINT)) {
-        drop(lock(&state).end.take());
-        return std::future::pending().await;
+    match ends_by.as_deref() {
+        None => {}
+        Some("late") => {
+            compio::runtime::spawn(async move {
+                compio::time::sleep(LISTENS_FOR).await;
+                drop(lock(&state).end.take());
+            })
+            .detach();
+            let (tx, rx) = outbox(STREAM_BYTES);
+            drop(tx);
+            return answer(StatusCode::OK, &id, &instance, CallerBody::Fed(rx));
+        }
+        Some(_) => {
+            drop(lock(&state).end.take());
+            return std::future::pending().await;
+        }
     }
     match behaviour {
         Behaviour::Refuse => {
--- a/tests/testsuite/deadly_requests.rs
+++ b/tests/testsuite/deadly_requests.rs
@@ -15,6 +15,7 @@
     engines: 60,
     rate: 270.0,
     deadly: 0.006,
+    one_content: false,
     lasts: Duration::from_secs(20),
     answers_after: Duration::from_millis(200),
     crashes: &[],
@@ -56,3 +57,15 @@
         assert!(outcomes.served * 100 >= outcomes.others * 95, "seed {seed}: {outcomes:?}");
     }
 }
+
+/// A content that many callers send at once, a fifth of a class of a fifth, ends no engine once three have ended under it
+/// and all boxes could know.
+#[test]
+fn content_that_many_send_is_sent_nowhere_once_three_endpoints_ended() {
+    for seed in SEEDS {
+        let load = Load { deadly: 0.04, one_content: true, ..FLEET };
+        let outcomes = SimulatedCrashes::play(load, seed);
+        assert_eq!(outcomes.sent_after_three, 0, "seed {seed}: {outcomes:?}");
+        assert!(outcomes.served * 100 >= outcomes.others * 95, "seed {seed}: {outcomes:?}");
+    }
+}
