--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -122,8 +122,6 @@
     pub suspended_until: Option<Instant>,
     /// Failures since it last answered.
     pub failures: u32,
-    /// Whether a request tries it out after a suspension: no other is sent there until that one has ended.
-    pub on_trial: bool,
     /// Requests this box has open there.
     pub open: u32,
     /// Tokens this box expects to be worked on there.
@@ -192,7 +190,6 @@
             gone_at: None,
             suspended_until: None,
             failures: 0,
-            on_trial: false,
             open: 0,
             open_tokens: 0,
             others: Load::default(),
@@ -204,16 +201,10 @@
         }
     }
 
-    /// Whether new work may go there at `now`. After a suspension it gets one request at a time until it answers: in a
-    /// shortage, when the others are full, all that wait would turn to one that is out of reach.
+    /// Whether new work may go there at `now`.
     pub fn takes_work(&self, now: Instant) -> bool {
-        match self.state {
-            EndpointState::Serving => true,
-            EndpointState::Suspect => {
-                !self.on_trial && self.suspended_until.is_none_or(|until| until <= now)
-            }
-            EndpointState::Leaving | EndpointState::Gone => false,
-        }
+        let state = matches!(self.state, EndpointState::Serving | EndpointState::Suspect);
+        state && self.suspended_until.is_none_or(|until| until <= now)
     }
 
     /// How long nothing has come of the answers that should be arriving; none if there are none.
@@ -257,14 +248,12 @@
         let doublings = self.failures.min(SUSPENSION_MOST.as_millis().ilog2());
         let pause = SUSPENSION_FIRST.saturating_mul(1 << doublings).min(SUSPENSION_MOST);
         self.failures += 1;
-        self.on_trial = false;
         self.suspended_until = Some(now + pause);
     }
 
     /// Forgets the failures.
     pub(crate) fn restore(&mut self) {
         self.failures = 0;
-        self.on_trial = false;
         self.suspended_until = None;
     }
 
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -86,9 +86,6 @@
 /// gone costs a request its time and other endpoints an arrival.
 const ENDED_FOR: Duration = Duration::from_secs(10);
 
-/// Time after which it is worth looking again at an endpoint that a request tries out.
-const TRIAL_LOOK: Duration = Duration::from_millis(25);
-
 /// What a refusal counts against one failure.
 const REFUSAL_WORTH: f64 = 0.5;
 
@@ -271,11 +268,7 @@
             return Choice::Full;
         }
         let suspended = of_service().filter(|e| e.state == EndpointState::Suspect);
-        let until = |endpoint: &Endpoint| {
-            let over = endpoint.suspended_until?;
-            Some(if endpoint.on_trial { over.max(now + TRIAL_LOOK) } else { over })
-        };
-        Choice::Unavailable { until: suspended.filter_map(until).min() }
+        Choice::Unavailable { until: suspended.filter_map(|e| e.suspended_until).min() }
     }
 
     /// Counts an attempt that begins: `tokens` of work, or what the endpoint must read of a prompt.
@@ -285,7 +278,6 @@
         let tokens = work.map_or(tokens, |work| expected::unread(endpoint, work, now));
         endpoint.open += 1;
         endpoint.open_tokens += tokens;
-        endpoint.on_trial = endpoint.state == EndpointState::Suspect;
         for part in work.map_or(&[][..], Work::shared) {
             let before = endpoint.parts.insert(part.id, now);
             let is_news = before.is_none_or(|at| now >= at + PART_TOLD_AGAIN);
@@ -317,9 +309,6 @@
         endpoint.open_tokens -= tokens;
         endpoint.arriving += 1;
         endpoint.heard = Some(now);
-        if endpoint.on_trial {
-            self.handle(now, id, EndpointEvent::Answered, &mut Vec::new());
-        }
     }
 
     /// Notes that a piece of an answer arrived from an endpoint.
@@ -333,7 +322,6 @@
         let endpoint = &mut self.endpoints[id as usize];
         endpoint.open -= 1;
         endpoint.open_tokens -= tokens;
-        endpoint.on_trial = false;
         endpoint.arriving -= u32::from(arriving);
     }
 
