--- a/crates/vaneway-server/src/core/operators.rs
+++ b/crates/vaneway-server/src/core/operators.rs
@@ -22,9 +22,12 @@
 use futures_util::StreamExt as _;
 use tonic::Request;
 use tonic::Status;
+use vaneway_quarantine::Case;
+use vaneway_quarantine::Fingerprint;
 use vaneway_route::Endpoint;
 
 use crate::core::entry::Entry;
+use crate::core::quarantine;
 use crate::core::settings::OperatorToken;
 use crate::core::settings::ServiceKind;
 use crate::proto::v1;
@@ -205,6 +208,16 @@
     entry.settings.services.iter().enumerate().map(describe).collect()
 }
 
+fn list_quarantine(entry: &Entry) -> Vec<v1::QuarantinedRequest> {
+    let quarantine = entry.quarantine.borrow();
+    let describe = |(fingerprint, case): (&Fingerprint, &Case)| v1::QuarantinedRequest {
+        fingerprint: format!("{fingerprint:016x}"),
+        verdict: case.verdict.name().to_owned(),
+        endpoints: case.ends.keys().cloned().collect(),
+    };
+    quarantine.cases().iter().map(describe).collect()
+}
+
 #[tonic::async_trait]
 impl Operators for Asker {
     async fn list_services(
@@ -255,6 +268,32 @@
         Ok(tonic::Response::new(status))
     }
 
+    async fn list_quarantine(
+        &self,
+        request: Request<v1::ListQuarantineRequest>,
+    ) -> Result<tonic::Response<v1::ListQuarantineResponse>, Status> {
+        self.check_request(&request, "list_quarantine")?;
+        let requests = self.ask(list_quarantine).await?;
+        Ok(tonic::Response::new(v1::ListQuarantineResponse { requests }))
+    }
+
+    async fn release_request(
+        &self,
+        request: Request<v1::ReleaseRequestRequest>,
+    ) -> Result<tonic::Response<v1::ReleaseRequestResponse>, Status> {
+        self.check_request(&request, "release_request")?;
+        let text = request.into_inner().fingerprint;
+        let Ok(fingerprint) = Fingerprint::from_str_radix(&text, 16) else {
+            let message = format!("`{text}` is no fingerprint: send up to 16 hexadecimal digits");
+            return Err(Status::invalid_argument(message));
+        };
+        let released = self.ask(move |entry| quarantine::release(entry, fingerprint)).await?;
+        if !released {
+            return Err(Status::not_found(format!("nothing is held against request {text}")));
+        }
+        Ok(tonic::Response::new(v1::ReleaseRequestResponse {}))
+    }
+
     async fn dump(
         &self,
         request: Request<v1::DumpRequest>,
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -149,6 +149,17 @@
     }
 }
 
+/// Clears a request at an operator's word, here and at all other boxes; whether anything was held against it.
+pub fn release(entry: &Entry, fingerprint: Fingerprint) -> bool {
+    let now = entry.cluster_time();
+    let released = entry.quarantine.borrow_mut().served(now, fingerprint);
+    Line::new("request_released")
+        .with("fingerprint", format!("{fingerprint:016x}"))
+        .with("was_held", released)
+        .info();
+    released
+}
+
 /// Hash by which a request is placed apart from others, if an endpoint ended under it.
 pub fn placed_apart(entry: &Entry, request: &CallRequest, ended_here: bool) -> Option<u64> {
     let quarantine = entry.quarantine.borrow();
--- a/crates/vaneway-server/src/ops/mod.rs
+++ b/crates/vaneway-server/src/ops/mod.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod dump;
 pub mod endpoints;
+pub mod quarantine;
 pub mod replicas;
 pub mod run;
 pub mod services;
--- /dev/null
+++ b/crates/vaneway-server/src/ops/quarantine.rs
@@ -0,0 +1,51 @@
+//! `vanectl quarantine` and `vanectl release`: requests under which endpoints ended.
+
+use serde_json::json;
+
+use crate::ops::client;
+use crate::ops::client::Target;
+use crate::ops::table;
+use crate::proto::v1;
+
+/// Returns the list of one process as text for the terminal, or as JSON.
+///
+/// # Errors
+///
+/// If the process can't be reached or refuses the call.
+pub async fn quarantine(target: &Target, json: bool) -> eyre::Result<String> {
+    let mut client = client::connect(target).await?;
+    let response = client.list_quarantine(v1::ListQuarantineRequest {}).await;
+    let response = response.map_err(|status| client::explain(&status))?;
+    let listed = response.into_inner().requests;
+    if json {
+        let listed: Vec<_> = listed.iter().map(to_json).collect();
+        return Ok(format!("{:#}\n", json!(listed)));
+    }
+    let rows: Vec<_> = listed.iter().map(to_row).collect();
+    Ok(table::layout(&["fingerprint", "verdict", "endpoints that ended"], &rows))
+}
+
+fn to_json(request: &v1::QuarantinedRequest) -> serde_json::Value {
+    json!({
+        "fingerprint": request.fingerprint,
+        "verdict": request.verdict,
+        "endpoints": request.endpoints,
+    })
+}
+
+fn to_row(request: &v1::QuarantinedRequest) -> Vec<String> {
+    vec![request.fingerprint.clone(), request.verdict.clone(), request.endpoints.join(" ")]
+}
+
+/// Clears a request, so that it runs again if its caller sends it.
+///
+/// # Errors
+///
+/// If the process can't be reached, refuses the call, or holds nothing against such a request.
+pub async fn release(target: &Target, fingerprint: String) -> eyre::Result<String> {
+    let mut client = client::connect(target).await?;
+    let text = format!("released {fingerprint}; the other entry boxes hear of it\n");
+    let response = client.release_request(v1::ReleaseRequestRequest { fingerprint }).await;
+    response.map_err(|status| client::explain(&status))?;
+    Ok(text)
+}
--- a/crates/vaneway-server/src/proto/v1.rs
+++ b/crates/vaneway-server/src/proto/v1.rs
@@ -102,6 +102,32 @@
     pub version: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ListQuarantineRequest {}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ListQuarantineResponse {
+    #[prost(message, repeated, tag = "1")]
+    pub requests: ::prost::alloc::vec::Vec<QuarantinedRequest>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuarantinedRequest {
+    /// Names the request by its content, in hexadecimal digits.
+    #[prost(string, tag = "1")]
+    pub fingerprint: ::prost::alloc::string::String,
+    /// `cleared`, `suspected` or `condemned`.
+    #[prost(string, tag = "2")]
+    pub verdict: ::prost::alloc::string::String,
+    /// Endpoints that ended under it.
+    #[prost(string, repeated, tag = "3")]
+    pub endpoints: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseRequestRequest {
+    #[prost(string, tag = "1")]
+    pub fingerprint: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseRequestResponse {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DumpRequest {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DumpResponse {
@@ -288,6 +314,56 @@
                 .insert(GrpcMethod::new("vaneway.v1.Operators", "GetStatus"));
             self.inner.unary(req, path, codec).await
         }
+        /// Lists the requests under which endpoints ended, as this process knows.
+        pub async fn list_quarantine(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ListQuarantineRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ListQuarantineResponse>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/vaneway.v1.Operators/ListQuarantine",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("vaneway.v1.Operators", "ListQuarantine"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Clears a request of all that is held against it, at every entry box.
+        pub async fn release_request(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReleaseRequestRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ReleaseRequestResponse>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/vaneway.v1.Operators/ReleaseRequest",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("vaneway.v1.Operators", "ReleaseRequest"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Returns the process's whole state as JSON.
         pub async fn dump(
             &mut self,
@@ -356,6 +432,22 @@
             tonic::Response<super::GetStatusResponse>,
             tonic::Status,
         >;
+        /// Lists the requests under which endpoints ended, as this process knows.
+        async fn list_quarantine(
+            &self,
+            request: tonic::Request<super::ListQuarantineRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ListQuarantineResponse>,
+            tonic::Status,
+        >;
+        /// Clears a request of all that is held against it, at every entry box.
+        async fn release_request(
+            &self,
+            request: tonic::Request<super::ReleaseRequestRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ReleaseRequestResponse>,
+            tonic::Status,
+        >;
         /// Returns the process's whole state as JSON.
         async fn dump(
             &self,
@@ -618,6 +710,96 @@
                     };
                     Box::pin(fut)
                 }
+                "/vaneway.v1.Operators/ListQuarantine" => {
+                    #[allow(non_camel_case_types)]
+                    struct ListQuarantineSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::ListQuarantineRequest>
+                    for ListQuarantineSvc<T> {
+                        type Response = super::ListQuarantineResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ListQuarantineRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::list_quarantine(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ListQuarantineSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/vaneway.v1.Operators/ReleaseRequest" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReleaseRequestSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::ReleaseRequestRequest>
+                    for ReleaseRequestSvc<T> {
+                        type Response = super::ReleaseRequestResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReleaseRequestRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::release_request(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReleaseRequestSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/vaneway.v1.Operators/Dump" => {
                     #[allow(non_camel_case_types)]
                     struct DumpSvc<T: Operators>(pub Arc<T>);
--- a/src/bin/vanectl/commands/mod.rs
+++ b/src/bin/vanectl/commands/mod.rs
@@ -4,6 +4,8 @@
 mod config;
 mod dump;
 mod endpoints;
+mod quarantine;
+mod release;
 mod replicas;
 mod services;
 mod status;
@@ -26,6 +28,8 @@
   endpoints [SERVICE]   List the endpoints as the process sees them
   status                Say how the process is
   dump                  Show the whole state of the process as JSON
+  quarantine            List the requests under which endpoints ended
+  release FINGERPRINT   Let such a request run again
   apply FILE            Put a configuration in force (address of a control box)
   config                Show the newest configuration (address of a control box)
 
@@ -108,6 +112,8 @@
             "replicas" => replicas::exec(args).await,
             "endpoints" => endpoints::exec(args).await,
             "status" => status::exec(args).await,
+            "quarantine" => quarantine::exec(args).await,
+            "release" => release::exec(args).await,
             "apply" => apply::exec(args).await,
             "config" => config::exec(args).await,
             "dump" => dump::exec(args).await,
--- /dev/null
+++ b/src/bin/vanectl/commands/release.rs
@@ -0,0 +1,16 @@
+//! `vanectl release FINGERPRINT`
+
+use vaneway_server::ops;
+use vaneway_server::util::command_line::UsageError;
+
+use super::Args;
+
+/// Runs the command.
+pub async fn exec(args: Args) -> eyre::Result<String> {
+    let (target, _json, fingerprint) = args.at_most_one()?;
+    if fingerprint.is_empty() {
+        let message = "name the fingerprint of a request, see `vanectl quarantine`";
+        return Err(UsageError(message.to_owned()).into());
+    }
+    ops::quarantine::release(&target, fingerprint).await
+}
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -15,6 +15,7 @@
 use crate::platform_path::configuration;
 use crate::platform_path::stream_headers;
 use crate::support::block_on;
+use crate::support::vanectl;
 use crate::support::vanectl_json;
 
 struct Setup {
@@ -100,6 +101,25 @@
     assert_eq!((answer.status, setup.ended()), (502, 1));
 }
 
+#[test]
+fn operator_lists_requests_that_are_held_and_releases_one() {
+    let setup = Setup::start();
+    let answer = setup.send(0, "/stream/x", "q1", "deadly", Some("at once"));
+    assert_eq!(answer.status, 400);
+
+    let listed = vanectl_json(&setup.entries[0], &["quarantine"]);
+    let fingerprint = listed[0]["fingerprint"].as_str().expect("a fingerprint");
+    assert_eq!(listed[0]["verdict"], "condemned");
+    assert_eq!(listed[0]["endpoints"].as_array().map(Vec::len), Some(2));
+
+    let released = vanectl(&setup.entries[0], &["release", fingerprint]);
+    assert!(released.contains("released"), "{released}");
+    setup.entries[1].wait_for_log(&["event=request_case_told", "verdict=cleared"]);
+    // Without the mark it runs like any other.
+    let answer = setup.send(1, "/stream/x", "q2", "deadly", None);
+    assert_eq!((answer.status, answer.whole), (200, true));
+}
+
 /// A system closes the connections of a process that dies and its listening socket one after another.
 #[test]
 fn endpoint_that_listens_a_little_longer_than_it_answers_has_ended_too() {
