--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -191,6 +191,13 @@
         }
     }
 
+    /// Learns of the load and the fleet while another planner gives the orders, so that this one can go on from what
+    /// the load needs and not from what a shortage has left.
+    pub fn watch(&mut self, now: Instant, input: &Input) {
+        self.sent.clear();
+        self.learn_demand(now, input);
+    }
+
     /// What to order now.
     pub fn plan(&mut self, now: Instant, input: &Input) -> Vec<Order> {
         self.learn_demand(now, input);
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -63,11 +63,8 @@
         let configuration = &held.configuration;
         for service in &configuration.services {
             let Some(spec) = &service.capacity else { continue };
-            let mut input = input(control, &service.name, spec);
-            let seen = self.demand(control, service, input.running.values().sum());
-            input.demand = seen.map(|demand| demand.replicas());
-            let planner = self.planners.entry(service.name.clone());
-            let planner = planner.or_insert_with(|| Planner::new(control.settings.capacity));
+            let (input, seen) = self.input(control, service, spec);
+            let planner = self.planner(control, service);
             for order in planner.plan(Instant::now(), &input) {
                 if !duties::holds_duty(control) {
                     return;
@@ -85,6 +82,41 @@
         }
     }
 
+    /// Follows the load and the fleet while another box gives the orders.
+    ///
+    /// Why: a leader that has just been elected, perhaps because of what also took the replicas, must not take
+    /// the fleet that it finds for what the load needs. Before, one elected after a cut of the control boxes ordered a third of it for
+    /// five seconds, in which most requests were refused.
+    pub fn watch(&mut self, control: &Control) {
+        let Some(held) = control.machine.borrow().held().cloned() else { return };
+        if control.started.elapsed() < KNOWS_AFTER {
+            return;
+        }
+        for service in &held.configuration.services {
+            let Some(spec) = &service.capacity else { continue };
+            let (input, _) = self.input(control, service, spec);
+            self.planner(control, service).watch(Instant::now(), &input);
+        }
+    }
+
+    fn planner(&mut self, control: &Control, service: &ServiceSpec) -> &mut Planner {
+        let planner = self.planners.entry(service.name.clone());
+        planner.or_insert_with(|| Planner::new(control.settings.capacity))
+    }
+
+    /// What the planner of a service goes by, with the demand in full.
+    fn input(
+        &mut self,
+        control: &Control,
+        service: &ServiceSpec,
+        spec: &CapacitySpec,
+    ) -> (Input, Option<Demand>) {
+        let mut input = input(control, &service.name, spec);
+        let demand = self.demand(control, service, input.running.values().sum());
+        input.demand = demand.map(|demand| demand.replicas());
+        (input, demand)
+    }
+
     /// The demand for a service; none while too little was seen of its engines, or not for long, or while
     /// no entry box is heard.
     fn demand(&mut self, control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -67,8 +67,7 @@
             if holds_duty(&control) {
                 orders.give(&control, &cloud, &protocol).await;
             } else {
-                // Whoever leads next goes by what runs then.
-                orders = Orders::default();
+                orders.watch(&control);
             }
         }
         if cloud.usage_reports {
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -273,3 +273,27 @@
     // Nine ran at first; of the reclaimable ones that replace them, one zone's may be lost.
     assert_eq!(["a", "b", "c"].map(reclaimable), [4, 4, 4]);
 }
+
+/// Pattern: the control boxes are cut from each other while most replicas crash or are taken back. Whoever leads then
+/// has given no order yet, and for seconds nobody can tell the demand.
+#[test]
+fn leader_that_was_elected_in_a_shortage_orders_for_the_load_that_it_has_followed() {
+    let mut cloud = Cloud::new();
+    cloud.input.demand = Some(7.0);
+    let mut next = Planner::new(POLICY);
+    for _ in 0..10 {
+        cloud.pass(Duration::from_secs(1));
+        next.watch(cloud.now, &cloud.input);
+    }
+    let before: u32 = cloud.input.running.values().sum();
+
+    cloud.input.running = BTreeMap::from([(("a".to_owned(), Kind::OnDemand), 1)]);
+    cloud.input.demand = None;
+    // The one that is left stays, and no order names it.
+    let fleet = |planner: &mut Planner| -> u32 {
+        1 + planner.plan(cloud.now, &cloud.input).iter().map(|order| order.count).sum::<u32>()
+    };
+    assert_eq!(fleet(&mut next), before, "what the load had");
+    // A planner that has followed nothing goes by what it finds.
+    assert!(fleet(&mut Planner::new(POLICY)) < before);
+}
