--- a/crates/vaneway-server/src/ops/run.rs
+++ b/crates/vaneway-server/src/ops/run.rs
@@ -2,13 +2,9 @@
 
 use std::io;
 use std::path::Path;
-use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::Context;
-use std::task::Poll;
-use std::task::Waker;
 
-use compio::signal::unix;
 use eyre::WrapErr as _;
 use eyre::bail;
 use serde_json::Value;
@@ -26,6 +22,7 @@
 use crate::core::settings::ProcessSettings;
 use crate::core::settings::Settings;
 use crate::util::logline::Line;
+use crate::util::signals::Signal;
 
 /// Signal numbers, which are the same on every Unix that compio runs on.
 mod signal_number {
@@ -89,7 +86,7 @@
     let runtime = compio::runtime::Runtime::new().wrap_err("failed to start the event loop")?;
     Line::new("loop").with("driver", format!("{:?}", runtime.driver_type())).info();
     runtime.block_on(async {
-        let signals = Signals::listen();
+        let signals = Signals::listen().wrap_err("failed to listen for signals")?;
         match settings {
             ProcessSettings::Entry(settings) => {
                 run_entry(*settings, protocols.callers(), signals).await
@@ -128,53 +125,44 @@
     Ok(())
 }
 
-/// The wait for a signal.
-type SignalFuture = Pin<Box<dyn Future<Output = io::Result<()>>>>;
-
 /// The signals that a process heeds.
 ///
 /// Why from the first moment on and without a gap: where nothing listens, the system ends the process, also
 /// for a hangup.
 struct Signals {
-    hangup: SignalFuture,
-    terminate: SignalFuture,
-    interrupt: SignalFuture,
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
 }
 
 impl Signals {
     /// Listens from now on.
-    fn listen() -> Self {
-        Self {
-            hangup: listen(signal_number::HANGUP),
-            terminate: listen(signal_number::TERMINATE),
-            interrupt: listen(signal_number::INTERRUPT),
-        }
+    fn listen() -> io::Result<Self> {
+        Ok(Self {
+            hangup: Signal::listen(signal_number::HANGUP)?,
+            terminate: Signal::listen(signal_number::TERMINATE)?,
+            interrupt: Signal::listen(signal_number::INTERRUPT)?,
+        })
     }
 
     /// Waits until the process is asked to stop; each hangup writes `dump` to the log, also during the stop.
     async fn wait_for_stop(self, dump: impl Fn() -> Value + 'static) -> eyre::Result<()> {
         let Self { hangup, terminate, interrupt } = self;
         compio::runtime::spawn(dump_on_hangup(hangup, dump)).detach();
+        let (terminate, interrupt) = (pin!(terminate.came()), pin!(interrupt.came()));
         let stopped = futures_util::future::select(terminate, interrupt).await;
         stopped.factor_first().0.wrap_err("failed to wait for a signal")
     }
 }
 
-/// Waits for a signal; it is listened for from this call on, not from the first wait.
-fn listen(number: i32) -> SignalFuture {
-    let mut signal = Box::pin(unix::signal(number));
-    match signal.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
-        Poll::Pending => signal,
-        Poll::Ready(came) => Box::pin(std::future::ready(came)),
-    }
-}
-
-async fn dump_on_hangup(first: SignalFuture, dump: impl Fn() -> Value) {
-    // Listens while the other does not, between a hangup and the wait for the next.
-    let _kept = listen(signal_number::HANGUP);
-    let mut hangup = first;
-    while hangup.await.is_ok() {
-        hangup = listen(signal_number::HANGUP);
-        log::info!("event=dump state={}", dump());
+async fn dump_on_hangup(hangup: Signal, dump: impl Fn() -> Value) {
+    loop {
+        match hangup.came().await {
+            Ok(()) => log::info!("event=dump state={}", dump()),
+            Err(error) => {
+                log::warn!("event=hangups_not_heard error={error:?}");
+                return;
+            }
+        }
     }
 }
