--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -169,6 +169,11 @@
         self.value * (-passed.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
     }
 
+    /// The sum's worth a second, if it came evenly.
+    pub fn rate(&self, now: Instant) -> f64 {
+        self.value(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// Adds an event.
     pub fn add(&mut self, now: Instant, worth: f64) {
         self.value = self.value(now) + worth;
--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -143,10 +143,20 @@
     endpoint.parts.get(&part).is_some_and(|at| now < *at + PART_KEPT)
 }
 
+/// Tokens that have yet to be read at an endpoint, of all boxes.
+pub(crate) fn tokens_ahead(endpoint: &Endpoint, now: Instant) -> u64 {
+    endpoint.open_tokens + others(endpoint, now).tokens
+}
+
+/// What the other boxes have open at an endpoint, as far as that is known.
+fn others(endpoint: &Endpoint, now: Instant) -> Load {
+    let known = endpoint.others_told.is_some_and(|told| now < told + OTHERS_KNOWN);
+    if known { endpoint.others } else { Load::default() }
+}
+
 /// The work open at an endpoint.
 fn open_work(endpoint: &Endpoint, now: Instant) -> f64 {
-    let known = endpoint.others_told.is_some_and(|told| now < told + OTHERS_KNOWN);
-    let others = if known { endpoint.others } else { Load::default() };
+    let others = others(endpoint, now);
     let requests = f64::from(endpoint.open + others.requests);
     requests * REQUEST_TOKENS + endpoint.open_tokens as f64 + others.tokens as f64
 }
--- a/crates/vaneway-route/src/policy.rs
+++ b/crates/vaneway-route/src/policy.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// A number from 0 to 1.
+    pub(crate) fn draw(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
     fn any(&mut self, candidates: &[EndpointId]) -> Option<EndpointId> {
         (!candidates.is_empty()).then(|| candidates[self.rng.random_range(0..candidates.len())])
     }
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -39,6 +39,20 @@
     /// Hash by which the request is placed apart from others of its kind, in place of where it costs least: an
     /// endpoint ended under it, and those that ran beside it must not meet again at the next one.
     pub apart: Option<u64>,
+    /// When its first event has to come, if that is to be held.
+    pub pace: Option<Pace>,
+}
+
+/// What decides whether an engine's queue is short enough for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Seconds in which an engine reads a token of a prompt.
+    pub token: f64,
+    /// Time that the work before the request may take. Its own prompt does not count: one that takes long to read does
+    /// so anywhere.
+    pub within: Duration,
+    /// Prompt tokens that all boxes together bring before they hear of each other.
+    pub unheard: f64,
 }
 
 /// The answer to a [`Query`].
@@ -48,6 +62,8 @@
     Endpoint(EndpointId),
     /// All that could take it are full.
     Full,
+    /// All that could take it have more work than can be done in time.
+    Late,
     /// None can take it before the given time, if one is known.
     Unavailable {
         /// When the first suspension ends.
@@ -86,6 +102,10 @@
 /// gone costs a request its time and other endpoints an arrival.
 const ENDED_FOR: Duration = Duration::from_secs(10);
 
+/// How many times what boxes bring before they hear of each other the room in time must be for each box to place a
+/// request as is best for it.
+const AMPLE: f64 = 4.0;
+
 /// What a refusal counts against one failure.
 const REFUSAL_WORTH: f64 = 0.5;
 
@@ -236,6 +256,13 @@
         let weighed = self.chooser.policy() == Policy::ExpectedWork;
         for preferred in preferences.into_iter().skip(usize::from(weighed)) {
             self.collect(now, &query, preferred);
+            if let Some(pace) = query.pace.filter(|_| !self.candidates.is_empty()) {
+                match self.keep_those_in_time(now, pace) {
+                    InTime::Some => {}
+                    InTime::One(id) => return Choice::Endpoint(id),
+                    InTime::None => return Choice::Late,
+                }
+            }
             let candidates = &self.candidates;
             if let Some(id) = self.chooser.pick(&self.endpoints, candidates, now, &query) {
                 return Choice::Endpoint(id);
@@ -262,6 +289,37 @@
         }
     }
 
+    /// Finds out whether a request can be in time and, if there is not enough room for all that comes, draws.
+    ///
+    /// What boxes know of an endpoint's queue is old. If all of them turned to those that seem to have room, these
+    /// would be overrun before anyone hears of it: so a box takes no more than its part of the room that is left, and
+    /// spreads it as the room is spread.
+    fn keep_those_in_time(&mut self, now: Instant, pace: Pace) -> InTime {
+        let most = pace.within.as_secs_f64() / pace.token;
+        let ahead = |id: EndpointId| expected::tokens_ahead(&self.endpoints[id as usize], now);
+        let room = |id: EndpointId| most - ahead(id) as f64;
+        let rooms: Vec<f64> = self.candidates.iter().map(|id| room(*id)).collect();
+        let all: f64 = rooms.iter().map(|room| room.max(0.0)).sum();
+        if all > AMPLE * pace.unheard {
+            let mut rooms = rooms.iter();
+            self.candidates.retain(|_| rooms.next().is_some_and(|room| *room > 0.0));
+            return InTime::Some;
+        }
+        if self.chooser.draw() * pace.unheard.max(all) >= all {
+            return InTime::None;
+        }
+        let mut left = self.chooser.draw() * all;
+        let mut drawn = None;
+        for (id, room) in self.candidates.iter().zip(&rooms).filter(|(_, room)| **room > 0.0) {
+            drawn = Some(*id);
+            left -= room;
+            if left <= 0.0 {
+                break;
+            }
+        }
+        drawn.map_or(InTime::None, InTime::One)
+    }
+
     fn nothing(&self, now: Instant, service: ServiceId) -> Choice {
         let of_service = || self.endpoints.iter().filter(|e| e.spec.service == service);
         if of_service().any(|endpoint| endpoint.takes_work(now)) {
@@ -338,3 +396,13 @@
         endpoint.others_told = Some(now);
     }
 }
+
+/// Which candidates can bring a request's first event in time.
+enum InTime {
+    /// Those that are left, and there is ample room for what all boxes bring meanwhile.
+    Some,
+    /// This one, drawn from those that can.
+    One(EndpointId),
+    /// None, or only for a part of what comes, and the draw fell on others.
+    None,
+}
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -43,6 +43,7 @@
 use vaneway_relay::request_chart;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
+use vaneway_route::Pace;
 
 use crate::core::callers::api_error::ApiError;
 use crate::core::calls::attempt::Attempt;
@@ -55,6 +56,7 @@
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::entry::Entry;
+use crate::core::pace;
 use crate::core::quarantine;
 use crate::util::body::CallerBody;
 use crate::util::logline::Line;
@@ -99,6 +101,9 @@
         seed: entry.request_seed(open.request().number),
     };
     let (tx, rx) = oneshot::channel();
+    if let Some(work) = &request.work {
+        entry.inflow.count(Instant::now(), request.service, work);
+    }
     let request = Rc::new(request);
     open.request().set_call(Rc::clone(&request));
     let call = Call {
@@ -361,10 +366,11 @@
                 let ended_here = !self.ended_under.is_empty();
                 let apart = quarantine::placed_apart(&self.entry, request, ended_here);
                 let service = request.service as usize;
+                let pace = self.pace();
                 let event = if quarantine::is_condemned(&self.entry, request) {
                     Event::Condemned
                 } else {
-                    self.entry.choose(service, tried, request.prefix, work, apart)
+                    self.entry.choose(service, tried, request.prefix, work, apart, pace)
                 };
                 if matches!(event, Event::Unavailable { .. }) {
                     log::debug!("event=no_endpoint request={} {event:?}", request.id);
@@ -391,6 +397,16 @@
         }
     }
 
+    /// When the first event has to come, for a request that no endpoint has been asked for: what was begun goes on.
+    fn pace(&self) -> Option<Pace> {
+        let request = &self.request;
+        let Patience::Expected { by } = self.limits.patience else { return None };
+        if request.work.is_none() || !self.relay.tried().is_empty() {
+            return None;
+        }
+        pace::pace(&self.entry, request.service, &request.service_name, by)
+    }
+
     fn finish(mut self) {
         let end = match (self.failure, self.relay.state()) {
             (Some(failure), _) => failure.kind.code(),
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -472,7 +472,14 @@
 
     fn choose(&mut self) -> Event {
         self.occupancy = None;
-        self.entry.choose(self.request.service, self.relay.tried(), self.request.prefix, None, None)
+        self.entry.choose(
+            self.request.service,
+            self.relay.tried(),
+            self.request.prefix,
+            None,
+            None,
+            None,
+        )
     }
 
     /// Lets the target fetch the stream's KV cache; the result comes back as a signal.
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -23,6 +23,7 @@
 use vaneway_route::Effect;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
+use vaneway_route::Pace;
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_route::ServiceId;
@@ -37,6 +38,7 @@
 use crate::core::endpoints::upstream::Connections;
 use crate::core::metrics::Metrics;
 use crate::core::occupancy::Occupancy;
+use crate::core::pace::Inflow;
 use crate::core::quotas::Quotas;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
@@ -110,6 +112,8 @@
     pub used: RefCell<Used>,
     table: RefCell<Option<Rc<RouteTable>>>,
     service_ids: RefCell<BTreeMap<String, ServiceId>>,
+    /// Prompt tokens that callers ask to be read.
+    pub inflow: Inflow,
     /// The quotas of organisations.
     pub quotas: Quotas,
     phase: Cell<Phase>,
@@ -178,6 +182,7 @@
             used: RefCell::default(),
             table: RefCell::default(),
             service_ids: RefCell::new(service_ids),
+            inflow: Inflow::default(),
             quotas: Quotas::new(follow.map(|follow| follow.quota)),
             phase: Cell::new(Phase::Serving),
             started: Instant::now(),
@@ -232,6 +237,7 @@
         prefix: u64,
         work: Option<&Work>,
         apart: Option<u64>,
+        pace: Option<Pace>,
     ) -> Event {
         let query = Query {
             service: service as u32,
@@ -240,10 +246,11 @@
             prefix,
             work,
             apart,
+            pace,
         };
         match self.pool.borrow_mut().choose(Instant::now(), query) {
             Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
-            Choice::Full => Event::Unavailable { full: true, until: None },
+            Choice::Full | Choice::Late => Event::Unavailable { full: true, until: None },
             Choice::Unavailable { until } => Event::Unavailable { full: false, until },
         }
     }
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod occupancy;
 pub mod operators;
+pub mod pace;
 pub mod quarantine;
 pub mod quota_ledger;
 pub mod quotas;
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -114,6 +114,11 @@
         self.engine(service).observe(run);
     }
 
+    /// How fast the engines of a service were seen to be.
+    pub fn speeds(&mut self, service: &str) -> Speeds {
+        self.engines.get_mut(service).map(Observer::speeds).unwrap_or_default()
+    }
+
     fn engine(&mut self, service: &str) -> &mut Observer {
         self.engines.entry(service.to_owned()).or_default()
     }
