--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -174,8 +174,8 @@
         }
     }
 
-    /// Notes that some box found an endpoint to have ended. It gets no work for [`ENDED_FOR`], and then one
-    /// request at a time; it may have started again at its address.
+    /// Notes that some box found an endpoint to have ended. It gets no work for [`ENDED_FOR`], since it may have started
+    /// again at its address.
     pub fn ended(&mut self, now: Instant, id: EndpointId, out: &mut Vec<Effect>) {
         self.handle(now, id, EndpointEvent::Failed, out);
         let endpoint = &mut self.endpoints[id as usize];
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -84,9 +84,9 @@
 
     /// Follows the load and the fleet while another box gives the orders.
     ///
-    /// Why: a leader that has just been elected, perhaps because of what also took the replicas, must not take
-    /// the fleet that it finds for what the load needs. Before, one elected after a cut of the control boxes ordered a third of it for
-    /// five seconds, in which most requests were refused.
+    /// Why: a leader that has just been elected, perhaps because of what also took the replicas, must not take the
+    /// fleet that it finds for what the load needs. One that did would order a third of it until it knows the
+    /// demand, for five seconds in which hardly a request is in time.
     pub fn watch(&mut self, control: &Control) {
         let Some(held) = control.machine.borrow().held().cloned() else { return };
         if control.started.elapsed() < KNOWS_AFTER {
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,8 +1,10 @@
 //! What several modules of the suite share.
 
+use std::net::SocketAddr;
 use std::process::Command;
 
 use serde_json::Value;
+use vaneway_route::EndpointSpec;
 use vaneway_test_support::Deployment;
 use vaneway_test_support::Engine;
 use vaneway_test_support::EngineOptions;
@@ -48,3 +50,17 @@
     let args: Vec<_> = args.iter().copied().chain(["--json"]).collect();
     serde_json::from_str(&vanectl(process, &args)).expect("JSON")
 }
+
+/// Engines of a simulated fleet, by number: each is in the same availability zone and takes what the largest takes.
+pub fn simulated_engines(count: u32) -> Vec<EndpointSpec> {
+    let engine = |i: u32| EndpointSpec {
+        name: format!("engine-{i}"),
+        service: 0,
+        address: SocketAddr::from(([127, 0, 0, 1], 1 + i as u16)),
+        availability_zone: "a".to_owned(),
+        box_name: format!("engine-{i}"),
+        reclaimable: false,
+        max_open: 288,
+    };
+    (0..count).map(engine).collect()
+}
