--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Notes that some box found an endpoint to have ended. It gets no work for [`ENDED_FOR`], since it may have started
+    /// Notes that some box found an endpoint to have ended. It gets no work for `ENDED_FOR`, since it may have started
     /// again at its address.
     pub fn ended(&mut self, now: Instant, id: EndpointId, out: &mut Vec<Effect>) {
         self.handle(now, id, EndpointEvent::Failed, out);
