--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -71,7 +71,7 @@
 }
 
 /// Header of a request that ends the endpoint which runs it, as the crash of its process would; with the value `late`
-/// its connection breaks first and the endpoint listens for [`LISTENS_FOR`] more.
+/// its connection breaks first and the endpoint listens 5 ms more.
 pub const ENDS_ENDPOINT: &str = "x-ends-endpoint";
 
 /// Time between a connection's end and the listening socket's where a process dies: its system closes one after another.
