--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -13,9 +13,10 @@
 //! - events of its answer had come from there: its prompt was read without harm;
 //! - it has a common cause with others: several endpoints that end at the same moment.
 //!
-//! The second end that counts condemns, and the third of any kind: so three endpoints are the most that one
-//! request can end over all boxes that hear of each other, and an innocent one is condemned only if its prompt was
-//! being read at two unrelated crashes. A request that is answered whole is cleared.
+//! The second end that counts condemns, and the third of any kind: so three endpoints are the most that a caller's
+//! request can end over all its tries at boxes that hear of each other. Copies that other callers send at the same time may
+//! end more before their boxes hear of it. An innocent request is condemned only if its prompt was being read at
+//! two unrelated crashes. A request that is answered whole is cleared.
 //!
 //! Findings are merged by the cluster's time, so they may be lost, repeated and reordered: the worst verdict counts
 //! until a later clearance.
