--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -31,6 +31,7 @@
 use crate::core::endpoints::upstream::Answered;
 use crate::core::endpoints::upstream::SendError;
 use crate::core::entry::Entry;
+use crate::core::limits;
 use crate::core::occupancy::Occupancy;
 use crate::core::quarantine;
 use crate::util::body::CallerBody;
@@ -160,7 +161,10 @@
             }
         };
         let (head, body) = response.into_parts();
-        let item = match protocol.judge(&request, &head) {
+        let verdict = protocol.judge(&request, &head);
+        let named = protocol.named_limit(&head.headers);
+        limits::answered(&entry, endpoint, &request, verdict, head.status, named);
+        let item = match verdict {
             Verdict::Answer => {
                 let streamed = matches!(request.form, AnswerForm::Events { .. });
                 if streamed && head.status.is_success() {
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -25,6 +25,8 @@
 use hyper::header::UPGRADE;
 use hyper::http::request::Builder;
 use hyper::http::response;
+use vaneway_limit::Rate;
+use vaneway_limit::RateError;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::RunState;
 use vaneway_route::EndpointSpec;
@@ -34,6 +36,10 @@
 use crate::core::callers::api_error::RUN_HEADER;
 use crate::core::endpoints::link::EndpointRequest;
 
+/// Header of an answer in which a plain service's endpoint names the requests a second that it takes from all entry boxes
+/// together, for as long as it says so.
+pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("x-vaneway-limit");
+
 /// Headers that belong to one connection and do not pass through.
 pub const HOP_HEADERS: [HeaderName; 9] = [
     CONNECTION,
@@ -110,10 +116,26 @@
     /// What the head of an answer means.
     fn judge(&self, call: &CallRequest, head: &response::Parts) -> Verdict;
 
+    /// Requests a second that the endpoint takes from all entry boxes together, if the head of an answer names that.
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, RateError>;
+
     /// Prepares the headers of an answer for the caller.
     fn pass_headers(&self, headers: &mut HeaderMap);
 }
 
+/// Reads a limit from the header `name`. Of several the lowest counts; if one of them can't be read, none does.
+pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Rate>, RateError> {
+    let mut lowest = None;
+    for value in headers.get_all(name) {
+        let text = value.to_str().ok().ok_or(RateError::NotANumber)?;
+        for part in text.split(',') {
+            let rate: Rate = part.parse()?;
+            lowest = Some(lowest.map_or(rate, |known: Rate| known.min(rate)));
+        }
+    }
+    Ok(lowest)
+}
+
 /// Copies the headers that pass through: all but those of one connection and those in `own`,
 /// which this box sets itself.
 pub fn copy_headers(builder: Builder, headers: &HeaderMap, own: &[HeaderName]) -> Builder {
@@ -177,6 +199,10 @@
         }
     }
 
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, RateError> {
+        read_limit(headers, &LIMIT_HEADER)
+    }
+
     fn pass_headers(&self, headers: &mut HeaderMap) {
         remove_hop_headers(headers);
         headers.insert(RUN_HEADER, HeaderValue::from_static(RunState::Ran.name()));
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -13,6 +13,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use vaneway_limit::NamedLimits;
 use vaneway_marks::Instance;
 use vaneway_quarantine::Quarantine;
 use vaneway_registry::InstanceId;
@@ -108,6 +109,8 @@
     pub registered: RefCell<BTreeMap<InstanceId, EndpointId>>,
     /// Requests under which endpoints ended.
     pub quarantine: RefCell<Quarantine>,
+    /// Limits that endpoints name in their answers.
+    pub limits: RefCell<NamedLimits>,
     /// What the requests of this box counted, for the control boxes.
     pub used: RefCell<Used>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -179,6 +182,7 @@
             registry: RefCell::default(),
             registered: RefCell::default(),
             quarantine: RefCell::default(),
+            limits: RefCell::default(),
             used: RefCell::default(),
             table: RefCell::default(),
             service_ids: RefCell::new(service_ids),
--- a/crates/vaneway-server/src/core/metrics.rs
+++ b/crates/vaneway-server/src/core/metrics.rs
@@ -36,6 +36,8 @@
     pub refused: IntCounterVec,
     /// Verdicts on requests under which endpoints ended, by service.
     pub quarantine: IntCounterVec,
+    /// Changes of the limits that endpoints name in their answers, by service: `named`, `ended` or `unreadable`.
+    pub limits: IntCounterVec,
     /// Reclaim notices seen.
     pub notices: IntCounter,
     /// Datagrams dropped because their tag, form or sender was wrong.
@@ -72,6 +74,12 @@
                 "Verdicts on requests under which endpoints ended",
                 &["service", "verdict"],
             ),
+            limits: vec(
+                &registry,
+                "endpoint_limits",
+                "Changes of the limits that endpoints name",
+                &["service", "change"],
+            ),
             notices: counter(&registry, "notices", "Reclaim notices seen"),
             datagrams_dropped: counter(&registry, "datagrams_dropped", "Datagrams dropped"),
             open: register(
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod endpoints;
 pub mod entry;
 pub mod kept_parts;
+pub mod limits;
 pub mod loads;
 pub mod metrics;
 pub mod occupancy;
