--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -51,6 +51,8 @@
 /// A request as the endpoint got it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Seen {
+    /// When it came.
+    pub at: Instant,
     /// Method and path.
     pub line: String,
     /// Headers by name.
@@ -62,10 +64,10 @@
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
+    /// Requests a second that its answers name as its limit.
+    limit: Option<String>,
     seen: Vec<Seen>,
     runs: BTreeMap<String, u32>,
-    /// When a request last arrived.
-    arrived: Option<Instant>,
     /// Ends it; none once it has ended.
     end: Option<oneshot::Sender<()>>,
 }
@@ -126,6 +128,11 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Names a limit in all further answers, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        lock(&self.state).limit = limit.map(str::to_owned);
+    }
+
     /// The requests that it got.
     pub fn seen(&self) -> Vec<Seen> {
         lock(&self.state).seen.clone()
@@ -138,7 +145,7 @@
 
     /// When a request last arrived, if one ever did.
     pub fn last_arrival(&self) -> Option<Instant> {
-        lock(&self.state).arrived
+        lock(&self.state).seen.last().map(|seen| seen.at)
     }
 
     /// How often it ran the request with this id.
@@ -191,15 +198,14 @@
     let streamed = headers.contains_key("x-token-usage");
     let after = headers.get("last-event-id").and_then(|after| after.parse().ok()).unwrap_or(0);
     let ends_by = headers.get(ENDS_ENDPOINT).cloned();
-    let behaviour = {
+    let (behaviour, limit) = {
         let mut state = lock(&state);
         let body = String::from_utf8_lossy(&body).into_owned();
-        state.arrived = Some(Instant::now());
-        state.seen.push(Seen { line, headers, body });
+        state.seen.push(Seen { at: Instant::now(), line, headers, body });
         if expected && state.behaviour != Behaviour::Refuse {
             *state.runs.entry(id.clone()).or_default() += 1;
         }
-        state.behaviour
+        (state.behaviour, state.limit.clone())
     };
     if !expected {
         return answer(
@@ -226,7 +232,7 @@
             return std::future::pending().await;
         }
     }
-    match behaviour {
+    let mut response = match behaviour {
         Behaviour::Refuse => {
             let body = CallerBody::full(Bytes::new());
             let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, &id, &instance, body);
@@ -269,7 +275,11 @@
         Behaviour::Answer | Behaviour::BreakAfter(_) | Behaviour::Hang | Behaviour::Steadily => {
             answer(StatusCode::OK, &id, &instance, CallerBody::full(body))
         }
+    };
+    if let Some(limit) = limit {
+        response.headers_mut().insert("server-limit", limit.parse().expect("valid header value"));
     }
+    response
 }
 
 /// The stream behind `after` of an endpoint that behaves so.
--- /dev/null
+++ b/tests/testsuite/endpoint_limits.rs
@@ -0,0 +1,130 @@
+//! Endpoints that name how many requests a second they take from all entry boxes together.
+//!
+//! Seen: engines in need named 1 to 1.5 requests a second, and got two to five times that from eight entry boxes, as many
+//! as before.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use vaneway_test_support::Caller;
+use vaneway_test_support::ControlGroup;
+use vaneway_test_support::Process;
+use vaneway_test_support::WireEndpoint;
+
+use crate::platform_path::HOST;
+use crate::platform_path::KEY;
+use crate::platform_path::configuration;
+use crate::support::block_on;
+
+/// Time for which operators let boxes learn of a limit before it binds.
+const BINDS_AFTER: Duration = Duration::from_secs(4);
+
+/// Time over which operators count what an endpoint gets.
+const COUNTED_OVER: Duration = Duration::from_secs(4);
+
+/// Requests beyond a limit that operators allow in that time.
+const SLACK: f64 = 5.0;
+
+/// How many times a limit operators allow.
+const TOLERANCE: f64 = 1.5;
+
+/// Most requests that an endpoint may get in any `COUNTED_OVER`.
+fn allowed(rate: f64) -> usize {
+    (rate * TOLERANCE * COUNTED_OVER.as_secs_f64() + SLACK) as usize
+}
+
+/// The most of `arrivals` in any `COUNTED_OVER`.
+fn most(arrivals: &[Instant]) -> usize {
+    let within = |first: &Instant| {
+        arrivals.iter().filter(|at| *at >= first && **at < *first + COUNTED_OVER).count()
+    };
+    arrivals.iter().map(within).max().unwrap_or_default()
+}
+
+/// Entry boxes, and callers that send to all of them without a pause for answers.
+struct Fleet {
+    control: ControlGroup,
+    entries: Vec<Process>,
+    endpoints: Vec<WireEndpoint>,
+}
+
+impl Fleet {
+    fn start(entries: usize, endpoints: &[&str]) -> Self {
+        let control = ControlGroup::start_adapted(
+            Path::new(env!("CARGO_BIN_EXE_vaneway")),
+            1,
+            Some("platform"),
+        );
+        let entries = (0..entries).map(|i| control.start_entry(&format!("entry-{i}"))).collect();
+        let endpoints = endpoints.iter().map(|id| WireEndpoint::spawn(id)).collect();
+        let fleet = Self { control, entries, endpoints };
+        let configuration = configuration(1).to_string();
+        fleet.control.until("the configuration is taken", |i| {
+            let answer = fleet.control.call(i, "POST", "/config/replace", &configuration);
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+        for endpoint in &fleet.endpoints {
+            let (path, body) = endpoint.heartbeat("maps", "ready", 1);
+            let answer = fleet.control.call(0, "POST", &path, &body).expect("an answer");
+            assert_eq!(answer.status, 200);
+            for entry in &fleet.entries {
+                let replica = path.split('/').nth(2).expect("a path with the endpoint's id");
+                entry.wait_for_log(&["event=endpoint", &format!("replica={replica}")]);
+            }
+        }
+        fleet
+    }
+
+    /// Sends a request to each entry box every `every`; returns how many of them were not served.
+    fn call(&self, every: Duration, lasts: Duration) -> usize {
+        let callers =
+            self.entries.iter().map(|entry| Caller::new(entry.listen(), KEY).at_host(HOST));
+        let ends = Instant::now() + lasts;
+        block_on(async {
+            let each = callers.map(Rc::new).map(|caller| async move {
+                let mut open = Vec::new();
+                while Instant::now() < ends {
+                    let caller = Rc::clone(&caller);
+                    open.push(compio::runtime::spawn(async move {
+                        let headers = [("x-request-id", "r"), ("x-deadline-ms", "2000")];
+                        let method = hyper::Method::GET;
+                        caller.send_with(method, "/safe/x", &headers, "").await.status
+                    }));
+                    compio::time::sleep(every).await;
+                }
+                join_all(open).await.into_iter().filter(|status| !matches!(status, Ok(200))).count()
+            });
+            join_all(each).await.into_iter().sum()
+        })
+    }
+}
+
+/// What `endpoint` got from `from` on.
+fn arrivals(endpoint: &WireEndpoint, from: Instant) -> Vec<Instant> {
+    endpoint.seen().iter().map(|seen| seen.at).filter(|at| *at >= from).collect()
+}
+
+/// The aim: an endpoint gets what it named, within what operators allow, and not nothing; the others take the rest; and
+/// once it names nothing any more it is used as before.
+#[test]
+fn endpoint_gets_what_it_named_from_all_entry_boxes_together() {
+    let fleet = Fleet::start(4, &["i-a", "i-b", "i-c"]);
+    let every = Duration::from_millis(200);
+    fleet.endpoints[0].name_limit(Some("1"));
+    let named = Instant::now();
+    assert_eq!(fleet.call(every, BINDS_AFTER + 2 * COUNTED_OVER), 0, "all are served");
+    let got = arrivals(&fleet.endpoints[0], named + BINDS_AFTER);
+    assert!(!got.is_empty(), "the endpoint is not shut out");
+    let most = most(&got);
+    let allowed = allowed(1.0);
+    assert!(most <= allowed, "{most} requests in {COUNTED_OVER:?}, {allowed} allowed");
+
+    fleet.endpoints[0].name_limit(None);
+    let ended = Instant::now();
+    assert_eq!(fleet.call(every, 2 * COUNTED_OVER), 0, "all are served");
+    let after = arrivals(&fleet.endpoints[0], ended).len();
+    assert!(after > 2 * allowed, "{after} requests after the limit had ended");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod decisions;
 mod decisions_of_control;
 mod deploy;
+mod endpoint_limits;
 mod engine_speeds;
 mod event_streams;
 mod logs;
