--- a/crates/vaneway-limit/src/gate.rs
+++ b/crates/vaneway-limit/src/gate.rs
@@ -68,6 +68,11 @@
         self.named.as_ref()
     }
 
+    /// Whether there is a limit now.
+    pub fn is_limited(&self, now: Time) -> bool {
+        self.rate_in(self.slot(now)).is_some()
+    }
+
     /// Whether a request may be sent.
     pub fn is_open(&self, turn: Turn) -> bool {
         let slot = self.slot(turn.now);
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -272,7 +272,7 @@
         for preferred in preferences.into_iter().skip(usize::from(weighed)) {
             self.collect(now, &query, preferred);
             if let Some(pace) = query.pace.filter(|_| !self.candidates.is_empty()) {
-                match self.keep_those_in_time(now, pace) {
+                match self.keep_those_in_time(now, pace, query.turn) {
                     InTime::Some => {}
                     InTime::One(id) => return Choice::Endpoint(id),
                     InTime::None => return Choice::Late,
@@ -310,7 +310,9 @@
     /// What boxes know of an endpoint's queue is old. If all of them turned to those that seem to have room, these
     /// would be overrun before anyone hears of it: so a box takes no more than its part of the room that is left, and
     /// spreads it as the room is spread.
-    fn keep_those_in_time(&mut self, now: Instant, pace: Pace) -> InTime {
+    ///
+    /// What a limit leaves to this box is no other's, so there is nothing to draw.
+    fn keep_those_in_time(&mut self, now: Instant, pace: Pace, turn: Turn) -> InTime {
         let most = pace.within.as_secs_f64() / pace.token;
         let ahead = |id: EndpointId| expected::tokens_ahead(&self.endpoints[id as usize], now);
         let room = |id: EndpointId| most - ahead(id) as f64;
@@ -321,6 +323,19 @@
             self.candidates.retain(|_| rooms.next().is_some_and(|room| *room > 0.0));
             return InTime::Some;
         }
+        let mut rooms_of = self.candidates.iter().copied().zip(rooms.iter().copied());
+        let is_own = |id: EndpointId, room: f64| {
+            room > 0.0 && self.endpoints[id as usize].gate.is_limited(turn.now)
+        };
+        if rooms_of.any(|(id, room)| is_own(id, room)) {
+            let endpoints = &self.endpoints;
+            let mut rooms = rooms.iter();
+            self.candidates.retain(|id| {
+                let room = rooms.next().is_some_and(|room| *room > 0.0);
+                room && endpoints[*id as usize].gate.is_limited(turn.now)
+            });
+            return InTime::Some;
+        }
         if self.chooser.draw() * pace.unheard.max(all) >= all {
             return InTime::None;
         }
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use vaneway_limit::Named;
+use vaneway_limit::Place;
 use vaneway_limit::Turn;
 use vaneway_route::Choice;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
 use vaneway_route::Load;
 use vaneway_route::PART_KEPT;
+use vaneway_route::Pace;
 use vaneway_route::Policy;
 use vaneway_route::Pool;
 use vaneway_route::PromptPart;
@@ -188,3 +191,37 @@
     fleet.pool.begin(fleet.now, 0, 1, Some(&work));
     assert_eq!(fleet.pool.take_brought(), [(0, 7)]);
 }
+
+/// What a limit leaves to a box is its own: no other box can take it before this one hears of it, so the work that
+/// others bring meanwhile is no reason to refuse.
+#[test]
+fn box_sends_what_a_limit_leaves_it_however_much_comes_to_the_others() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::seeded(&["a", "a"], seed);
+        let now = Duration::from_secs(1_000);
+        for endpoint in [0, 1] {
+            let rate = "2".parse().expect("a rate");
+            fleet.pool.limit(endpoint, Named { born: 0, rate, ended: false, at: now });
+        }
+        let place = Some(Place { number: 0, of: 1 });
+        let query = Query {
+            service: SERVICE,
+            home: "a",
+            avoid: &[],
+            prefix: 0,
+            work: None,
+            apart: None,
+            pace: Some(Pace {
+                token: 0.001,
+                within: Duration::from_millis(500),
+                unheard: 1_000_000.0,
+            }),
+            turn: Turn { now, place },
+        };
+        let choices: Vec<Choice> = (0..6).map(|_| fleet.pool.choose(fleet.now, query)).collect();
+        let sent = choices.iter().filter(|choice| matches!(choice, Choice::Endpoint(_))).count();
+        // Two requests a second for each, and what is left over from fractions.
+        assert!(sent >= 4, "seed {seed}: {choices:?}");
+        assert_eq!(choices.last(), Some(&Choice::Limited), "seed {seed}");
+    }
+}
