--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -35,6 +35,11 @@
 }
 
 impl Named {
+    /// Whether it is of the incarnation `born`, as far as is known.
+    pub fn is_of(&self, born: Born) -> bool {
+        self.born == born || self.born == 0 || born == 0
+    }
+
     /// Whether both say the same, whenever it was seen.
     fn says_the_same(&self, other: &Self) -> bool {
         (self.born, self.rate, self.ended) == (other.born, other.rate, other.ended)
@@ -75,14 +80,16 @@
         born: Born,
         rate: Option<Rate>,
     ) -> Option<Named> {
-        let known = self.by_endpoint.get(endpoint).filter(|known| known.born == born).copied();
+        let known = self.by_endpoint.get(endpoint).filter(|known| known.is_of(born)).copied();
+        let born = known.map_or(born, |known| known.born.max(born));
         // Newer than what was told before, also where the clock of whoever told it is ahead.
         let at = known.map_or(now, |known| now.max(known.at + Duration::from_micros(1)));
         let named = match (rate, known) {
             (Some(rate), _) => Named { born, rate, ended: false, at },
-            (None, Some(known)) => Named { ended: true, at, ..known },
+            (None, Some(known)) => Named { born, ended: true, at, ..known },
             (None, None) => return None,
         };
+        // Also in place of what was known without its incarnation.
         if known.is_some_and(|known| known.says_the_same(&named)) {
             return None;
         }
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -75,7 +75,7 @@
     let Some(endpoint) = entry.registered.borrow().get(name).copied() else { return };
     let named = entry.limits.borrow().get(name).copied();
     let born = entry.registry.borrow().get(name).map_or(0, |known| known.born);
-    if let Some(named) = named.filter(|named| named.born == born) {
+    if let Some(named) = named.filter(|named| named.is_of(born)) {
         entry.pool.borrow_mut().limit(endpoint, named);
     }
 }
--- a/tests/testsuite/limits_fleet.rs
+++ b/tests/testsuite/limits_fleet.rs
@@ -349,3 +349,34 @@
         assert!(outcome.worst <= 1.0, "seed {seed} {load:?}: {outcome:?}");
     }
 }
+
+fn rate(text: &str) -> Rate {
+    text.parse().expect("a rate")
+}
+
+/// The platform or an earlier version of a box may not tell when an endpoint was born.
+#[test]
+fn limit_that_was_named_before_the_incarnation_was_known_ends_with_its_answers() {
+    let mut limits = NamedLimits::default();
+    assert!(limits.answered(START, ENDPOINT, 0, Some(rate("1.5"))).is_some());
+    let ended = limits.answered(START + STEP, ENDPOINT, 1_000, None).expect("it has ended");
+    assert_eq!((ended.born, ended.ended), (1_000, true));
+    // Nothing of an earlier incarnation is known of a later one.
+    assert_eq!(limits.answered(START + 2 * STEP, ENDPOINT, 2_000, None), None);
+}
+
+/// Two boxes hear of the same endpoint in any order, and one of them has a clock that is ahead.
+#[test]
+fn later_word_wins_wherever_it_was_heard() {
+    let (mut a, mut b) = (NamedLimits::default(), NamedLimits::default());
+    let ahead = Duration::from_secs(5);
+    a.answered(START + ahead, ENDPOINT, 1, Some(rate("1")));
+    let told = a.take_news();
+    b.merge(START, &told);
+    assert_eq!(b.get(ENDPOINT).map(|named| named.at), Some(START), "not from the future");
+    let ended = b.answered(START + STEP, ENDPOINT, 1, None).expect("news");
+    assert!(ended.ended);
+    assert_eq!(b.merge(START + STEP, &told), [], "the earlier word comes again");
+    // Its own answers count for the box that is ahead, too.
+    assert!(a.answered(START + STEP, ENDPOINT, 1, None).is_some());
+}
