--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -65,6 +65,8 @@
     pub running: BTreeMap<(ZoneName, Kind), u32>,
     /// Reclaimable replicas that are leaving, on an order or because the cloud takes them back.
     pub leaving: BTreeMap<ZoneName, u32>,
+    /// What of the running replicas is lost to limits that they name, in replicas.
+    pub limited: f64,
 }
 
 /// An order: so many replicas of this kind in this zone.
@@ -203,9 +205,12 @@
         self.learn_demand(now, input);
         let demand = self.highest_demand(now, input, self.policy.demand_kept);
         let recent = self.highest_demand(now, input, self.policy.scarce_kept);
+        // They run and are paid for, so those that do their work come on top; never more than as many again, also if
+        // whatever runs names limits.
+        let beside = |count: u32| count + (input.limited.round() as u32).min(count);
         let need = Need {
-            plenty: replicas(demand, self.policy.busy_most),
-            scarce: replicas(recent, self.policy.busy_scarce),
+            plenty: beside(replicas(demand, self.policy.busy_most)),
+            scarce: beside(replicas(recent, self.policy.busy_scarce)),
             last: (recent * self.policy.last_share).ceil() as u32,
         };
         for zone in input.leaving.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -67,6 +67,11 @@
 }
 
 impl NamedLimits {
+    /// Whether no endpoint is known to have named a limit, so that there is none to end.
+    pub fn is_empty(&self) -> bool {
+        self.by_endpoint.is_empty()
+    }
+
     /// What an endpoint named last, if it ever named a limit.
     pub fn get(&self, endpoint: &str) -> Option<&Named> {
         self.by_endpoint.get(endpoint)
--- a/crates/vaneway-server/src/core/callers/api_error.rs
+++ b/crates/vaneway-server/src/core/callers/api_error.rs
@@ -66,9 +66,10 @@
             FailureKind::NoEndpoint => {
                 (StatusCode::SERVICE_UNAVAILABLE, "no endpoint of the service takes work now")
             }
-            FailureKind::Overloaded => {
-                (StatusCode::SERVICE_UNAVAILABLE, "every endpoint of the service is full")
-            }
+            FailureKind::Overloaded => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "every endpoint of the service is full, or has got as much as it takes now",
+            ),
             FailureKind::DeadlineExceeded => {
                 (StatusCode::GATEWAY_TIMEOUT, "the service's deadline passed")
             }
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -75,6 +75,7 @@
                     .with("availability_zone", &order.zone)
                     .with("kind", format!("{:?}", order.kind))
                     .with("count", order.count)
+                    .with("limited", format!("{:.2}", input.limited))
                     .with("answer", format!("{answer:?}"));
                 with_demand(line, seen).info();
                 planner.answered(Instant::now(), &order, answer);
@@ -114,6 +115,10 @@
         let mut input = input(control, &service.name, spec);
         let demand = self.demand(control, service, input.running.values().sum());
         input.demand = demand.map(|demand| demand.replicas());
+        if let Some(demand) = input.demand.filter(|demand| *demand > 0.0) {
+            let runs = self.rates.get(&service.name).map_or(0.0, |rates| rates.runs);
+            input.limited = limited(control, &service.name, runs / demand);
+        }
         (input, demand)
     }
 
@@ -180,7 +185,25 @@
         start_takes: spec.start_takes,
         running,
         leaving,
+        limited: 0.0,
+    }
+}
+
+/// What of a service's replicas is lost to limits that they name, in replicas; one that is busy all the time would do
+/// `full` requests a second.
+fn limited(control: &Control, service: &str, full: f64) -> f64 {
+    if full <= 0.0 {
+        return 0.0;
     }
+    let limits = control.limits.borrow();
+    let registry = control.registry.borrow();
+    let lost = registry.iter().filter_map(|(instance, known)| {
+        let named = limits.get(instance).filter(|named| named.is_of(known.born) && !named.ended)?;
+        let serves = known.details.as_ref().is_some_and(|details| details.service == service);
+        let takes = (named.rate.per_second() / full).min(1.0);
+        (serves && known.standing == Standing::Ready).then_some(1.0 - takes)
+    });
+    lost.sum()
 }
 
 async fn place<C: CloudProtocol>(
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -29,7 +29,8 @@
     status: StatusCode,
     named: Result<Option<Rate>, RateError>,
 ) {
-    if matches!(verdict, Verdict::Replaced | Verdict::Foreign) {
+    let names_nothing = named == Ok(None) && entry.limits.borrow().is_empty();
+    if names_nothing || matches!(verdict, Verdict::Replaced | Verdict::Foreign) {
         return;
     }
     let name = entry.pool.borrow().get(endpoint).spec.name.clone();
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -52,6 +52,7 @@
             start_takes: START_TAKES,
             running: running.into(),
             leaving: BTreeMap::new(),
+            limited: 0.0,
         };
         Self {
             now: Instant::now(),
@@ -131,6 +132,27 @@
     }
 }
 
+/// Replicas that name limits run and are paid for, and take next to nothing: others do their work, also after the loss of
+/// a zone. They don't make the fleet grow for ever when whatever runs names one.
+#[test]
+fn replicas_that_name_limits_are_made_up_for() {
+    let mut cloud = Cloud::new();
+    cloud.pass(Duration::from_secs(12));
+    let calm = cloud.running();
+    cloud.input.limited = 2.0;
+    cloud.pass(Duration::from_secs(12));
+    for zone in ["a", "b", "c"] {
+        let lost = cloud.input.running[&(zone.to_owned(), Kind::Reclaimable)];
+        assert!(cloud.running() - lost - 2 >= 4, "{:?}", cloud.input.running);
+    }
+    cloud.input.limited = f64::from(cloud.running());
+    cloud.pass(Duration::from_mins(1));
+    assert!(cloud.running() <= 2 * calm + 2, "{:?}", cloud.input.running);
+    cloud.input.limited = 0.0;
+    cloud.pass(Duration::from_mins(1));
+    assert_eq!(cloud.running(), calm, "{:?}", cloud.input.running);
+}
+
 #[test]
 fn on_demand_replicas_stand_in_while_reclaimable_ones_are_refused() {
     let mut cloud = Cloud::new();
