--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -44,7 +44,9 @@
 ///
 /// If the deployment does not come up, or does not serve again after the faults.
 pub fn run(program: &Path, seed: u64, time: Duration) -> Report {
-    let steps = plan::plan(seed, time);
+    let mut steps = plan::plan(seed, time);
+    steps.extend(plan::limits(seed));
+    steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
     let callers = Callers::start(seed, world.entry_addresses());
     let begin = Instant::now();
@@ -53,6 +55,8 @@
         world.apply(&step.action);
     }
     world.heal();
+    // Limits bind all boxes only now.
+    std::thread::sleep(promises::LIMIT_BINDS_AFTER + promises::LIMIT_COUNTED_OVER);
     let calls = callers.finish();
     let evidence = Evidence { calls: &calls, world: &world };
     let mut ends = BTreeMap::new();
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -52,6 +52,8 @@
     Configure,
     /// Lets an endpoint say that it leaves, and another take its place.
     Drain(usize),
+    /// Lets an endpoint name so many requests a second as its limit from now on.
+    NameLimit(usize, &'static str),
 }
 
 /// An action with its time from the beginning.
@@ -79,6 +81,27 @@
     steps
 }
 
+/// Limits that endpoints name, in requests a second.
+const LIMITS: [&str; 4] = ["0.2", "1", "1.5", "6"];
+
+/// Sets the limits' random numbers apart from the faults', so that these are what they were without limits.
+const LIMITS_STREAM: u64 = 0x4C49_4D49_5453;
+
+/// The limits of a seed: one endpoint, or two, soon after the beginning.
+pub fn limits(seed: u64) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ LIMITS_STREAM);
+    let first = rng.random_range(0..ENDPOINTS);
+    let count = rng.random_range(1..ENDPOINTS);
+    let limit = |i| {
+        let at = Duration::from_millis(rng.random_range(0..1_000));
+        let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+        Step { at, action: Action::NameLimit((first + i) % ENDPOINTS, limit) }
+    };
+    let mut limits: Vec<Step> = (0..count).map(limit).collect();
+    limits.sort_by_key(|step| step.at);
+    limits
+}
+
 /// The actions with which a fault begins and ends.
 fn fault(rng: &mut Pcg64Mcg) -> (Vec<Action>, Vec<Action>) {
     let entry = rng.random_range(0..ENTRY_BOXES);
