--- a/crates/vaneway-limit/src/gate.rs
+++ b/crates/vaneway-limit/src/gate.rs
@@ -8,25 +8,25 @@
 use crate::Named;
 use crate::Time;
 
-/// Length of a slot: a box with a few requests a second has one for most slots that are its own, and what operators count
-/// over seconds can't hold much more than the slots within.
-pub const SLOT: Duration = Duration::from_secs(1);
+/// Length of an interval. Long enough that a box with a few requests a second has one in most intervals that are its
+/// own; short against the seconds over which operators count.
+pub const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Fewest requests a second that an endpoint gets. Only an answer says that a limit has ended, so one that takes
 /// next to nothing must still be asked now and then.
 const RATE_LEAST: f64 = 0.1;
 
-/// How long a limit that has ended is lifted step by step, to twice as much in each slot. What all boxes kept away must
-/// not come at once.
+/// How long a limit that has ended is lifted step by step, to twice as much in each interval: what all boxes kept away
+/// must not come at once.
 const LIFTED_OVER: Duration = Duration::from_secs(5);
 
-/// Part of a slot's length by which the fractions of requests of two slots in a row differ: the golden ratio's, which
-/// spreads the slots that have one more as evenly as can be.
+/// What is added from one interval to the next to tell which of them has a request more where the limit gives a fraction:
+/// the golden ratio's part of all numbers, which spreads these as evenly as can be.
 const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// Which of the boxes that share all limits a box is.
+/// Which of the boxes that share the limits a box is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Place {
+pub struct BoxNumber {
     /// Its number among them, from 0.
     pub number: u32,
     /// How many there may be.
@@ -35,11 +35,11 @@
 
 /// What a box goes by when it asks whether it may send.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Turn {
+pub struct Sender {
     /// The cluster's time.
     pub now: Time,
     /// Which box it is; none while it doesn't know, and then it sends nothing to an endpoint with a limit.
-    pub place: Option<Place>,
+    pub number: Option<BoxNumber>,
 }
 
 /// Admits a box's requests to one endpoint.
@@ -48,7 +48,7 @@
     /// Number of the endpoint, the same at every box.
     key: u64,
     named: Option<Named>,
-    /// Slot of the latest request, and how many were sent in it.
+    /// Interval of the latest request, and how many were sent in it.
     sent: (u64, u32),
 }
 
@@ -70,63 +70,65 @@
 
     /// Whether there is a limit now.
     pub fn is_limited(&self, now: Time) -> bool {
-        self.rate_in(self.slot(now)).is_some()
+        self.rate_in(self.interval(now)).is_some()
     }
 
     /// Whether a request may be sent.
-    pub fn is_open(&self, turn: Turn) -> bool {
-        let slot = self.slot(turn.now);
-        let Some(rate) = self.rate_in(slot) else { return true };
-        let Some(place) = turn.place else { return false };
+    pub fn is_open(&self, sender: Sender) -> bool {
+        let interval = self.interval(sender.now);
+        let Some(rate) = self.rate_in(interval) else { return true };
+        let Some(number) = sender.number else { return false };
         let (sent_in, sent) = self.sent;
-        let sent = if sent_in == slot { sent } else { 0 };
-        sent < self.share(slot, rate, place)
+        let sent = if sent_in == interval { sent } else { 0 };
+        sent < self.share(interval, rate, number)
     }
 
     /// Counts a request that is sent.
-    pub fn count(&mut self, turn: Turn) {
-        let slot = self.slot(turn.now);
+    pub fn count(&mut self, sender: Sender) {
+        let interval = self.interval(sender.now);
         let (sent_in, sent) = self.sent;
-        self.sent = (slot, if sent_in == slot { sent + 1 } else { 1 });
+        self.sent = (interval, if sent_in == interval { sent + 1 } else { 1 });
     }
 
-    /// The slot of a time. Slots of different endpoints begin at different times, so that boxes don't turn to all of
-    /// them at once.
-    fn slot(&self, now: Time) -> u64 {
-        let offset = self.key % SLOT.as_nanos() as u64;
-        ((now.as_nanos() + u128::from(offset)) / SLOT.as_nanos()) as u64
+    /// The interval of a time. Those of different endpoints begin at different times, so that boxes don't turn to all
+    /// of them at once.
+    fn interval(&self, now: Time) -> u64 {
+        let offset = self.key % INTERVAL.as_nanos() as u64;
+        ((now.as_nanos() + u128::from(offset)) / INTERVAL.as_nanos()) as u64
     }
 
-    /// Requests a second from all boxes together in a slot; none if there is no limit.
-    fn rate_in(&self, slot: u64) -> Option<f64> {
+    /// Requests a second from all boxes together in an interval; none if there is no limit.
+    fn rate_in(&self, interval: u64) -> Option<f64> {
         let named = self.named?;
         let rate = named.rate.per_second().max(RATE_LEAST);
         if !named.ended {
             return Some(rate);
         }
-        let since = slot.saturating_sub(self.slot(named.at));
-        let is_lifted = SLOT.as_secs_f64() * since as f64 >= LIFTED_OVER.as_secs_f64();
+        let since = interval.saturating_sub(self.interval(named.at));
+        let is_lifted = INTERVAL.as_secs_f64() * since as f64 >= LIFTED_OVER.as_secs_f64();
         (!is_lifted).then(|| rate * (since as f64).exp2())
     }
 
-    /// Requests of a slot that belong to a box.
-    fn share(&self, slot: u64, rate: f64, place: Place) -> u32 {
-        let all = self.requests_in(slot, rate);
-        let boxes = u64::from(place.of.max(1));
-        let first = mixed(self.key ^ slot.wrapping_mul(GOLDEN)) % boxes;
-        let number = (u64::from(place.number) % boxes + boxes - first) % boxes;
-        (all.saturating_sub(number).div_ceil(boxes)).min(u32::MAX.into()) as u32
+    /// Requests of an interval that belong to a box. They are dealt out one by one, from a box on that differs from
+    /// interval to interval.
+    fn share(&self, interval: u64, rate: f64, BoxNumber { number, of }: BoxNumber) -> u32 {
+        let all = self.requests_in(interval, rate);
+        let boxes = u64::from(of.max(1));
+        let first = mixed(self.key ^ interval.wrapping_mul(GOLDEN)) % boxes;
+        let before = (u64::from(number) % boxes + boxes - first) % boxes;
+        all.saturating_sub(before).div_ceil(boxes).min(u32::MAX.into()) as u32
     }
 
-    /// Requests of a slot that belong to all boxes: as many as the limit gives, where a fraction becomes one in as many slots as
-    /// it says, the same at every box.
-    fn requests_in(&self, slot: u64, rate: f64) -> u64 {
-        let phase = self.key.wrapping_add(slot.wrapping_mul(GOLDEN)) as f64 / u64::MAX as f64;
-        (rate * SLOT.as_secs_f64() + phase) as u64
+    /// Requests of an interval for all boxes: what the limit gives, where a fraction becomes a whole one in as many
+    /// intervals as it says, the same at every box.
+    fn requests_in(&self, interval: u64, rate: f64) -> u64 {
+        let phase = self.key.wrapping_add(interval.wrapping_mul(GOLDEN)) as f64 / u64::MAX as f64;
+        (rate * INTERVAL.as_secs_f64() + phase) as u64
     }
 }
 
-/// Mixes the bits of a number, so that those of similar numbers have nothing in common.
+/// Mixes the bits of a number, so that similar numbers become unlike ones (the finalizer of Steele, Lea and Flood,
+/// "Fast Splittable Pseudorandom Number Generators", 2014).
 fn mixed(number: u64) -> u64 {
     let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
--- a/crates/vaneway-limit/src/lib.rs
+++ b/crates/vaneway-limit/src/lib.rs
@@ -7,19 +7,19 @@
 //! know comes out of [`NamedLimits::take_news`], and what they saw goes in by [`NamedLimits::merge`]. What is known of an
 //! endpoint goes to its [`Gate`], which every attempt passes.
 //!
-//! How the sum holds: time is cut into slots, each of which has so many requests by the limit, and each of these belongs to
-//! one box by its [`Place`] among all. A box needs nobody's word to know which are its own, so the sum holds while
-//! boxes are cut off, and what is not used in its slot is gone, so nothing can be saved up and sent at once. Where boxes
-//! disagree on how many they are, some requests belong to two of them or to none, and the mean stays.
+//! How the sum holds: time is cut into intervals, each of which has so many requests by the limit, and each of these
+//! belongs to one box by its [`BoxNumber`]. A box needs nobody's word to know which are its own, so the sum holds while
+//! boxes are cut off; and what isn't used in its interval is gone, so nothing can be saved up and sent at once. Where
+//! boxes disagree on how many they are, some requests belong to two of them or to none, and the mean stays.
 
 mod gate;
 mod named;
 mod rate;
 
+pub use gate::BoxNumber;
 pub use gate::Gate;
-pub use gate::Place;
-pub use gate::SLOT;
-pub use gate::Turn;
+pub use gate::INTERVAL;
+pub use gate::Sender;
 pub use named::Born;
 pub use named::EndpointName;
 pub use named::Named;
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use vaneway_limit::Named;
-use vaneway_limit::Turn;
+use vaneway_limit::Sender;
 
 use crate::Endpoint;
 use crate::EndpointAction;
@@ -44,7 +44,7 @@
     /// When its first event has to come, if that is to be held.
     pub pace: Option<Pace>,
     /// What the limits that endpoints name leave to this box.
-    pub turn: Turn,
+    pub sender: Sender,
 }
 
 /// What decides whether an engine's queue is short enough for a request.
@@ -256,7 +256,7 @@
     pub fn choose(&mut self, now: Instant, query: Query<'_>) -> Choice {
         let choice = self.choose_among_open(now, query);
         if let Choice::Endpoint(id) = choice {
-            self.endpoints[id as usize].gate.count(query.turn);
+            self.endpoints[id as usize].gate.count(query.sender);
         }
         choice
     }
@@ -272,7 +272,7 @@
         for preferred in preferences.into_iter().skip(usize::from(weighed)) {
             self.collect(now, &query, preferred);
             if let Some(pace) = query.pace.filter(|_| !self.candidates.is_empty()) {
-                match self.keep_those_in_time(now, pace, query.turn) {
+                match self.keep_those_in_time(now, pace, query.sender) {
                     InTime::Some => {}
                     InTime::One(id) => return Choice::Endpoint(id),
                     InTime::None => return Choice::Late,
@@ -298,7 +298,7 @@
             let fits = endpoint.spec.service == query.service
                 && endpoint.takes_work(now)
                 && endpoint.has_room()
-                && endpoint.gate.is_open(query.turn);
+                && endpoint.gate.is_open(query.sender);
             if fits && preferred(endpoint, query.avoid.contains(&id), query) {
                 self.candidates.push(id);
             }
@@ -312,7 +312,7 @@
     /// spreads it as the room is spread.
     ///
     /// What a limit leaves to this box is no other's, so there is nothing to draw.
-    fn keep_those_in_time(&mut self, now: Instant, pace: Pace, turn: Turn) -> InTime {
+    fn keep_those_in_time(&mut self, now: Instant, pace: Pace, sender: Sender) -> InTime {
         let most = pace.within.as_secs_f64() / pace.token;
         let ahead = |id: EndpointId| expected::tokens_ahead(&self.endpoints[id as usize], now);
         let room = |id: EndpointId| most - ahead(id) as f64;
@@ -325,14 +325,14 @@
         }
         let mut rooms_of = self.candidates.iter().copied().zip(rooms.iter().copied());
         let is_own = |id: EndpointId, room: f64| {
-            room > 0.0 && self.endpoints[id as usize].gate.is_limited(turn.now)
+            room > 0.0 && self.endpoints[id as usize].gate.is_limited(sender.now)
         };
         if rooms_of.any(|(id, room)| is_own(id, room)) {
             let endpoints = &self.endpoints;
             let mut rooms = rooms.iter();
             self.candidates.retain(|id| {
                 let room = rooms.next().is_some_and(|room| *room > 0.0);
-                room && endpoints[*id as usize].gate.is_limited(turn.now)
+                room && endpoints[*id as usize].gate.is_limited(sender.now)
             });
             return InTime::Some;
         }
@@ -355,7 +355,7 @@
         let of_service = || self.endpoints.iter().filter(|e| e.spec.service == query.service);
         let mut takes_work = of_service().filter(|endpoint| endpoint.takes_work(now)).peekable();
         if takes_work.peek().is_some() {
-            let is_limited = takes_work.all(|endpoint| !endpoint.gate.is_open(query.turn));
+            let is_limited = takes_work.all(|endpoint| !endpoint.gate.is_open(query.sender));
             return if is_limited { Choice::Limited } else { Choice::Full };
         }
         let suspended = of_service().filter(|e| e.state == EndpointState::Suspect);
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use vaneway_limit::Place;
+use vaneway_limit::BoxNumber;
 use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Sharers;
 use vaneway_registry::InstanceId;
@@ -255,7 +255,7 @@
             }
             ToEntry::Findings(findings) => quarantine::learn(&self.entry, &findings),
             ToEntry::Limits(told) => limits::learn(&self.entry, &told),
-            ToEntry::Place(place) => self.learn_place(from, place),
+            ToEntry::BoxNumber(number) => self.learn_box_number(from, number),
             ToEntry::Parts(parts) => work_at_endpoints::learn_parts(&self.entry, &parts),
             ToEntry::OthersUse { as_of, heard, known, quotas } => {
                 self.entry.share_retries(known);
@@ -267,11 +267,11 @@
 
     /// Learns which of the entry boxes this box is. Control boxes may differ in that for a while, so it goes by one of
     /// them.
-    fn learn_place(&self, from: SocketAddr, place: Place) {
+    fn learn_box_number(&self, from: SocketAddr, number: BoxNumber) {
         let tells = self.open.borrow().get(&from).is_some_and(|link| link.wanted.get().loads);
-        if tells && self.entry.place.replace(Some(place)) != Some(place) {
-            let Place { number, of } = place;
-            Line::new("place").with("number", number).with("of", of).with("by", from).info();
+        if tells && self.entry.box_number.replace(Some(number)) != Some(number) {
+            let BoxNumber { number, of } = number;
+            Line::new("box_number").with("number", number).with("of", of).with("by", from).info();
         }
     }
 
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -11,8 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vaneway_agreement::NodeId;
+use vaneway_limit::BoxNumber;
 use vaneway_limit::NamedLimit;
-use vaneway_limit::Place;
 use vaneway_quarantine::Finding;
 use vaneway_registry::Report;
 
@@ -164,7 +164,7 @@
     /// Limits that endpoints named in answers to any entry box.
     Limits(Vec<NamedLimit>),
     /// Which of the entry boxes that share the limits of endpoints you are.
-    Place(Place),
+    BoxNumber(BoxNumber),
 }
 
 /// What an entry box wants to be told of the others.
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -9,8 +9,8 @@
 
 use vaneway_agreement::Event;
 use vaneway_agreement::NodeId;
+use vaneway_limit::BoxNumber;
 use vaneway_limit::NamedLimit;
-use vaneway_limit::Place;
 use vaneway_quarantine::Finding;
 use vaneway_registry::Change;
 use vaneway_registry::Registry;
@@ -47,7 +47,7 @@
     /// What it wants to be told of the others.
     pub(super) wanted: Cell<Wanted>,
     /// Its place as it was told last, if it wants to know.
-    pub(super) place: Cell<Option<Place>>,
+    pub(super) box_number: Cell<Option<BoxNumber>>,
 }
 
 impl EntryLink {
@@ -251,7 +251,7 @@
         start: start.clone(),
         outgoing: outgoing.clone(),
         wanted,
-        place: Cell::default(),
+        box_number: Cell::default(),
     };
     control.entries.borrow_mut().insert(link, Rc::new(entry));
     Sender::Entry { link, start }
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use vaneway_limit::Place;
+use vaneway_limit::BoxNumber;
 use vaneway_quota::Sharers;
 use vaneway_quota::Slot;
 
@@ -49,7 +49,7 @@
         }
         boxes = now_boxes;
         tell_use(&control, round.is_multiple_of(TELL_ALL_EVERY)).await;
-        tell_places(&control).await;
+        tell_box_numbers(&control).await;
     }
 }
 
@@ -174,23 +174,23 @@
 }
 
 /// Tells entry boxes where they stand among all that there may be, as soon as it changes.
-async fn tell_places(control: &Control) {
-    let places = places(control);
+async fn tell_box_numbers(control: &Control) {
+    let numbers = box_numbers(control);
     for link in links_that_want(control, |wanted| wanted.loads) {
-        let Some(place) = places.get(&link.start.0).copied() else { continue };
-        if link.place.replace(Some(place)) != Some(place) {
+        let Some(number) = numbers.get(&link.start.0).copied() else { continue };
+        if link.box_number.replace(Some(number)) != Some(number) {
             control.turns.next().await;
-            link.outgoing.send(&ToEntry::Place(place));
+            link.outgoing.send(&ToEntry::BoxNumber(number));
         }
     }
 }
 
 /// The place of each entry box that may be there, by the order of their names.
-fn places(control: &Control) -> BTreeMap<String, Place> {
+fn box_numbers(control: &Control) -> BTreeMap<String, BoxNumber> {
     let of = sharers(control).known;
     let seen = control.entries_seen.borrow();
     let numbered = seen.keys().zip(0..);
-    numbered.map(|(name, number)| (name.clone(), Place { number, of })).collect()
+    numbered.map(|(name, number)| (name.clone(), BoxNumber { number, of })).collect()
 }
 
 /// Begins or ceases to tell an entry box of the others; what it wants newly, it is told whole at once.
@@ -213,7 +213,7 @@
             link.outgoing.send(&ToEntry::Limits(limits));
         }
         // It goes by what it is told from now on.
-        link.place.set(None);
+        link.box_number.set(None);
     }
 }
 
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -13,9 +13,9 @@
 
 use serde_json::Value;
 use serde_json::json;
+use vaneway_limit::BoxNumber;
 use vaneway_limit::NamedLimits;
-use vaneway_limit::Place;
-use vaneway_limit::Turn;
+use vaneway_limit::Sender;
 use vaneway_marks::Instance;
 use vaneway_quarantine::Quarantine;
 use vaneway_registry::InstanceId;
@@ -114,7 +114,7 @@
     /// Limits that endpoints name in their answers.
     pub limits: RefCell<NamedLimits>,
     /// Which of the boxes that share these limits this box is, once it knows.
-    pub place: Cell<Option<Place>>,
+    pub box_number: Cell<Option<BoxNumber>>,
     /// What the requests of this box counted, for the control boxes.
     pub used: RefCell<Used>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -140,12 +140,12 @@
 }
 
 /// Which of the entry boxes this box is by its settings; none where control boxes tell.
-fn place_by_settings(settings: &Settings) -> Option<Place> {
+fn box_number_by_settings(settings: &Settings) -> Option<BoxNumber> {
     if settings.follow.is_some() {
         return None;
     }
     let number = settings.peers.iter().filter(|peer| peer.name < settings.name).count() as u32;
-    Some(Place { number, of: settings.peers.len() as u32 + 1 })
+    Some(BoxNumber { number, of: settings.peers.len() as u32 + 1 })
 }
 
 /// Entry boxes that are assumed before any control box has told.
@@ -196,7 +196,7 @@
             registered: RefCell::default(),
             quarantine: RefCell::default(),
             limits: RefCell::default(),
-            place: Cell::new(place_by_settings(&settings)),
+            box_number: Cell::new(box_number_by_settings(&settings)),
             used: RefCell::default(),
             table: RefCell::default(),
             service_ids: RefCell::new(service_ids),
@@ -265,7 +265,7 @@
             work,
             apart,
             pace,
-            turn: self.turn(),
+            sender: self.sender(),
         };
         match self.pool.borrow_mut().choose(Instant::now(), query) {
             Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
@@ -277,8 +277,8 @@
     }
 
     /// What limits that endpoints name leave to this box goes by the cluster's time and its place among the boxes.
-    fn turn(&self) -> Turn {
-        Turn { now: self.cluster_time(), place: self.place.get() }
+    fn sender(&self) -> Sender {
+        Sender { now: self.cluster_time(), number: self.box_number.get() }
     }
 
     /// The configuration in force at this box, if it has one.
@@ -476,7 +476,7 @@
                 "verdict": case.verdict.name(),
                 "ended": case.ends.keys().collect::<Vec<_>>(),
             })).collect::<Vec<_>>(),
-            "place": self.place.get(),
+            "box_number": self.box_number.get(),
             "registered": self.registered.borrow().len(),
             "settings": self.settings,
         })
