--- a/crates/vaneway-limit/src/gate.rs
+++ b/crates/vaneway-limit/src/gate.rs
@@ -70,13 +70,12 @@
 
     /// Whether there is a limit now.
     pub fn is_limited(&self, now: Time) -> bool {
-        self.rate_in(self.interval(now)).is_some()
+        self.limit_at(now).is_some()
     }
 
     /// Whether a request may be sent.
     pub fn is_open(&self, sender: Sender) -> bool {
-        let interval = self.interval(sender.now);
-        let Some(rate) = self.rate_in(interval) else { return true };
+        let Some((interval, rate)) = self.limit_at(sender.now) else { return true };
         let Some(number) = sender.number else { return false };
         let (sent_in, sent) = self.sent;
         let sent = if sent_in == interval { sent } else { 0 };
@@ -97,16 +96,18 @@
         ((now.as_nanos() + u128::from(offset)) / INTERVAL.as_nanos()) as u64
     }
 
-    /// Requests a second from all boxes together in an interval; none if there is no limit.
-    fn rate_in(&self, interval: u64) -> Option<f64> {
+    /// The interval of a time, and the requests a second from all boxes together in it; none if there is no limit. Most
+    /// endpoints have none, and every choice among endpoints asks, so nothing is worked out for these.
+    fn limit_at(&self, now: Time) -> Option<(u64, f64)> {
         let named = self.named?;
         let rate = named.rate.per_second().max(RATE_LEAST);
+        let interval = self.interval(now);
         if !named.ended {
-            return Some(rate);
+            return Some((interval, rate));
         }
         let since = interval.saturating_sub(self.interval(named.at));
         let is_lifted = INTERVAL.as_secs_f64() * since as f64 >= LIFTED_OVER.as_secs_f64();
-        (!is_lifted).then(|| rate * (since as f64).exp2())
+        (!is_lifted).then(|| (interval, rate * (since as f64).exp2()))
     }
 
     /// Requests of an interval that belong to a box. They are dealt out one by one, from a box on that differs from
