--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -32,6 +32,7 @@
 use crate::core::endpoints::upstream::SendError;
 use crate::core::entry::Entry;
 use crate::core::limits;
+use crate::core::limits::Heard;
 use crate::core::occupancy::Occupancy;
 use crate::core::quarantine;
 use crate::util::body::CallerBody;
@@ -162,8 +163,16 @@
         };
         let (head, body) = response.into_parts();
         let verdict = protocol.judge(&request, &head);
-        let named = protocol.named_limit(&head.headers);
-        limits::answered(&entry, endpoint, &request, verdict, head.status, named);
+        if !matches!(verdict, Verdict::Replaced | Verdict::Foreign) {
+            let heard = Heard {
+                endpoint,
+                request: &request.id,
+                service: &request.service_name,
+                succeeded: verdict == Verdict::Answer && head.status.is_success(),
+                named: protocol.named_limit(&head.headers),
+            };
+            limits::answered(&entry, &heard);
+        }
         let item = match verdict {
             Verdict::Answer => {
                 let streamed = matches!(request.form, AnswerForm::Events { .. });
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -28,6 +28,8 @@
 use serde_json::Value;
 use serde_json::json;
 use serde_json::value::RawValue;
+use vaneway_limit::Rate;
+use vaneway_limit::RateError;
 use vaneway_relay::Action;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::AttemptId;
@@ -55,6 +57,8 @@
 use crate::core::endpoints::upstream::ModelAttempt;
 use crate::core::endpoints::upstream::model_attempt;
 use crate::core::entry::Entry;
+use crate::core::limits;
+use crate::core::limits::Heard;
 use crate::core::occupancy::Occupancy;
 use crate::core::settings::Organisation;
 use crate::util::body::CallerBody;
@@ -349,8 +353,9 @@
 
     fn event_of(&mut self, attempt: AttemptId, item: Item) -> Event {
         match item {
-            Item::Head => {
+            Item::Head { limit } => {
                 self.report(EndpointEvent::Answered);
+                self.learn_limit(limit);
                 Event::Head { attempt }
             }
             Item::Data { id, data } => match Chunk::read(&id, data) {
@@ -390,6 +395,13 @@
             .info();
     }
 
+    fn learn_limit(&self, named: Result<Option<Rate>, RateError>) {
+        let Some((endpoint, _)) = self.occupancy else { return };
+        let (request, service) = (&*self.id, &*self.open().service);
+        let heard = Heard { endpoint, request, service, succeeded: true, named };
+        limits::answered(&self.entry, &heard);
+    }
+
     fn report(&self, event: EndpointEvent) {
         if let Some((endpoint, _)) = &self.occupancy {
             self.entry.report(*endpoint, event);
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -36,8 +36,8 @@
 use crate::core::callers::api_error::RUN_HEADER;
 use crate::core::endpoints::link::EndpointRequest;
 
-/// Header of an answer in which a plain service's endpoint names the requests a second that it takes from all entry boxes
-/// together, for as long as it says so.
+/// Header of an answer in which an endpoint names the requests a second that it takes from all entry boxes together, for as
+/// long as it says so.
 pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("x-vaneway-limit");
 
 /// Headers that belong to one connection and do not pass through.
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -23,6 +23,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response;
+use vaneway_limit::Rate;
+use vaneway_limit::RateError;
 use vaneway_relay::Attempt;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
@@ -31,6 +33,8 @@
 use crate::core::endpoints::link::Link;
 use crate::core::endpoints::link::LinkBody;
 use crate::core::endpoints::link::SharedBody;
+use crate::core::endpoints::protocol;
+use crate::core::endpoints::protocol::LIMIT_HEADER;
 use crate::util::socket;
 use crate::util::timers::Timers;
 
@@ -270,7 +274,10 @@
 #[derive(Debug)]
 pub enum Item {
     /// The engine accepted the request.
-    Head,
+    Head {
+        /// Requests a second that it takes from all entry boxes together, if it names that.
+        limit: Result<Option<Rate>, RateError>,
+    },
     /// One server-sent event.
     Data {
         /// The event's id, the token offset.
@@ -361,12 +368,13 @@
     };
     let Answered { response, mut attempt } = answered;
     let status = response.status();
+    let limit = protocol::read_limit(response.headers(), &LIMIT_HEADER);
     let mut body = response.into_body();
     if status == StatusCode::OK {
         let body = SharedBody::new(body);
         let events = body.clone().eventsource();
         let reading = Reading { connections, timers, addr, stall, body, attempt, events };
-        return (Item::Head, Stage::Reading(Box::new(reading)));
+        return (Item::Head { limit }, Stage::Reading(Box::new(reading)));
     }
     let mut held = BytesMut::new();
     let read = body.read_into(&mut held, ERROR_BYTES_MOST);
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -3,7 +3,6 @@
 //! Data flow: the head of each answer says what its endpoint takes ([`answered`]); what is news goes to the control boxes and
 //! from them to the other entry boxes ([`learn`]). The pool's gates decide by it, each time that an endpoint is chosen.
 
-use hyper::StatusCode;
 use vaneway_limit::Born;
 use vaneway_limit::NamedLimit;
 use vaneway_limit::Rate;
@@ -11,34 +10,39 @@
 use vaneway_registry::Registry;
 use vaneway_registry::Standing;
 use vaneway_route::EndpointId;
+use vaneway_route::EndpointState;
 
-use crate::core::endpoints::protocol::CallRequest;
-use crate::core::endpoints::protocol::Verdict;
 use crate::core::entry::Entry;
 use crate::util::logline::Line;
 
-/// Learns what the head of an answer says of the requests that its endpoint takes.
+/// What the head of an answer says of the requests that its endpoint takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Heard<'a> {
+    /// The endpoint that answered.
+    pub endpoint: EndpointId,
+    /// Id of the request, for logs.
+    pub request: &'a str,
+    /// The endpoint's service, for metrics.
+    pub service: &'a str,
+    /// Whether the endpoint ran the request with success.
+    pub succeeded: bool,
+    /// The limit that it names, if any.
+    pub named: Result<Option<Rate>, RateError>,
+}
+
+/// Learns what the head of an answer says.
 ///
 /// A success that names no limit ends the one before. A refusal or a failure may come from a part of the endpoint that
 /// doesn't know of it, so there silence changes nothing.
-pub fn answered(
-    entry: &Entry,
-    endpoint: EndpointId,
-    request: &CallRequest,
-    verdict: Verdict,
-    status: StatusCode,
-    named: Result<Option<Rate>, RateError>,
-) {
-    let names_nothing = named == Ok(None) && entry.limits.borrow().is_empty();
-    if names_nothing || matches!(verdict, Verdict::Replaced | Verdict::Foreign) {
+pub fn answered(entry: &Entry, heard: &Heard<'_>) {
+    let Heard { endpoint, request, service, succeeded, named } = *heard;
+    if named == Ok(None) && (!succeeded || entry.limits.borrow().is_empty()) {
         return;
     }
     let name = entry.pool.borrow().get(endpoint).spec.name.clone();
     let rate = match named {
-        Ok(Some(rate)) => Some(rate),
-        Ok(None) if verdict == Verdict::Answer && status.is_success() => None,
-        Ok(None) => return,
-        Err(error) => return log_unreadable(entry, &name, request, error),
+        Ok(rate) => rate,
+        Err(error) => return log_unreadable(entry, &name, heard, error),
     };
     let Some(born) = incarnation(entry, &name, endpoint) else { return };
     let now = entry.cluster_time();
@@ -46,11 +50,11 @@
     let Some(named) = news else { return };
     entry.pool.borrow_mut().limit(endpoint, named);
     let change = if rate.is_some() { "named" } else { "ended" };
-    entry.metrics.limits.with_label_values(&[&request.service_name, change]).inc();
+    entry.metrics.limits.with_label_values(&[service, change]).inc();
     Line::new("endpoint_limit")
         .with("replica", name)
         .with("born", born)
-        .with("request", &request.id)
+        .with("request", request)
         .with("a_second", rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string()))
         .info();
 }
@@ -84,12 +88,19 @@
 /// What this box has to tell of limits since it was last asked.
 pub fn take_news(entry: &Entry) -> Vec<NamedLimit> {
     let mut limits = entry.limits.borrow_mut();
-    let registry = entry.registry.borrow();
-    limits.forget(entry.cluster_time(), |name, born| is_there(&registry, name, born));
+    // As long as its gate goes by it: only what is known here can be ended by an answer.
+    limits.forget(entry.cluster_time(), |name, _| is_in_use(entry, name));
     limits.take_news()
 }
 
-/// Whether this incarnation of an endpoint may still answer.
+fn is_in_use(entry: &Entry, name: &str) -> bool {
+    let registered = entry.registered.borrow().get(name).copied();
+    let is_set = || entry.settings.replicas.iter().any(|replica| replica.name == name);
+    let pool = entry.pool.borrow();
+    registered.map_or_else(is_set, |endpoint| pool.get(endpoint).state != EndpointState::Gone)
+}
+
+/// Whether this incarnation of an endpoint may still answer, as a control box knows it.
 pub fn is_there(registry: &Registry, name: &str, born: Born) -> bool {
     registry.get(name).is_some_and(|known| known.born <= born && known.standing < Standing::Gone)
 }
@@ -102,11 +113,11 @@
     registered.is_none_or(|current| current == endpoint).then(born)
 }
 
-fn log_unreadable(entry: &Entry, name: &str, request: &CallRequest, error: RateError) {
-    entry.metrics.limits.with_label_values(&[&request.service_name, "unreadable"]).inc();
+fn log_unreadable(entry: &Entry, name: &str, heard: &Heard<'_>, error: RateError) {
+    entry.metrics.limits.with_label_values(&[heard.service, "unreadable"]).inc();
     Line::new("endpoint_limit_unreadable")
         .with("replica", name)
-        .with("request", &request.id)
+        .with("request", heard.request)
         .with("why", error.name())
         .warn();
 }
--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -129,6 +129,8 @@
 struct Shared {
     stats: Mutex<EngineStats>,
     faults: Mutex<Faults>,
+    /// Requests a second that its answers name as its limit.
+    limit: Mutex<Option<String>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -171,6 +173,11 @@
         lock(&self.shared.faults).refusing = refusing;
     }
 
+    /// Names a limit in all further answers, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        *lock(&self.shared.limit) = limit.map(str::to_owned);
+    }
+
     /// Makes a token only every so many steps.
     pub fn slow_down(&self, steps_for_each: u32) {
         lock(&self.shared.faults).steps_for_each = steps_for_each;
@@ -280,6 +287,10 @@
     let mut response = Response::new(CallerBody::Fed(rx));
     let kind = "text/event-stream".parse().expect("valid header value");
     response.headers_mut().insert("content-type", kind);
+    if let Some(limit) = &*lock(&local.shared.limit) {
+        let limit = limit.parse().expect("valid header value");
+        response.headers_mut().insert("x-vaneway-limit", limit);
+    }
     response
 }
 
--- a/tests/testsuite/endpoint_limits.rs
+++ b/tests/testsuite/endpoint_limits.rs
@@ -16,11 +16,15 @@
 use vaneway_test_support::ControlGroup;
 use vaneway_test_support::Process;
 use vaneway_test_support::WireEndpoint;
+use vaneway_test_support::deployment::MODEL;
 
 use crate::platform_path::HOST;
 use crate::platform_path::KEY;
 use crate::platform_path::configuration;
 use crate::support::block_on;
+use crate::support::deployment;
+use crate::support::engine;
+use crate::support::replicas;
 
 /// Time for which operators let boxes learn of a limit before it binds.
 const BINDS_AFTER: Duration = Duration::from_secs(4);
@@ -201,3 +205,26 @@
     let served = (0..20).filter(|_| send().status == 200).count();
     assert_eq!(served, 20, "after the endpoint started again");
 }
+
+/// Over the product's own interface, with endpoints that the settings name and no control boxes.
+#[test]
+fn engine_names_its_limit_over_the_own_interface() {
+    let (limited, other) = (engine(), engine());
+    let deployment = deployment().engines(&replicas(&[&limited, &other]));
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+    let chat = || block_on(caller.chat(MODEL, "is there room?", 2)).status;
+    limited.name_limit(Some("1"));
+    let begun = Instant::now();
+    assert!((0..60).all(|_| chat() == 200), "the other engine takes the rest");
+    let spans = 1 + begun.elapsed().as_secs() / COUNTED_OVER.as_secs();
+    let got = limited.stats().fresh;
+    assert!((1..=spans * allowed(1.0) as u64).contains(&got), "{got} of 60");
+
+    limited.name_limit(None);
+    let given_up = Instant::now() + Duration::from_mins(1);
+    while limited.stats().fresh < got + 30 {
+        assert!(Instant::now() < given_up, "the limit has ended: {:?}", limited.stats());
+        assert_eq!(chat(), 200);
+    }
+}
