--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -235,15 +235,19 @@
         BoxAnswer::to(self.address(i), method, path, body)
     }
 
-    /// Puts a configuration in force, at whichever box takes it.
+    /// Puts a configuration in force, at whichever box takes it, in the form of the group's protocol.
     ///
     /// # Panics
     ///
     /// If none takes it in time.
     pub fn configure(&self, configuration: &Value) {
         let body = configuration.to_string();
+        let (method, path) = match self.adapter {
+            Some(_) => ("POST", "/config/replace"),
+            None => ("PUT", "/v1/configuration"),
+        };
         self.until("a box takes the configuration", |i| {
-            let answer = self.call(i, "PUT", "/v1/configuration", &body);
+            let answer = self.call(i, method, path, &body);
             answer.is_some_and(|answer| answer.status == 200)
         });
     }
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod explorer;
 pub mod fleet;
+pub mod limits;
 pub mod plain_service;
 pub mod platform;
 pub mod process;
--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::limits;
 use crate::soak::callers::Callers;
 use crate::soak::promises::Evidence;
 use crate::soak::world::World;
@@ -56,7 +57,7 @@
     }
     world.heal();
     // Limits bind all boxes only now.
-    std::thread::sleep(promises::LIMIT_BINDS_AFTER + promises::LIMIT_COUNTED_OVER);
+    std::thread::sleep(limits::BINDS_AFTER + limits::COUNTED_OVER);
     let calls = callers.finish();
     let evidence = Evidence { calls: &calls, world: &world };
     let mut ends = BTreeMap::new();
--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::limits;
+use crate::limits::COUNTED_OVER;
 use crate::soak::callers::Call;
 use crate::soak::callers::Kind;
 use crate::soak::world::Limited;
@@ -18,12 +20,6 @@
 /// Time after which an endpoint that said that it leaves gets nothing new, for entry boxes that were paused.
 const MARK_WITHIN: Duration = Duration::from_secs(3);
 
-/// Time after which a limit that an endpoint names binds, and a box that was disturbed keeps it again.
-pub const LIMIT_BINDS_AFTER: Duration = Duration::from_secs(4);
-
-/// Time over which operators count what such an endpoint gets.
-pub const LIMIT_COUNTED_OVER: Duration = Duration::from_secs(4);
-
 /// What callers saw, and what the deployment knows.
 #[derive(Debug)]
 pub struct Evidence<'a> {
@@ -50,7 +46,7 @@
         );
     }
     broken.extend(marks(world));
-    broken.extend(limits(evidence));
+    broken.extend(named_limits(evidence));
     broken.extend(configuration(world));
     broken
 }
@@ -96,36 +92,26 @@
 }
 
 /// Endpoints that name limits get what operators allow, from entry boxes that nothing was done to of late.
-fn limits(evidence: &Evidence<'_>) -> Vec<String> {
+fn named_limits(evidence: &Evidence<'_>) -> Vec<String> {
     let entry_of: BTreeMap<&str, usize> =
         evidence.calls.iter().map(|call| (call.id.as_str(), call.entry)).collect();
     let over = evidence.world.limited().into_iter().filter_map(|limited| {
         let counts = |(at, id): &&(Instant, String)| {
             let entry = entry_of.get(id.as_str());
-            let calm = |entry| !evidence.world.was_disturbed(entry, *at, LIMIT_BINDS_AFTER);
-            *at >= limited.since + LIMIT_BINDS_AFTER && entry.is_some_and(|entry| calm(*entry))
+            let calm = |entry| !evidence.world.was_disturbed(entry, *at, limits::BINDS_AFTER);
+            *at >= limited.since + limits::BINDS_AFTER && entry.is_some_and(|entry| calm(*entry))
         };
         let counted: Vec<Instant> =
             limited.arrivals.iter().filter(counts).map(|(at, _)| *at).collect();
-        let most = most_within(&counted, LIMIT_COUNTED_OVER);
-        let allowed = (1.5 * limited.rate).mul_add(LIMIT_COUNTED_OVER.as_secs_f64(), 5.0);
+        let most = limits::most(&counted);
         let Limited { name, rate, .. } = limited;
-        (most as f64 > allowed).then(|| {
-            format!(
-                "{name} named {rate} requests a second and got {most} in {LIMIT_COUNTED_OVER:?}"
-            )
+        (most as f64 > limits::allowed(rate)).then(|| {
+            format!("{name} named {rate} requests a second and got {most} in {COUNTED_OVER:?}")
         })
     });
     over.collect()
 }
 
-/// The most of `times` in any span of `within`.
-fn most_within(times: &[Instant], within: Duration) -> usize {
-    let from =
-        |first: &Instant| times.iter().filter(|at| *at >= first && **at < *first + within).count();
-    times.iter().map(from).max().unwrap_or_default()
-}
-
 /// An acknowledged configuration is kept, and none older takes its place.
 fn configuration(world: &World) -> Option<String> {
     let (read, acknowledged) = (world.configuration_read(), world.configuration_acknowledged());
