--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -193,14 +193,7 @@
     fn introduce(&self, address: SocketAddr, link: &ControlLink) {
         link.taken_in.set(true);
         link.send(FromEntry::Leaving(self.leaving()));
-        let findings = self.entry.quarantine.borrow().all();
-        if !findings.is_empty() {
-            link.send(FromEntry::Findings(findings));
-        }
-        let limits = self.entry.limits.borrow().all();
-        if !limits.is_empty() {
-            link.send(FromEntry::Limits(limits));
-        }
+        self.tell_all_that_is_told_once(link);
         link.send(FromEntry::Use(self.report(true)));
         link.ping(self.steady_us());
         Line::new("control_connected")
@@ -213,11 +206,25 @@
     fn taken_in(&self, link: &ControlLink) {
         link.pinged.set(None);
         if link.missed.replace(false) {
+            self.tell_all_that_is_told_once(link);
             link.send(FromEntry::Use(self.report(true)));
             link.ping(self.steady_us());
         }
     }
 
+    /// Tells a control box all findings and limits. As news they are told once, so one that could not be told then would
+    /// never hear of them.
+    fn tell_all_that_is_told_once(&self, link: &ControlLink) {
+        let findings = self.entry.quarantine.borrow().all();
+        if !findings.is_empty() {
+            link.send(FromEntry::Findings(findings));
+        }
+        let limits = self.entry.limits.borrow().all();
+        if !limits.is_empty() {
+            link.send(FromEntry::Limits(limits));
+        }
+    }
+
     fn received(self: &Rc<Self>, from: SocketAddr, message: ToEntry) {
         if let Some(link) = self.open.borrow().get(&from) {
             link.heard.set(Instant::now());
--- a/tests/testsuite/endpoint_limits.rs
+++ b/tests/testsuite/endpoint_limits.rs
@@ -180,6 +180,24 @@
     assert_eq!(served, 20, "after the endpoint started again");
 }
 
+/// A control box that is behind is told no more until it has taken in what it was told; what was left out is told then.
+#[test]
+fn limit_that_was_named_while_the_control_box_stood_still_is_told_afterwards() {
+    let fleet = Fleet::start(2, &["i-a"]);
+    let caller = Caller::new(fleet.entries[0].listen(), KEY).at_host(HOST);
+    let headers = [("x-request-id", "r"), ("x-deadline-ms", "2000")];
+    let send = || block_on(caller.send_with(hyper::Method::GET, "/safe/x", &headers, ""));
+    fleet.control.process(0).signal("STOP");
+    // Longer than a ping may be without an answer, shorter than a connection lasts.
+    std::thread::sleep(Duration::from_millis(1_200));
+    fleet.endpoints[0].name_limit(Some("0.5"));
+    assert_eq!(send().status, 200);
+    fleet.entries[0].wait_for_log(&["event=endpoint_limit", "replica=i-a", "a_second=0.5"]);
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.control.process(0).signal("CONT");
+    fleet.entries[1].wait_for_log(&["event=endpoint_limit_told", "replica=i-a", "a_second=0.5"]);
+}
+
 /// Over the product's own interface, with endpoints that the settings name and no control boxes.
 #[test]
 fn engine_names_its_limit_over_the_own_interface() {
