--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -323,17 +323,11 @@
             self.candidates.retain(|_| rooms.next().is_some_and(|room| *room > 0.0));
             return InTime::Some;
         }
-        let mut rooms_of = self.candidates.iter().copied().zip(rooms.iter().copied());
-        let is_own = |id: EndpointId, room: f64| {
-            room > 0.0 && self.endpoints[id as usize].gate.is_limited(sender.now)
-        };
-        if rooms_of.any(|(id, room)| is_own(id, room)) {
-            let endpoints = &self.endpoints;
-            let mut rooms = rooms.iter();
-            self.candidates.retain(|id| {
-                let room = rooms.next().is_some_and(|room| *room > 0.0);
-                room && endpoints[*id as usize].gate.is_limited(sender.now)
-            });
+        let is_own = |id: EndpointId| self.endpoints[id as usize].gate.is_limited(sender.now);
+        let with_room = self.candidates.iter().zip(&rooms).filter(|(_, room)| **room > 0.0);
+        let own: Vec<EndpointId> = with_room.map(|(id, _)| *id).filter(|id| is_own(*id)).collect();
+        if !own.is_empty() {
+            self.candidates = own;
             return InTime::Some;
         }
         if self.chooser.draw() * pace.unheard.max(all) >= all {
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -46,7 +46,7 @@
     pub(super) outgoing: Outgoing,
     /// What it wants to be told of the others.
     pub(super) wanted: Cell<Wanted>,
-    /// Its place as it was told last, if it wants to know.
+    /// Its number among the entry boxes as it was told last, if it wants to know.
     pub(super) box_number: Cell<Option<BoxNumber>>,
 }
 
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -173,7 +173,7 @@
     }
 }
 
-/// Tells entry boxes where they stand among all that there may be, as soon as it changes.
+/// Tells entry boxes which of all that there may be they are, as soon as it changes.
 async fn tell_box_numbers(control: &Control) {
     let numbers = box_numbers(control);
     for link in links_that_want(control, |wanted| wanted.loads) {
@@ -185,7 +185,7 @@
     }
 }
 
-/// The place of each entry box that may be there, by the order of their names.
+/// The number of each entry box that may be there, by the order of their names.
 fn box_numbers(control: &Control) -> BTreeMap<String, BoxNumber> {
     let of = sharers(control).known;
     let seen = control.entries_seen.borrow();
