--- a/tests/testsuite/limits_fleet.rs
+++ b/tests/testsuite/limits_fleet.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use vaneway_limit::BoxNumber;
 use vaneway_limit::Gate;
+use vaneway_limit::Named;
 use vaneway_limit::NamedLimit;
 use vaneway_limit::NamedLimits;
 use vaneway_limit::Rate;
@@ -19,6 +20,8 @@
 use vaneway_test_support::limits::BINDS_AFTER;
 use vaneway_test_support::limits::COUNTED_OVER;
 
+use crate::property::check;
+
 const ENDPOINT: &str = "i-a";
 
 /// Number of the endpoint at every box.
@@ -376,3 +379,39 @@
     // Its own answers count for the box that is ahead, too.
     assert!(a.answered(START + STEP, ENDPOINT, 1, None).is_some());
 }
+
+/// Whatever an endpoint names, and however large or small it is: it is read or refused, and what it leaves to all boxes
+/// together in an interval is within one request of it, at any time, for any number of boxes.
+#[test]
+fn whatever_an_endpoint_names_is_refused_or_dealt_out_once() {
+    check("any text is a rate or refused", 20_000, |text: String| {
+        if let Ok(rate) = text.parse::<Rate>() {
+            assert!(rate.per_second() >= 0.0, "{text:?}");
+        }
+    });
+    check("requests are dealt out once", 2_000, |(key, parts, at, of): (u64, u32, u32, u8)| {
+        // From a millionth of a request a second on, more of them less often.
+        let named_rate = f64::from(parts).powi(2) / 1e16;
+        let rate: Rate = format!("{named_rate:.6}").parse().expect("a rate");
+        let mut gate = Gate::new(key);
+        let now = START + Duration::from_millis(at.into());
+        gate.put(Named { born: 0, rate, ended: false, at: START });
+        let of = u32::from(of).max(1);
+        let sent: u32 =
+            (0..of).map(|number| sent_at_once(&gate, now, BoxNumber { number, of })).sum();
+        let expected = rate.per_second().max(0.1);
+        assert!((f64::from(sent) - expected).abs() <= 1.0, "{sent} of {expected}, {of} boxes");
+    });
+}
+
+/// Requests that a box may send at a time.
+fn sent_at_once(gate: &Gate, now: Duration, number: BoxNumber) -> u32 {
+    let mut gate = gate.clone();
+    let sender = Sender { now, number: Some(number) };
+    let mut sent = 0;
+    while gate.is_open(sender) {
+        gate.count(sender);
+        sent += 1;
+    }
+    sent
+}
