--- a/tests/testsuite/endpoint_limits.rs
+++ b/tests/testsuite/endpoint_limits.rs
@@ -3,8 +3,9 @@
 //! Seen: engines in need named 1 to 1.5 requests a second, and got two to five times that from eight entry boxes, as many
 //! as before. How: nothing read what an endpoint names, so it got what its load and its kept prompt parts brought.
 //! Cause: an answer's head was read for its outcome alone, and no box that chooses an endpoint knew of anything that an
-//! endpoint says of all boxes together. Proof: a log line of what answers name, beside arrivals that stay as they were; eighty
-//! requests in 4 s at the first test's endpoint, where eleven are allowed.
+//! endpoint says of all boxes together. Proof: the first test, in which eighty requests reached the endpoint in 4 s where
+//! eleven are allowed, as long as the header was unread; arrivals at the engines that had named a limit and at the others were
+//! alike.
 
 use std::path::Path;
 use std::rc::Rc;
