--- a/crates/vaneway-limit/src/lib.rs
+++ b/crates/vaneway-limit/src/lib.rs
@@ -20,8 +20,6 @@
 pub use gate::Gate;
 pub use gate::INTERVAL;
 pub use gate::Sender;
-pub use named::Born;
-pub use named::EndpointName;
 pub use named::Named;
 pub use named::NamedLimit;
 pub use named::NamedLimits;
--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -6,15 +6,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use vaneway_registry::Born;
+use vaneway_registry::InstanceId;
 
 use crate::Rate;
 
-/// Names an endpoint.
-pub type EndpointName = String;
-
-/// When an incarnation of an endpoint started, in milliseconds since 1970; 0 if it was not told.
-pub type Born = u64;
-
 /// Time since 1970 by the cluster's clock.
 pub type Time = Duration;
 
@@ -50,7 +46,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedLimit {
     /// The endpoint.
-    pub endpoint: EndpointName,
+    pub endpoint: InstanceId,
     /// What it named.
     pub named: Named,
 }
@@ -61,9 +57,9 @@
 /// lost, repeated and reordered.
 #[derive(Debug, Clone, Default)]
 pub struct NamedLimits {
-    by_endpoint: BTreeMap<EndpointName, Named>,
+    by_endpoint: BTreeMap<InstanceId, Named>,
     /// Endpoints of which others have to hear.
-    news: BTreeSet<EndpointName>,
+    news: BTreeSet<InstanceId>,
 }
 
 impl NamedLimits {
@@ -94,7 +90,6 @@
             (None, Some(known)) => Named { born, ended: true, at, ..known },
             (None, None) => return None,
         };
-        // Also in place of what was known without its incarnation.
         if known.is_some_and(|known| known.says_the_same(&named)) {
             return None;
         }
@@ -136,7 +131,7 @@
         self.by_endpoint.keys().filter_map(|endpoint| self.limit_of(endpoint.clone())).collect()
     }
 
-    fn limit_of(&self, endpoint: EndpointName) -> Option<NamedLimit> {
+    fn limit_of(&self, endpoint: InstanceId) -> Option<NamedLimit> {
         let named = *self.by_endpoint.get(&endpoint)?;
         Some(NamedLimit { endpoint, named })
     }
--- a/crates/vaneway-registry/src/lib.rs
+++ b/crates/vaneway-registry/src/lib.rs
@@ -159,6 +159,11 @@
         self.known.get(instance)
     }
 
+    /// The incarnation of an endpoint that is known; 0 if none is, or it did not tell.
+    pub fn born(&self, instance: &str) -> Born {
+        self.known.get(instance).map_or(0, |known| known.born)
+    }
+
     /// How many endpoints are known, gone ones included.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -13,7 +13,6 @@
 use vaneway_limit::NamedLimit;
 use vaneway_quarantine::Finding;
 use vaneway_registry::Change;
-use vaneway_registry::Registry;
 use vaneway_registry::Report;
 
 use crate::core::cluster::wire::BUSY_MOST;
@@ -75,10 +74,9 @@
     let now = Instant::now();
     let mut news = Vec::new();
     for report in reports {
-        let born = |registry: &Registry| registry.get(&report.instance).map_or(0, |k| k.born);
-        let born_before = born(&control.registry.borrow());
+        let born_before = control.registry.borrow().born(&report.instance);
         let change = control.registry.borrow_mut().merge(now, report);
-        if born_before > 0 && born(&control.registry.borrow()) > born_before {
+        if born_before > 0 && control.registry.borrow().born(&report.instance) > born_before {
             // It holds nothing of what the incarnation before kept.
             control.parts.borrow_mut().forget_endpoint(&report.instance);
         }
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use vaneway_registry::Born;
 use vaneway_registry::Change;
 use vaneway_registry::Details;
 use vaneway_registry::InstanceId;
@@ -35,7 +34,7 @@
 pub fn apply(entry: &Entry, reports: &[Report]) {
     let now = Instant::now();
     for report in reports {
-        let born_before = born(entry, &report.instance);
+        let born_before = entry.registry.borrow().born(&report.instance);
         let change = entry.registry.borrow_mut().merge(now, report);
         if change != Change::News {
             continue;
@@ -50,11 +49,6 @@
     }
 }
 
-/// The incarnation of an endpoint that is known; 0 if none is, or it did not tell.
-fn born(entry: &Entry, instance: &InstanceId) -> Born {
-    entry.registry.borrow().get(instance).map_or(0, |known| known.born)
-}
-
 /// Gives up an endpoint that has started again: what ran there is lost, and what it kept too. The incarnation
 /// that runs now joins the pool as another endpoint.
 fn abandon(entry: &Entry, instance: &InstanceId) {
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -3,10 +3,10 @@
 //! Data flow: the head of each answer says what its endpoint takes ([`answered`]); what is news goes to the control boxes and
 //! from them to the other entry boxes ([`learn`]). The pool's gates decide by it, each time that an endpoint is chosen.
 
-use vaneway_limit::Born;
 use vaneway_limit::NamedLimit;
 use vaneway_limit::Rate;
 use vaneway_limit::RateError;
+use vaneway_registry::Born;
 use vaneway_registry::Registry;
 use vaneway_registry::Standing;
 use vaneway_route::EndpointId;
@@ -79,7 +79,7 @@
 pub fn put(entry: &Entry, name: &str) {
     let Some(endpoint) = entry.registered.borrow().get(name).copied() else { return };
     let named = entry.limits.borrow().get(name).copied();
-    let born = entry.registry.borrow().get(name).map_or(0, |known| known.born);
+    let born = entry.registry.borrow().born(name);
     if let Some(named) = named.filter(|named| named.is_of(born)) {
         entry.pool.borrow_mut().limit(endpoint, named);
     }
@@ -109,7 +109,7 @@
 /// settings name has no other.
 fn incarnation(entry: &Entry, name: &str, endpoint: EndpointId) -> Option<Born> {
     let registered = entry.registered.borrow().get(name).copied();
-    let born = || entry.registry.borrow().get(name).map_or(0, |known| known.born);
+    let born = || entry.registry.borrow().born(name);
     registered.is_none_or(|current| current == endpoint).then(born)
 }
 
