--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -146,11 +146,16 @@
         parts.take_news()
     };
     if !news.is_empty() {
-        let message = Encoded::new(&ToEntry::Parts(news));
-        for link in links_that_want(control, |wanted| wanted.loads) {
-            control.turns.next().await;
-            link.outgoing.send_encoded(&message);
-        }
+        send_to_those_that_want_loads(control, &ToEntry::Parts(news)).await;
+    }
+}
+
+/// Sends a message to all entry boxes that this box tells of loads, one in a turn.
+async fn send_to_those_that_want_loads(control: &Control, message: &ToEntry) {
+    let message = Encoded::new(message);
+    for link in links_that_want(control, |wanted| wanted.loads) {
+        control.turns.next().await;
+        link.outgoing.send_encoded(&message);
     }
 }
 
@@ -166,31 +171,28 @@
         return;
     }
     peers::send_to_all(control, BetweenControl::Limits(news.clone()));
-    let message = Encoded::new(&ToEntry::Limits(news));
-    for link in links_that_want(control, |wanted| wanted.loads) {
-        control.turns.next().await;
-        link.outgoing.send_encoded(&message);
-    }
+    send_to_those_that_want_loads(control, &ToEntry::Limits(news)).await;
 }
 
 /// Tells entry boxes which of all that there may be they are, as soon as it changes.
 async fn tell_box_numbers(control: &Control) {
-    let numbers = box_numbers(control);
-    for link in links_that_want(control, |wanted| wanted.loads) {
-        let Some(number) = numbers.get(&link.start.0).copied() else { continue };
-        if link.box_number.replace(Some(number)) != Some(number) {
-            control.turns.next().await;
-            link.outgoing.send(&ToEntry::BoxNumber(number));
-        }
+    for (link, number) in changed_box_numbers(control) {
+        control.turns.next().await;
+        link.outgoing.send(&ToEntry::BoxNumber(number));
     }
 }
 
-/// The number of each entry box that may be there, by the order of their names.
-fn box_numbers(control: &Control) -> BTreeMap<String, BoxNumber> {
+/// The numbers of entry boxes that they have not been told yet, by the order of the names of all that may be there.
+fn changed_box_numbers(control: &Control) -> Vec<(Rc<EntryLink>, BoxNumber)> {
     let of = sharers(control).known;
     let seen = control.entries_seen.borrow();
-    let numbered = seen.keys().zip(0..);
-    numbered.map(|(name, number)| (name.clone(), BoxNumber { number, of })).collect()
+    let numbers: BTreeMap<&str, u32> = seen.keys().map(String::as_str).zip(0..).collect();
+    let changed = links_that_want(control, |wanted| wanted.loads).into_iter().filter_map(|link| {
+        let number = BoxNumber { number: *numbers.get(link.start.0.as_str())?, of };
+        let is_news = link.box_number.replace(Some(number)) != Some(number);
+        is_news.then_some((link, number))
+    });
+    changed.collect()
 }
 
 /// Begins or ceases to tell an entry box of the others; what it wants newly, it is told whole at once.
