--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -26,7 +26,7 @@
 use crate::silence::SilentZones;
 
 /// What a request needs of the endpoint to be chosen.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct Query<'a> {
     /// The service that must answer.
     pub service: ServiceId,
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -44,6 +44,7 @@
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::Pace;
+use vaneway_route::Query;
 
 use crate::core::callers::api_error::ApiError;
 use crate::core::calls::attempt::Attempt;
@@ -58,6 +59,7 @@
 use crate::core::entry::Entry;
 use crate::core::pace;
 use crate::core::quarantine;
+use crate::core::quarantine::Placing;
 use crate::util::body::CallerBody;
 use crate::util::logline::Line;
 use crate::util::timers::Sleep;
@@ -361,17 +363,7 @@
         match action {
             Action::Choose => {
                 let request = &self.request;
-                let tried = self.relay.tried();
-                let work = request.work.as_ref();
-                let ended_here = !self.ended_under.is_empty();
-                let apart = quarantine::placed_apart(&self.entry, request, ended_here);
-                let service = request.service as usize;
-                let pace = self.pace();
-                let event = if quarantine::is_condemned(&self.entry, request) {
-                    Event::Condemned
-                } else {
-                    self.entry.choose(service, tried, request.prefix, work, apart, pace)
-                };
+                let event = self.choose();
                 if matches!(event, Event::Unavailable { .. }) {
                     log::debug!("event=no_endpoint request={} {event:?}", request.id);
                 }
@@ -397,6 +389,24 @@
         }
     }
 
+    fn choose(&self) -> Event {
+        let request = &self.request;
+        let apart = match quarantine::placing(&self.entry, request, !self.ended_under.is_empty()) {
+            Placing::Nowhere => return Event::Condemned,
+            Placing::Apart(fingerprint) => Some(fingerprint),
+            Placing::Anywhere => None,
+        };
+        self.entry.choose(Query {
+            service: request.service,
+            avoid: self.relay.tried(),
+            prefix: request.prefix,
+            work: request.work.as_ref(),
+            apart,
+            pace: self.pace(),
+            ..Query::default()
+        })
+    }
+
     /// When the first event has to come, for a request that no endpoint has been asked for: what was begun goes on.
     fn pace(&self) -> Option<Pace> {
         let request = &self.request;
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -26,7 +26,6 @@
 use vaneway_route::Effect;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
-use vaneway_route::Pace;
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_route::ServiceId;
@@ -247,26 +246,10 @@
         self.settings.routing.seed.wrapping_add(number)
     }
 
-    /// Chooses an endpoint for a request, as the answer to `Action::Choose`.
-    pub fn choose(
-        &self,
-        service: usize,
-        avoid: &[EndpointId],
-        prefix: u64,
-        work: Option<&Work>,
-        apart: Option<u64>,
-        pace: Option<Pace>,
-    ) -> Event {
-        let query = Query {
-            service: service as u32,
-            home: &self.settings.availability_zone,
-            avoid,
-            prefix,
-            work,
-            apart,
-            pace,
-            sender: self.sender(),
-        };
+    /// Chooses an endpoint for a request, as the answer to `Action::Choose`; what the query says of this box is filled in.
+    pub fn choose(&self, query: Query<'_>) -> Event {
+        let home = &self.settings.availability_zone;
+        let query = Query { home, sender: self.sender(), ..query };
         match self.pool.borrow_mut().choose(Instant::now(), query) {
             Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
             Choice::Full | Choice::Limited | Choice::Late => {
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -160,15 +160,30 @@
     released
 }
 
-/// Hash by which a request is placed apart from others, if an endpoint ended under it.
-pub fn placed_apart(entry: &Entry, request: &CallRequest, ended_here: bool) -> Option<u64> {
+/// Where a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placing {
+    /// At any endpoint.
+    Anywhere,
+    /// Apart from others, by its fingerprint: an endpoint ended under it.
+    Apart(Fingerprint),
+    /// At none: it is condemned.
+    Nowhere,
+}
+
+/// Where a request may run; `ended_here` if an endpoint ended under it at this box.
+pub fn placing(entry: &Entry, request: &CallRequest, ended_here: bool) -> Placing {
     let quarantine = entry.quarantine.borrow();
     if quarantine.is_empty() {
-        return None;
+        return Placing::Anywhere;
     }
     let fingerprint = fingerprint(request);
-    let suspected = quarantine.verdict(fingerprint) == Some(Verdict::Suspected);
-    (ended_here || suspected).then_some(fingerprint)
+    match quarantine.verdict(fingerprint) {
+        Some(Verdict::Condemned) => Placing::Nowhere,
+        Some(Verdict::Suspected) => Placing::Apart(fingerprint),
+        _ if ended_here => Placing::Apart(fingerprint),
+        _ => Placing::Anywhere,
+    }
 }
 
 /// Refuses a request that is condemned.
@@ -177,7 +192,7 @@
 ///
 /// If it is.
 pub fn check(entry: &Entry, request: &CallRequest) -> Result<(), ApiError> {
-    if !is_condemned(entry, request) {
+    if placing(entry, request, false) != Placing::Nowhere {
         return Ok(());
     }
     let fingerprint = fingerprint(request);
@@ -191,12 +206,6 @@
     Err(ApiError::rejected(StatusCode::UNPROCESSABLE_ENTITY, code, message))
 }
 
-/// Whether a request is condemned.
-pub fn is_condemned(entry: &Entry, request: &CallRequest) -> bool {
-    let quarantine = entry.quarantine.borrow();
-    !quarantine.is_empty() && quarantine.verdict(fingerprint(request)) == Some(Verdict::Condemned)
-}
-
 /// Learns what other boxes found. What runs here and is condemned now is taken back before its endpoint ends too.
 pub fn learn(entry: &Entry, findings: &[Finding]) {
     let now = entry.cluster_time();
