--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -50,6 +50,7 @@
 use crate::core::usage::WINDOWS_KEPT;
 use crate::util::frames;
 use crate::util::frames::Encoded;
+use crate::util::frames::HeldBytes;
 use crate::util::frames::Outgoing;
 use crate::util::frames::Silence;
 use crate::util::hash;
@@ -63,6 +64,8 @@
 struct Follower {
     entry: Rc<Entry>,
     settings: FollowSettings,
+    /// What the connections hold.
+    held: Rc<HeldBytes>,
     /// Control boxes to which a connection is kept.
     kept: RefCell<BTreeSet<SocketAddr>>,
     /// Connections that are open.
@@ -91,6 +94,7 @@
     let follower = Rc::new(Follower {
         entry,
         settings,
+        held: Rc::default(),
         kept: RefCell::default(),
         open: RefCell::default(),
         told: RefCell::default(),
@@ -160,7 +164,7 @@
     }
 
     async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
-        let outgoing = Outgoing::default();
+        let outgoing = Outgoing::new(&self.held);
         let link = ControlLink::new(outgoing.clone());
         link.send(self.hello());
         self.open.borrow_mut().insert(address, link);
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -28,6 +28,7 @@
 use crate::core::control::state::Pending;
 use crate::core::control::state::Proposed;
 use crate::core::control::state::node_address;
+use crate::core::control::store;
 use crate::core::control::store::Write;
 use crate::util::logline::Line;
 
@@ -84,7 +85,7 @@
         let node = control.node.borrow();
         let (index, log) = (node.committed(), node.log());
         let entries = log.between(log.base_index(), index);
-        let bytes: usize = entries.iter().map(|entry| entry.payload.command_bytes()).sum();
+        let bytes = store::command_bytes(entries);
         let due = entries.len() as u64 >= control.settings.snapshot_entries
             || (bytes >= SNAPSHOT_BYTES && entries.len() > 1);
         due.then_some(index)
@@ -199,6 +200,7 @@
 
 /// Queues a write to the disk.
 fn store(control: &Control, write: Write) {
+    control.unwritten.update(|bytes| bytes + write.bytes());
     if control.persist.unbounded_send(write).is_err() {
         log::error!("event=store_task_ended");
     }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -150,7 +150,7 @@
 }
 
 async fn serve(control: Rc<Control>, stream: SocketStream) {
-    let outgoing = Outgoing::default();
+    let outgoing = Outgoing::new(&control.held);
     let mut sender = Sender::Unknown;
     let on_frame = async |frame: &[u8]| {
         // Entry boxes are many and can wait; other control boxes can't.
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/memory.rs
@@ -0,0 +1,70 @@
+//! How much a control box holds of what waits: for entry boxes, for other control boxes, for the disk, or for the rest of a
+//! message to arrive.
+//!
+//! These are what grows when others are slower than this box; all else grows with the deployment.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::core::control::state::Control;
+use crate::core::control::store;
+use crate::util::logline::Line;
+
+/// Time between two looks at what waits.
+const WATCH_EVERY: Duration = Duration::from_millis(500);
+
+/// Bytes from which on what waits is logged.
+const LOGGED_FROM: usize = 16 << 20;
+
+/// Bytes that a control box holds, by what they wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Waiting {
+    /// For entry boxes to take them.
+    entries: usize,
+    /// For other control boxes to take them.
+    peers: usize,
+    /// For the rest of their message to arrive.
+    arriving: usize,
+    /// For the disk.
+    unwritten: usize,
+    /// For a snapshot to take the place of the agreement's entries.
+    log: usize,
+}
+
+impl Waiting {
+    fn of(control: &Control) -> Self {
+        let entries = control.entries.borrow();
+        let entries = entries.values().map(|link| link.outgoing.waiting_bytes()).sum();
+        Self {
+            entries,
+            peers: control.held.waiting() - entries,
+            arriving: control.held.arriving(),
+            unwritten: control.unwritten.get(),
+            log: store::command_bytes(control.node.borrow().log().entries()),
+        }
+    }
+
+    fn sum(self) -> usize {
+        let Self { entries, peers, arriving, unwritten, log } = self;
+        entries + peers + arriving + unwritten + log
+    }
+}
+
+/// Logs what waits while it is much, until dropped.
+pub async fn watch(control: Rc<Control>) {
+    loop {
+        control.timers.sleep(WATCH_EVERY).await;
+        let waiting = Waiting::of(&control);
+        if waiting.sum() < LOGGED_FROM {
+            continue;
+        }
+        Line::new("memory_waiting")
+            .with("entries", waiting.entries)
+            .with("peers", waiting.peers)
+            .with("arriving", waiting.arriving)
+            .with("unwritten", waiting.unwritten)
+            .with("log", waiting.log)
+            .with("links", control.entries.borrow().len())
+            .warn();
+    }
+}
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -4,6 +4,7 @@
 //! - [`machine`]: the commands that are agreed on and the state that they make, without I/O;
 //! - [`store`]: the agreement's file;
 //! - [`group`]: the agreement, driven;
+//! - [`memory`]: bytes that wait, by what they wait for;
 //! - [`membership`]: who should take part in it, without I/O;
 //! - [`links`]: connections that entry boxes and other control boxes open to it;
 //! - [`peers`]: connections that it opens to other control boxes;
@@ -23,6 +24,7 @@
 pub mod links;
 pub mod machine;
 pub mod membership;
+pub mod memory;
 pub mod operations;
 pub mod own;
 pub mod peers;
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -109,7 +109,7 @@
 }
 
 async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
-    let outgoing = Outgoing::default();
+    let outgoing = Outgoing::new(&control.held);
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
     send(ping(control));
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -25,6 +25,7 @@
 use crate::core::control::group;
 use crate::core::control::links;
 use crate::core::control::machine::Machine;
+use crate::core::control::memory;
 use crate::core::control::own::OwnControl;
 use crate::core::control::peers;
 use crate::core::control::protocol::CloudProtocol;
@@ -115,11 +116,13 @@
         turns: Turns::spawn(),
         started: now,
         persist,
+        unwritten: Cell::new(0),
         machine: RefCell::new(machine),
         tickets: RefCell::default(),
         pending: RefCell::default(),
         next_ticket: Cell::new(0),
         registry: RefCell::default(),
+        held: Rc::default(),
         entries: RefCell::default(),
         entries_seen: RefCell::default(),
         entries_told: Cell::new(0),
@@ -143,9 +146,10 @@
     control.remembered.replace(endpoints);
     control.entries_told.set(entries);
     let persisted = Rc::clone(&control);
-    let writing = store.write_forever(timers.clone(), queue, move |number| {
-        group::step(&persisted, Event::Persisted { number });
-    });
+    let durable = move |number| group::step(&persisted, Event::Persisted { number });
+    let theirs = Rc::clone(&control);
+    let written = move |bytes| theirs.unwritten.update(|unwritten| unwritten - bytes);
+    let writing = store.write_forever(timers.clone(), queue, durable, written);
     compio::runtime::spawn(writing).detach();
     let listen = control.settings.cluster_listen;
     let listener = SocketListener::bind(listen)
@@ -166,6 +170,7 @@
         task::spawn_until_dropped(links::accept(Rc::clone(&control), listener)),
         task::spawn_until_dropped(peers::keep_peers(Rc::clone(&control))),
         task::spawn_until_dropped(peers::ping_peers(Rc::clone(&control))),
+        task::spawn_until_dropped(memory::watch(Rc::clone(&control))),
         task::spawn_until_dropped(telling::tell_entries(Rc::clone(&control))),
         task::spawn_until_dropped(telling::tell_loads(Rc::clone(&control))),
         task::spawn_until_dropped(group::run_timers(Rc::clone(&control))),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -39,6 +39,7 @@
 use crate::core::usage::UseLedger;
 use crate::core::usage::Window;
 use crate::util::clock;
+use crate::util::frames::HeldBytes;
 use crate::util::timers::Timers;
 use crate::util::turns::Turns;
 
@@ -93,6 +94,8 @@
     pub node: RefCell<Node>,
     /// The way to the disk.
     pub(crate) persist: mpsc::UnboundedSender<Write>,
+    /// Bytes of commands and snapshots that wait for the disk.
+    pub(crate) unwritten: Cell<usize>,
     /// What was agreed on, as far as this box knows.
     pub machine: RefCell<Machine>,
     /// Proposals that have no place in the log yet.
@@ -102,6 +105,8 @@
     pub(crate) next_ticket: Cell<Ticket>,
     /// What endpoints told, here or at other control boxes.
     pub registry: RefCell<Registry>,
+    /// What the connections between boxes hold.
+    pub(crate) held: Rc<HeldBytes>,
     /// Connections of entry boxes.
     pub(crate) entries: RefCell<BTreeMap<u64, Rc<EntryLink>>>,
     /// When entry boxes were last connected, by name.
--- a/crates/vaneway-server/src/core/control/store.rs
+++ b/crates/vaneway-server/src/core/control/store.rs
@@ -81,6 +81,24 @@
     stored: Stored,
 }
 
+impl Write {
+    /// Bytes of the commands and the snapshot in it.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Persist(persist) => {
+                let snapshot = persist.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len());
+                snapshot + command_bytes(&persist.entries)
+            }
+            Self::Committed(_) => 0,
+        }
+    }
+}
+
+/// Bytes of the commands in entries.
+pub fn command_bytes(entries: &[Entry]) -> usize {
+    entries.iter().map(|entry| entry.payload.command_bytes()).sum()
+}
+
 /// What reaches a store's task.
 pub type Queue = mpsc::UnboundedReceiver<Write>;
 
@@ -163,14 +181,22 @@
 
 impl Store {
     /// Writes what is queued until the queue is closed; `durable` learns the number of the last
-    /// record of each batch.
-    pub async fn write_forever(mut self, timers: Timers, mut queue: Queue, durable: impl Fn(u64)) {
+    /// record of each batch, and `written` how many bytes of commands and snapshots it had.
+    pub async fn write_forever(
+        mut self,
+        timers: Timers,
+        mut queue: Queue,
+        durable: impl Fn(u64),
+        written: impl Fn(usize),
+    ) {
         while let Some(first) = queue.next().await {
             let mut batch = Vec::new();
+            let mut bytes = 0;
             let mut last = None;
             let mut anew = false;
             let mut next = Some(first);
             while let Some(write) = next {
+                bytes += write.bytes();
                 match &write {
                     Write::Persist(persist) => {
                         last = Some(persist.number);
@@ -183,6 +209,7 @@
                 next = queue.try_recv().ok();
             }
             self.write(&timers, batch, anew).await;
+            written(bytes);
             if let Some(number) = last {
                 durable(number);
             }
