--- a/crates/vaneway-test-support/src/process.rs
+++ b/crates/vaneway-test-support/src/process.rs
@@ -210,8 +210,21 @@
     ///
     /// If the process has ended.
     pub fn resident_bytes(&self) -> u64 {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Most bytes of memory that the process has had resident.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    pub fn resident_bytes_most(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
+    fn status_bytes(&self, key: &str) -> u64 {
         let status = self.proc_file("status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(key));
         let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
         kib.and_then(|kib| kib.trim().parse::<u64>().ok()).expect("a size in kB") * 1_024
     }
--- /dev/null
+++ b/tests/testsuite/control_memory.rs
@@ -0,0 +1,66 @@
+//! Memory of control boxes while entry boxes take slowly what they are told.
+
+use std::path::Path;
+
+use serde_json::Value;
+use serde_json::json;
+use vaneway_test_support::ControlGroup;
+use vaneway_test_support::SlowReaders;
+use vaneway_test_support::control_group::empty_configuration;
+
+/// Entry boxes of a large fleet's part.
+const READERS: usize = 90;
+
+/// What each takes: a tenth of a link of 10 Mbit/s, whose rest goes to other control boxes and to requests.
+const SLOW_BYTES_A_SECOND: usize = 125_000;
+
+/// More than each has to take in all.
+const FAST_BYTES_A_SECOND: usize = 20 << 20;
+
+/// Routes of the users' largest configurations.
+const ROUTES: usize = 5_000;
+
+/// Changes of a storm.
+const CHANGES: u64 = 24;
+
+/// Memory that control may take on each node.
+const MEMORY_MOST: u64 = 256 << 20;
+
+/// Guards against a control box that its memory's limit ends, and against an acknowledged change that entry boxes never get:
+/// versions that were overtaken waited for each slow entry box, and the newest one was dropped.
+#[test]
+fn storm_of_large_configurations_stays_within_memory_and_its_last_one_reaches_slow_entry_boxes() {
+    let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 1);
+    group.leader();
+    let readers = SlowReaders::connect(group.cluster_address(0), READERS, SLOW_BYTES_A_SECOND);
+
+    for version in 1..=CHANGES {
+        group.configure(&configuration(version));
+    }
+    let most = group.process(0).resident_bytes_most();
+    assert!(most <= MEMORY_MOST, "{most} bytes, {MEMORY_MOST} allowed");
+
+    readers.take(FAST_BYTES_A_SECOND);
+    readers.wait_for_version(CHANGES);
+}
+
+/// What makes names and prefixes as long as operators write them.
+const LONG: &str = "organisation-with-several-teams/team-with-several-services/service-of-the-team";
+
+fn configuration(version: u64) -> Value {
+    let route = |i: usize| {
+        json!({
+            "name": format!("{LONG}-{i}"), "host": "calls.example", "prefix": format!("/{LONG}/{i}/"),
+            "kind": "Repeatable", "timeout": { "secs": 8, "nanos": 0 },
+            "objective": { "secs": 1, "nanos": 0 }, "pause_objective": null, "priority": 0,
+            "targets": [{ "service": "service", "weight": 1 }], "max_attempts": 2, "public": true,
+            "affine": false,
+        })
+    };
+    let mut configuration = empty_configuration(version);
+    configuration["routes"] = (0..ROUTES).map(route).collect();
+    configuration["services"] = json!([
+        { "name": "service", "health_path": "", "max_connections": 1, "engine": null, "capacity": null }
+    ]);
+    configuration
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod capacity_plan;
 mod claims;
 mod control;
+mod control_memory;
 mod control_overload;
 mod deadly_requests;
 mod decisions;
