--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -1,9 +1,11 @@
 //! How an entry box follows the control boxes.
 //!
 //! Data flow: one connection to each control box that is known: the seeds of the settings at
-//! first, then whoever the control boxes name. Configuration and endpoints may come from any of
-//! them; the newest counts, so one control box that is cut off or behind takes nothing away. What
+//! first, then whoever the control boxes name. Any of them may name the newest configuration and endpoints;
+//! one that is cut off or behind takes nothing away. A configuration is asked for at one ([`configuration_source`]). What
 //! requests used is told to all; what the others used is heard from two ([`tellers`]).
+//!
+//! [`configuration_source`]: crate::core::cluster::configuration_source
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -22,6 +24,7 @@
 use vaneway_registry::Standing;
 use vaneway_route::Load;
 
+use crate::core::cluster::configuration_source::ConfigurationSource;
 use crate::core::cluster::control_link::ControlLink;
 use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::tellers;
@@ -39,6 +42,7 @@
 use crate::core::cluster::wire::WINDOWS_TOLD;
 use crate::core::cluster::wire::Wanted;
 use crate::core::cluster::work_at_endpoints;
+use crate::core::configuration::Version;
 use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
 use crate::core::limits;
@@ -64,6 +68,10 @@
 struct Follower {
     entry: Rc<Entry>,
     settings: FollowSettings,
+    /// Where configurations come from.
+    source: RefCell<ConfigurationSource>,
+    /// Whether a change did not fit the configuration that is in force here.
+    whole_wanted: Cell<bool>,
     /// What the connections hold.
     held: Rc<HeldBytes>,
     /// Control boxes to which a connection is kept.
@@ -91,8 +99,11 @@
 pub async fn follow(entry: Rc<Entry>) {
     let Some(settings) = entry.settings.follow.clone() else { return };
     let seeds = settings.seeds.clone();
+    let source = ConfigurationSource::new(hash::of(&entry.settings.name));
     let follower = Rc::new(Follower {
         entry,
+        source: RefCell::new(source),
+        whole_wanted: Cell::new(false),
         settings,
         held: Rc::default(),
         kept: RefCell::default(),
@@ -111,6 +122,7 @@
         if follower.said_done.get() {
             continue;
         }
+        follower.ask_for_configuration();
         follower.tell_loads();
         follower.tell_parts();
         follower.tell_findings();
@@ -176,6 +188,7 @@
         let silence = Silence { system: SILENCE_MOST, process: BUSY_MOST };
         let why = frames::drive(timers, &stream, &outgoing, silence, on_frame).await;
         let link = self.open.borrow_mut().remove(&address);
+        self.source.borrow_mut().lost(address);
         self.choose_tellers();
         Line::new("control_lost")
             .with("address", address)
@@ -188,7 +201,7 @@
         FromEntry::Hello {
             name: self.entry.settings.name.clone(),
             boot: self.entry.boot(),
-            configuration: self.entry.table().map_or(0, |table| table.configuration().version),
+            configuration: self.version(),
             known: self.entry.quotas.known_boxes(),
         }
     }
@@ -196,6 +209,7 @@
     /// Tells a control box that has taken this box in what it must know.
     fn introduce(&self, address: SocketAddr, link: &ControlLink) {
         link.taken_in.set(true);
+        link.send(FromEntry::OfferConfigurations);
         link.send(FromEntry::Leaving(self.leaving()));
         self.tell_all_that_is_told_once(link);
         link.send(FromEntry::Use(self.report(true)));
@@ -250,7 +264,21 @@
                     self.learn_time(sent_us, time_us);
                 }
             }
-            ToEntry::Configuration(configuration) => self.entry.configure(configuration),
+            ToEntry::Configuration(configuration) => {
+                self.source.borrow_mut().answered(from);
+                self.entry.configure(configuration);
+                self.whole_wanted.set(false);
+                self.ask_for_configuration();
+            }
+            ToEntry::ConfigurationAgreed { version } => {
+                self.source.borrow_mut().offered(from, version);
+                self.ask_for_configuration();
+            }
+            ToEntry::ConfigurationChange(change) => {
+                self.source.borrow_mut().answered(from);
+                self.whole_wanted.set(!self.entry.change_configuration(&change));
+                self.ask_for_configuration();
+            }
             ToEntry::Registry(reports) => registered::apply(&self.entry, &reports),
             ToEntry::Remembered { endpoints, left_ms } => {
                 let left = Duration::from_millis(left_ms);
@@ -293,6 +321,24 @@
         reports
     }
 
+    /// Asks a control box for the newest configuration, if it is time to.
+    fn ask_for_configuration(&self) {
+        let own = self.version();
+        let open = self.open.borrow();
+        let preferred = open.iter().find(|(_, link)| link.wanted.get().loads);
+        let preferred = preferred.map(|(address, _)| *address);
+        let of = self.source.borrow_mut().ask(Instant::now(), own, preferred);
+        if let Some(link) = of.and_then(|of| open.get(&of)) {
+            let have = if self.whole_wanted.get() { 0 } else { own };
+            link.send(FromEntry::WantConfiguration { have });
+        }
+    }
+
+    /// Version of the configuration that is in force here; 0 if none is.
+    fn version(&self) -> Version {
+        self.entry.table().map_or(0, |table| table.configuration().version)
+    }
+
     /// Asks the control boxes that are to tell what the others use, and lets the others cease.
     fn choose_tellers(&self) {
         let open = self.open.borrow();
--- a/crates/vaneway-server/src/core/cluster/mod.rs
+++ b/crates/vaneway-server/src/core/cluster/mod.rs
@@ -4,9 +4,11 @@
 //! - [`wire`]: the messages between entry and control boxes;
 //! - [`reconnect`]: connections to other boxes that are opened again whenever they break;
 //! - [`follow`]: how an entry box follows the control boxes, over `control_link`;
+//! - [`configuration_source`]: which of them it asks for a configuration;
 //! - [`tellers`]: which of them tell it what the others use;
 //! - [`work_at_endpoints`]: what it tells and learns of the work at endpoints.
 
+pub mod configuration_source;
 mod control_link;
 pub mod datagram;
 pub mod follow;
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -4,6 +4,8 @@
 //! every control box. Whatever is lost with a connection is sent whole again over the next one:
 //! configuration and registry are values of which only the newest counts, and the agreement sends
 //! again by itself.
+//!
+//! Configurations are offered by their versions by all control boxes, and asked for at one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +19,8 @@
 use vaneway_registry::Report;
 
 use crate::core::configuration::Configuration;
+use crate::core::configuration::Version;
+use crate::core::configuration_change::ConfigurationChange;
 use crate::core::kept_parts::KeptParts;
 use crate::core::loads::Loads;
 use crate::core::usage::OthersQuotaUse;
@@ -70,9 +74,12 @@
 /// Pause before a connection that broke is opened again.
 pub const RECONNECT_AFTER: Duration = Duration::from_millis(75);
 
-/// Where the configuration waits for an entry box.
+/// Where the configuration, or a change of it, waits for an entry box.
 pub const CONFIGURATION: Slot = Slot(0);
 
+/// Where the version of the configuration that is agreed on waits for an entry box.
+pub const CONFIGURATION_AGREED: Slot = Slot(3);
+
 /// Where entries of the agreement wait for another control box: each message has all that the one before it had.
 pub const ENTRIES: Slot = Slot(1);
 
@@ -117,6 +124,14 @@
     Findings(Vec<Finding>),
     /// Limits that endpoints named in answers to me, as far as it is news.
     Limits(Vec<NamedLimit>),
+    /// Tell me which version of the configuration is agreed on, now and whenever it changes. Who doesn't say so before its first
+    /// ping is told the configurations themselves.
+    OfferConfigurations,
+    /// Send me the configuration that is agreed on, or how it differs from the version that I have; 0 for all of it.
+    WantConfiguration {
+        /// The version.
+        have: Version,
+    },
 }
 
 /// A message of a control box to an entry box.
@@ -175,6 +190,13 @@
     Limits(Vec<NamedLimit>),
     /// Which of the entry boxes that share the limits of endpoints you are.
     BoxNumber(BoxNumber),
+    /// This version of the configuration is agreed on; the answer to [`FromEntry::OfferConfigurations`].
+    ConfigurationAgreed {
+        /// The version.
+        version: Version,
+    },
+    /// How the configuration that is agreed on differs from the one that you have.
+    ConfigurationChange(ConfigurationChange),
 }
 
 /// What an entry box wants to be told of the others.
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/changes.rs
@@ -0,0 +1,60 @@
+//! The latest changes of the configuration, from which entry boxes are told what differs from what they have.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::core::cluster::wire::ToEntry;
+use crate::core::configuration::Configuration;
+use crate::core::configuration::Version;
+use crate::core::configuration_change::ConfigurationChange;
+use crate::util::frames::Encoded;
+
+/// Changes that are kept at most.
+const CHANGES_MOST: usize = 64;
+
+/// Routes, services and organisations in them at most.
+const PARTS_MOST: usize = 4_096;
+
+/// The latest changes, the last of which made the configuration that is agreed on.
+#[derive(Debug, Default)]
+pub struct Changes {
+    kept: VecDeque<ConfigurationChange>,
+    /// Answers to entry boxes, by the version that they have; 0 for the whole.
+    answers: BTreeMap<Version, Encoded>,
+}
+
+impl Changes {
+    /// Takes note that a configuration was agreed on after another one.
+    pub fn record(&mut self, before: Option<&Configuration>, now: &Configuration) {
+        self.answers.clear();
+        let change = before.and_then(|before| ConfigurationChange::between(before, now));
+        let Some(change) = change else {
+            self.kept.clear();
+            return;
+        };
+        self.kept.push_back(change);
+        let parts = |kept: &VecDeque<_>| kept.iter().map(ConfigurationChange::parts).sum::<usize>();
+        while self.kept.len() > CHANGES_MOST || parts(&self.kept) > PARTS_MOST {
+            self.kept.pop_front();
+        }
+    }
+
+    /// What leads an entry box that has a version to the configuration `now`, which is agreed on.
+    pub fn answer(&mut self, now: &Configuration, have: Version) -> Encoded {
+        let change = self.since(have);
+        let version = change.as_ref().map_or(0, |change| change.base);
+        let answer = self.answers.entry(version).or_insert_with(|| {
+            Encoded::new(&match change {
+                Some(change) => ToEntry::ConfigurationChange(change),
+                None => ToEntry::Configuration(now.clone()),
+            })
+        });
+        answer.clone()
+    }
+
+    /// What differs from a version; none if its changes are not kept.
+    fn since(&self, have: Version) -> Option<ConfigurationChange> {
+        let from = self.kept.iter().position(|change| change.base == have)?;
+        self.kept.range(from..).cloned().reduce(ConfigurationChange::then)
+    }
+}
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -20,6 +20,7 @@
 use crate::core::control::links;
 use crate::core::control::machine::Command;
 use crate::core::control::machine::Effect;
+use crate::core::control::machine::Held;
 use crate::core::control::machine::Machine;
 use crate::core::control::membership;
 use crate::core::control::membership::MemberView;
@@ -99,7 +100,7 @@
 
 /// Takes the state of a leader's snapshot.
 fn restore(control: &Rc<Control>, snapshot: &Snapshot) {
-    let before = control.machine.borrow().version();
+    let before = control.machine.borrow().held().cloned();
     match Machine::decode(&snapshot.data) {
         Ok(machine) => {
             *control.machine.borrow_mut() = machine;
@@ -112,7 +113,7 @@
                 .error();
         }
     }
-    configured_since(control, before);
+    configured_since(control, before.as_deref());
 }
 
 fn perform(control: &Rc<Control>, action: Action) {
@@ -134,11 +135,11 @@
             }
         }
         Action::Commit { entries } => {
-            let before = control.machine.borrow().version();
+            let before = control.machine.borrow().held().cloned();
             for entry in entries {
                 committed(control, entry);
             }
-            configured_since(control, before);
+            configured_since(control, before.as_deref());
         }
         Action::Restore { snapshot } => restore(control, &snapshot),
         Action::RoleChanged { role, term } => role_changed(control, role, term),
@@ -217,12 +218,15 @@
     }
 }
 
-/// Spreads the configuration in force if it is another than the one before.
-fn configured_since(control: &Control, before: u64) {
+/// Offers the configuration in force to entry boxes if it is another than the one before.
+fn configured_since(control: &Control, before: Option<&Held>) {
     let held = control.machine.borrow().held().cloned();
-    let Some(held) = held.filter(|held| held.configuration.version > before) else { return };
+    let version = before.map_or(0, |held| held.configuration.version);
+    let Some(held) = held.filter(|held| held.configuration.version > version) else { return };
     Line::new("configuration_agreed").with("version", held.configuration.version).info();
-    links::spread_configuration(control, &held.configuration);
+    let before = before.map(|held| &held.configuration);
+    control.changes.borrow_mut().record(before, &held.configuration);
+    links::spread_configuration(control, held.configuration.version);
 }
 
 /// Applies what was committed before this box started, so that entry boxes that start with it need
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -18,12 +18,13 @@
 use crate::core::cluster::wire::BUSY_MOST;
 use crate::core::cluster::wire::BetweenControl;
 use crate::core::cluster::wire::CONFIGURATION;
+use crate::core::cluster::wire::CONFIGURATION_AGREED;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::SILENCE_MOST;
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
 use crate::core::cluster::wire::Wanted;
-use crate::core::configuration::Configuration;
+use crate::core::configuration::Version;
 use crate::core::control::group;
 use crate::core::control::peers;
 use crate::core::control::remembered;
@@ -48,6 +49,22 @@
     pub(super) wanted: Cell<Wanted>,
     /// Its number among the entry boxes as it was told last, if it wants to know.
     pub(super) box_number: Cell<Option<BoxNumber>>,
+    /// Version of the configuration that it had when it connected.
+    had: Version,
+    /// Whether it was not told of the use of quotas since it had not taken what it was told before.
+    pub(super) missed_use: Cell<bool>,
+    configurations: Cell<Configurations>,
+}
+
+/// How an entry box gets configurations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Configurations {
+    /// It has not said yet.
+    Unknown,
+    /// It is told the version and asks.
+    Offered,
+    /// It is sent each, since it is of a version of this program that doesn't ask.
+    Sent,
 }
 
 impl EntryLink {
@@ -65,11 +82,35 @@
     }
 }
 
-/// Tells every entry box of a configuration, in place of an older one that still waits.
-pub fn spread_configuration(control: &Control, configuration: &Configuration) {
-    let message = Encoded::new(&ToEntry::Configuration(configuration.clone()));
+/// Offers a version of the configuration to the entry boxes that ask for it themselves, and sends it to the others.
+pub(super) fn spread_configuration(control: &Control, version: Version) {
+    let offer = Encoded::new(&ToEntry::ConfigurationAgreed { version });
     for entry in control.entries.borrow().values() {
-        entry.outgoing.send_newest(CONFIGURATION, &message);
+        match entry.configurations.get() {
+            Configurations::Offered => entry.outgoing.send_newest(CONFIGURATION_AGREED, &offer),
+            Configurations::Sent => send_configuration(control, entry, 0),
+            Configurations::Unknown => {}
+        }
+    }
+}
+
+/// Sends an entry box the configuration, or how it differs from the version that it has.
+fn send_configuration(control: &Control, entry: &EntryLink, have: Version) {
+    let machine = control.machine.borrow();
+    let Some(held) = machine.held().filter(|held| held.configuration.version > have) else {
+        return;
+    };
+    let answer = control.changes.borrow_mut().answer(&held.configuration, have);
+    entry.outgoing.send_newest(CONFIGURATION, &answer);
+}
+
+/// Offers the configuration that is agreed on from now on to an entry box, which asks for it.
+fn offer_configurations(control: &Control, entry: &EntryLink) {
+    entry.configurations.set(Configurations::Offered);
+    let version = control.machine.borrow().version();
+    if version > 0 {
+        let offer = Encoded::new(&ToEntry::ConfigurationAgreed { version });
+        entry.outgoing.send_newest(CONFIGURATION_AGREED, &offer);
     }
 }
 
@@ -189,6 +230,12 @@
             *sender = welcome(control, outgoing, (name, boot), configuration);
         }
         ToControl::Entry(FromEntry::Ping { sent_us }) => {
+            if let Some(entry) = entry_of(control, sender)
+                && entry.configurations.get() == Configurations::Unknown
+            {
+                entry.configurations.set(Configurations::Sent);
+                send_configuration(control, &entry, entry.had);
+            }
             let time = control.known_time();
             let time_us = time.map(|time| time.as_micros() as u64);
             outgoing.send(&ToEntry::Pong { sent_us, time_us });
@@ -212,6 +259,16 @@
         }
         ToControl::Entry(FromEntry::Findings(findings)) => learn_findings(control, &findings),
         ToControl::Entry(FromEntry::Limits(told)) => learn_limits(control, &told),
+        ToControl::Entry(FromEntry::OfferConfigurations) => {
+            if let Some(entry) = entry_of(control, sender) {
+                offer_configurations(control, &entry);
+            }
+        }
+        ToControl::Entry(FromEntry::WantConfiguration { have }) => {
+            if let Some(entry) = entry_of(control, sender) {
+                send_configuration(control, &entry, have);
+            }
+        }
         ToControl::Entry(FromEntry::Done) => {
             if let Sender::Entry { start, .. } = sender {
                 control.use_ledger.borrow_mut().end_start(start);
@@ -229,20 +286,20 @@
     }
 }
 
-/// Takes an entry box in and tells it all that it must know; it has the version `has` of the configuration.
-fn welcome(control: &Control, outgoing: &Outgoing, start: EntryStart, has: u64) -> Sender {
+/// The connection of an entry box that sent something.
+fn entry_of(control: &Control, sender: &Sender) -> Option<Rc<EntryLink>> {
+    let Sender::Entry { link, .. } = sender else { return None };
+    control.entries.borrow().get(link).cloned()
+}
+
+/// Takes an entry box in and tells it all that it must know; it has the version `had` of the configuration.
+fn welcome(control: &Control, outgoing: &Outgoing, start: EntryStart, had: Version) -> Sender {
     control.next_link.update(|link| link + 1);
     let link = control.next_link.get();
     Line::new("entry_connected").with("entry", &start.0).with("boot", start.1).info();
     let availability_zone = control.settings.availability_zone.clone();
     outgoing.send(&ToEntry::Hello { availability_zone });
     outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
-    if let Some(held) = control.machine.borrow().held()
-        && held.configuration.version > has
-    {
-        let message = Encoded::new(&ToEntry::Configuration(held.configuration.clone()));
-        outgoing.send_newest(CONFIGURATION, &message);
-    }
     let reports = control.registry.borrow().reports(Instant::now());
     outgoing.send(&ToEntry::Registry(reports));
     if let Some(left) = remembered::left(control) {
@@ -255,6 +312,9 @@
         outgoing: outgoing.clone(),
         wanted,
         box_number: Cell::default(),
+        had,
+        missed_use: Cell::default(),
+        configurations: Cell::new(Configurations::Unknown),
     };
     control.entries.borrow_mut().insert(link, Rc::new(entry));
     Sender::Entry { link, start }
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -5,6 +5,7 @@
 //! - [`store`]: the agreement's file;
 //! - [`group`]: the agreement, driven;
 //! - [`memory`]: bytes that wait, by what they wait for;
+//! - [`changes`]: the latest changes of the configuration;
 //! - [`membership`]: who should take part in it, without I/O;
 //! - [`links`]: connections that entry boxes and other control boxes open to it;
 //! - [`peers`]: connections that it opens to other control boxes;
@@ -18,6 +19,7 @@
 //! - [`running`]: start and stop.
 
 pub mod capacity;
+pub mod changes;
 pub mod clock;
 pub mod duties;
 pub mod group;
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -118,6 +118,7 @@
         persist,
         unwritten: Cell::new(0),
         machine: RefCell::new(machine),
+        changes: RefCell::default(),
         tickets: RefCell::default(),
         pending: RefCell::default(),
         next_ticket: Cell::new(0),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -25,6 +25,7 @@
 use vaneway_registry::Report;
 
 use crate::core::cluster::wire::Wanted;
+use crate::core::control::changes::Changes;
 use crate::core::control::clock::Clock;
 use crate::core::control::links::EntryLink;
 use crate::core::control::machine::Machine;
@@ -98,6 +99,8 @@
     pub(crate) unwritten: Cell<usize>,
     /// What was agreed on, as far as this box knows.
     pub machine: RefCell<Machine>,
+    /// How it came to the configuration that is agreed on.
+    pub(crate) changes: RefCell<Changes>,
     /// Proposals that have no place in the log yet.
     pub(crate) tickets: RefCell<BTreeMap<Ticket, oneshot::Sender<Proposed>>>,
     /// Proposals by their place in the log.
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -37,6 +37,7 @@
 use crate::core::configuration::CallerLimits;
 use crate::core::configuration::Configuration;
 use crate::core::configuration::RouteTable;
+use crate::core::configuration_change::ConfigurationChange;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::metrics::Metrics;
 use crate::core::occupancy::Occupancy;
@@ -289,6 +290,26 @@
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
+    /// Puts in force what a change makes of the configuration, unless that is in force already. Returns false if the change
+    /// was not made for the configuration in force.
+    pub fn change_configuration(&self, change: &ConfigurationChange) -> bool {
+        let table = self.table();
+        let held = table.as_ref().map(|table| table.configuration());
+        if held.is_some_and(|held| held.version >= change.version) {
+            return true;
+        }
+        if let Some(configuration) = held.and_then(|held| change.apply(held)) {
+            self.configure(configuration);
+            return true;
+        }
+        Line::new("configuration_change_unfit")
+            .with("base", change.base)
+            .with("version", change.version)
+            .with("held", held.map_or(0, |held| held.version))
+            .warn();
+        false
+    }
+
     /// Limits on callers: the configuration's, or the settings' before there is one.
     pub fn caller_limits(&self) -> CallerLimits {
         self.table().map_or_else(
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod cloud_notices;
 pub mod cluster;
 pub mod configuration;
+pub mod configuration_change;
 pub mod control;
 pub mod endpoints;
 pub mod entry;
--- a/crates/vaneway-test-support/src/slow_readers.rs
+++ b/crates/vaneway-test-support/src/slow_readers.rs
@@ -36,6 +36,15 @@
 /// How long the readers may take for anything that a test waits for; far beyond what it needs.
 const WITHIN: Duration = Duration::from_mins(1);
 
+/// Of which version of this program readers are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BoxVersion {
+    /// They are offered configurations and ask for them.
+    Present,
+    /// They are sent configurations.
+    Earlier,
+}
+
 /// Readers that are connected until dropped.
 #[derive(Debug)]
 pub struct SlowReaders {
@@ -62,13 +71,19 @@
     /// # Panics
     ///
     /// If a reader can't connect, or is not taken in in time.
-    pub fn connect(control: SocketAddr, count: usize, bytes_a_second: usize) -> Self {
+    pub fn connect(
+        control: SocketAddr,
+        count: usize,
+        bytes_a_second: usize,
+        version: BoxVersion,
+    ) -> Self {
         let shared = Arc::new(Shared::default());
         let theirs = Arc::clone(&shared);
         let mut readers = Self { shared, thread: None };
         readers.take(bytes_a_second);
         let run = move || {
-            let mut readers: Vec<_> = (0..count).map(|i| Reader::connect(control, i)).collect();
+            let mut readers: Vec<_> =
+                (0..count).map(|i| Reader::connect(control, i, version)).collect();
             while !theirs.stop.load(Ordering::Relaxed) {
                 read_all(&mut readers, control, &theirs);
                 std::thread::sleep(READ_EVERY);
@@ -125,7 +140,8 @@
     for (i, reader) in readers.iter_mut().enumerate() {
         if !reader.read(take) {
             shared.ended.fetch_add(1, Ordering::Relaxed);
-            *reader = Reader { version: reader.version, ..Reader::connect(control, i) };
+            let anew = Reader::connect(control, i, reader.of);
+            *reader = Reader { version: reader.version, ..anew };
         }
     }
     let versions = readers.iter().map(|reader| reader.version);
@@ -138,6 +154,7 @@
 struct Reader {
     stream: TcpStream,
     arrived: BytesMut,
+    of: BoxVersion,
     /// The version that it was told last.
     version: u64,
     taken_in: bool,
@@ -145,7 +162,7 @@
 }
 
 impl Reader {
-    fn connect(control: SocketAddr, i: usize) -> Self {
+    fn connect(control: SocketAddr, i: usize, of: BoxVersion) -> Self {
         let socket = Socket::new(Domain::for_address(control), Type::STREAM, None);
         let socket = socket.expect("a socket");
         socket.set_recv_buffer_size(RECEIVE_BYTES).expect("a size of the buffer");
@@ -154,6 +171,7 @@
         let mut reader = Self {
             stream: socket.into(),
             arrived: BytesMut::new(),
+            of,
             version: 0,
             taken_in: false,
             pinged: Instant::now(),
@@ -190,7 +208,16 @@
 
     fn take_in(&mut self, frame: &[u8]) {
         match frames::decode::<ToEntry>(frame).expect("a message in a known form") {
-            ToEntry::Hello { .. } => self.taken_in = true,
+            ToEntry::Hello { .. } => {
+                self.taken_in = true;
+                if self.of == BoxVersion::Present {
+                    self.send(FromEntry::OfferConfigurations);
+                }
+            }
+            // It asks for the whole each time, as one that has just started would.
+            ToEntry::ConfigurationAgreed { version } if version > self.version => {
+                self.send(FromEntry::WantConfiguration { have: 0 });
+            }
             ToEntry::Configuration(configuration) => {
                 self.version = self.version.max(configuration.version);
             }
