--- a/crates/vaneway-server/src/core/calls/claims.rs
+++ b/crates/vaneway-server/src/core/calls/claims.rs
@@ -107,6 +107,7 @@
 pub async fn open(folder: &Path, holder: Holder, settings: &ClaimSettings) -> eyre::Result<Claims> {
     let context = || format!("failed to open the ledger of claims in `{}`", folder.display());
     let (ledger, log) = load(folder).await.wrap_err_with(context)?;
+    // Each proposal's call waits for it, so there are no more of them than open calls.
     let (tx, rx) = mpsc::unbounded();
     let shared = Rc::new(Shared {
         ledger: RefCell::new(ledger),
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -24,6 +24,7 @@
 use crate::core::control::machine::Machine;
 use crate::core::control::membership;
 use crate::core::control::membership::MemberView;
+use crate::core::control::memory;
 use crate::core::control::peers;
 use crate::core::control::state::Control;
 use crate::core::control::state::Pending;
@@ -59,6 +60,9 @@
 
 /// Applies an event and carries out what it brings.
 pub fn step(control: &Rc<Control>, event: Event) {
+    let event =
+        if memory::is_disk_behind(control) { memory::without_writes(event) } else { Some(event) };
+    let Some(event) = event else { return };
     let committed = handle(control, event);
     if control.node.borrow().leader().is_some() {
         control.led_at.set(Instant::now());
@@ -323,8 +327,12 @@
 }
 
 /// Proposes a command and waits until it is applied here; none if that is not known by `until`,
-/// in which case it may still be applied later.
+/// in which case it may still be applied later. Not taken while the disk is far behind.
 pub async fn propose(control: &Rc<Control>, command: &Command, until: Instant) -> Option<Proposed> {
+    if memory::is_disk_behind(control) {
+        Line::new("proposal_refused").with("unwritten", control.unwritten.get()).warn();
+        return Some(Proposed::NotTaken);
+    }
     let (tx, rx) = oneshot::channel();
     let ticket = next_ticket(control);
     control.tickets.borrow_mut().insert(ticket, tx);
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -26,6 +26,7 @@
 use crate::core::cluster::wire::Wanted;
 use crate::core::configuration::Version;
 use crate::core::control::group;
+use crate::core::control::memory;
 use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
@@ -207,6 +208,7 @@
             return;
         };
         if matches!(message, ToControl::Entry(FromEntry::Hello { .. })) {
+            memory::room_for_newcomers(&control).await;
             control.turns.next().await;
         }
         received(&control, &outgoing, &mut sender, message);
--- a/crates/vaneway-server/src/core/control/memory.rs
+++ b/crates/vaneway-server/src/core/control/memory.rs
@@ -1,11 +1,16 @@
 //! How much a control box holds of what waits: for entry boxes, for other control boxes, for the disk, or for the rest of a
 //! message to arrive.
 //!
-//! These are what grows when others are slower than this box; all else grows with the deployment.
+//! These are what grows when others are slower than this box; all else grows with the deployment. Each has a bound: entry
+//! boxes that come anew wait until there is [`room_for_newcomers`], and while the disk is behind nothing is added to what it
+//! must write ([`without_writes`]).
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use vaneway_agreement::Event;
+use vaneway_agreement::Message;
+
 use crate::core::control::state::Control;
 use crate::core::control::store;
 use crate::util::logline::Line;
@@ -16,6 +21,40 @@
 /// Bytes from which on what waits is logged.
 const LOGGED_FROM: usize = 16 << 20;
 
+/// Bytes that wait for boxes up to which an entry box that connects is told all that it must know.
+const ROOM_BELOW: usize = 48 << 20;
+
+/// Time between two looks whether there is room.
+const ROOM_EVERY: Duration = Duration::from_millis(20);
+
+/// Bytes that wait for the disk up to which more is written.
+const UNWRITTEN_MOST: usize = 32 << 20;
+
+/// Waits until what waits for boxes leaves room for what a newcomer is told.
+pub(super) async fn room_for_newcomers(control: &Control) {
+    while control.held.waiting() > ROOM_BELOW {
+        control.timers.sleep(ROOM_EVERY).await;
+    }
+}
+
+/// Whether the disk is so far behind that nothing may be added to what it must write.
+pub(super) fn is_disk_behind(control: &Control) -> bool {
+    control.unwritten.get() > UNWRITTEN_MOST
+}
+
+/// What is left of an event if nothing may be written: entries count as lost on the way, and are sent again; the sign of
+/// life that comes with them counts. None if nothing is left.
+pub fn without_writes(event: Event) -> Option<Event> {
+    match event {
+        Event::Message { from, message: Message::Append(mut append) } => {
+            append.entries.clear();
+            Some(Event::Message { from, message: Message::Append(append) })
+        }
+        Event::Message { message: Message::Install(_), .. } => None,
+        event => Some(event),
+    }
+}
+
 /// Bytes that a control box holds, by what they wait for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Waiting {
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -109,6 +109,7 @@
         None => Machine::default(),
     };
     group::apply_committed(&mut machine, &stored.durable.entries, stored.committed);
+    // Bounded in bytes where it is filled: nothing is added while the disk is far behind.
     let (persist, queue) = mpsc::unbounded();
     let control = Rc::new(Control {
         node: RefCell::new(Node::start(config, stored.durable, now)),
--- a/crates/vaneway-server/src/core/operators.rs
+++ b/crates/vaneway-server/src/core/operators.rs
@@ -88,6 +88,7 @@
 pub async fn bind(entry: Rc<Entry>) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(entry.settings.operators.listen).await?;
     let address = listener.local_addr()?;
+    // Each question's connection waits for the answer, so there are no more of them than connections.
     let (tx, mut rx) = mpsc::unbounded::<Question>();
     let tokens = Arc::new(entry.settings.operators.tokens.clone());
     compio::runtime::spawn(async move {
--- a/tests/testsuite/control_memory.rs
+++ b/tests/testsuite/control_memory.rs
@@ -4,6 +4,15 @@
 
 use serde_json::Value;
 use serde_json::json;
+use vaneway_agreement::Append;
+use vaneway_agreement::Entry;
+use vaneway_agreement::Event;
+use vaneway_agreement::Install;
+use vaneway_agreement::Members;
+use vaneway_agreement::Message;
+use vaneway_agreement::Payload;
+use vaneway_agreement::Snapshot;
+use vaneway_server::core::control::memory::without_writes;
 use vaneway_test_support::ControlGroup;
 use vaneway_test_support::SlowReaders;
 use vaneway_test_support::control_group::empty_configuration;
@@ -77,3 +86,27 @@
     ]);
     configuration
 }
+
+/// Guards against a control box with a stalled disk that takes in entries without end, and against one that no longer
+/// hears its leader because of it.
+#[test]
+fn append_to_a_box_whose_disk_is_behind_counts_as_a_sign_of_life_only() {
+    let append = |entries: Vec<Entry>| Event::Message {
+        from: 7,
+        message: Message::Append(Append {
+            term: 3,
+            prev_index: 4,
+            prev_term: 2,
+            entries,
+            commit: 4,
+            round: 9,
+        }),
+    };
+    let entry = Entry { term: 3, index: 5, payload: Payload::Command(vec![0; 1_000]) };
+    assert_eq!(without_writes(append(vec![entry])), Some(append(vec![])));
+
+    let snapshot = Snapshot { index: 9, term: 3, members: Members::of([7]), data: vec![0; 1_000] };
+    let install = Message::Install(Install { term: 3, snapshot, round: 9 });
+    assert_eq!(without_writes(Event::Message { from: 7, message: install }), None);
+    assert_eq!(without_writes(Event::Tick), Some(Event::Tick));
+}
