--- a/tests/testsuite/endpoint_limits.rs
+++ b/tests/testsuite/endpoint_limits.rs
@@ -48,6 +48,9 @@
         let endpoints = endpoints.iter().map(|id| WireEndpoint::spawn(id)).collect();
         let fleet = Self { control, entries, endpoints };
         fleet.control.configure(&configuration(1));
+        for entry in &fleet.entries {
+            entry.wait_for_log(&["event=configured", "version=1"]);
+        }
         for endpoint in &fleet.endpoints {
             let replica = fleet.beat(endpoint, 1_000);
             for entry in &fleet.entries {
