--- a/crates/vaneway-server/src/core/configuration.rs
+++ b/crates/vaneway-server/src/core/configuration.rs
@@ -11,6 +11,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -243,22 +244,29 @@
 #[derive(Debug)]
 pub struct RouteTable {
     configuration: Configuration,
-    /// Positions of each host's routes, the longest prefix first.
-    hosts: BTreeMap<String, Vec<usize>>,
+    hosts: BTreeMap<String, HostRoutes>,
     /// Position of the organisation that holds a key.
     keys: BTreeMap<String, usize>,
     services: BTreeMap<String, usize>,
 }
 
+/// The routes of one host.
+#[derive(Debug, Default)]
+struct HostRoutes {
+    /// Positions of the routes.
+    by_prefix: HashMap<String, usize>,
+    /// Bytes of the longest prefix.
+    longest: usize,
+}
+
 impl RouteTable {
     /// Prepares a configuration that was checked.
     pub fn new(configuration: Configuration) -> Self {
-        let mut hosts = BTreeMap::<String, Vec<usize>>::new();
+        let mut hosts = BTreeMap::<String, HostRoutes>::new();
         for (i, route) in configuration.routes.iter().enumerate() {
-            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(i);
-        }
-        for routes in hosts.values_mut() {
-            routes.sort_by_key(|i| std::cmp::Reverse(configuration.routes[*i].prefix.len()));
+            let routes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.longest = routes.longest.max(route.prefix.len());
+            routes.by_prefix.entry(route.prefix.clone()).or_insert(i);
         }
         let organisations = configuration.organisations.iter().enumerate();
         let keys = organisations
@@ -278,8 +286,12 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
         let routes = self.hosts.get(&host.to_ascii_lowercase())?;
-        let routes = routes.iter().map(|i| &self.configuration.routes[*i]);
-        routes.into_iter().find(|route| path.starts_with(&route.prefix))
+        // Every prefix ends with a slash, so only what ends with one of the path's is looked up; of a path without end
+        // no more than a prefix can have.
+        let ends = path.rmatch_indices('/').map(|(at, slash)| at + slash.len());
+        let mut ends = ends.skip_while(|end| *end > routes.longest);
+        let position = ends.find_map(|end| routes.by_prefix.get(&path[..end]))?;
+        Some(&self.configuration.routes[*position])
     }
 
     /// The organisation that holds a key.
--- a/tests/testsuite/decisions_of_control.rs
+++ b/tests/testsuite/decisions_of_control.rs
@@ -1,6 +1,7 @@
 //! Decisions of control boxes without I/O: members, time, accounting and the configuration's form.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -27,6 +28,8 @@
 use vaneway_server::core::usage::Used;
 use vaneway_test_support::control_group::empty_configuration;
 
+use crate::property;
+
 fn node(box_number: u8, incarnation: u32) -> u64 {
     node_id([10, 0, 0, box_number].into(), incarnation)
 }
@@ -274,3 +277,40 @@
     let picked: Vec<_> = (0..8).filter_map(|draw| long.pick(draw)).collect();
     assert_eq!(picked, ["x", "y", "y", "y", "x", "y", "y", "y"]);
 }
+
+/// Guards against a request that a route takes which another one, with a longer prefix, should have.
+#[test]
+fn route_that_is_looked_up_is_the_one_that_a_scan_of_all_finds() {
+    /// Segments of a path, each one of three.
+    type Segments = Vec<u8>;
+    let path = |segments: &Segments| {
+        let segments = segments.iter().map(|segment| ["", "a", "ab"][usize::from(segment % 3)]);
+        format!("/{}", segments.collect::<Vec<_>>().join("/"))
+    };
+    property::check(
+        "look-up as by a scan",
+        2_000,
+        |(prefixes, asked): (Vec<Segments>, Vec<Segments>)| {
+            let prefixes = prefixes.iter().map(|segments| format!("{}/", path(segments)));
+            let prefixes: BTreeSet<String> = prefixes.collect();
+            let route = |prefix: &String| {
+                json!({
+                    "name": prefix, "host": "maps.example", "prefix": prefix, "kind": "Repeatable",
+                    "timeout": { "secs": 1, "nanos": 0 }, "objective": { "secs": 1, "nanos": 0 },
+                    "pause_objective": null, "priority": 0, "max_attempts": 1, "public": true,
+                    "affine": false, "targets": []
+                })
+            };
+            let mut configuration = empty_configuration(1);
+            configuration["routes"] = prefixes.iter().map(route).collect();
+            let table = RouteTable::new(serde_json::from_value(configuration).unwrap());
+            for segments in &asked {
+                let path = path(segments);
+                let fits = prefixes.iter().filter(|prefix| path.starts_with(*prefix));
+                let longest = fits.max_by_key(|prefix| prefix.len());
+                let found = table.route("maps.example", &path).map(|route| &route.name);
+                assert_eq!(found, longest, "{path}");
+            }
+        },
+    );
+}
