--- a/benches/control.rs
+++ b/benches/control.rs
@@ -1,13 +1,15 @@
 //! Measures what the entry boxes do together.
 //!
-//! `cargo bench --bench control -- [--quick] [marks] [restart]` prints one JSON line for each figure. `marks`: time
+//! `cargo bench --bench control -- [--quick] [marks] [restart] [change]` prints one JSON line for each figure. `marks`: time
 //! from a reclaim notice to one box until no box sends that endpoint new work, among 8 real
 //! processes, without loss and with a third of the datagrams lost. `restart`: time until a configuration is
 //! accepted, and until it is in force at 300 entry boxes, after five control boxes were started together with
-//! a part of a core each.
+//! a part of a core each. `change`: bytes and processor time of one changed route, and of the whole configuration, by its
+//! number of routes.
 
 mod common;
 
+use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,6 +18,12 @@
 use hdrhistogram::Histogram;
 use hyper::Method;
 use serde_json::json;
+use vaneway_server::core::cluster::wire::ToEntry;
+use vaneway_server::core::configuration::Configuration;
+use vaneway_server::core::configuration::RouteTable;
+use vaneway_server::core::configuration_change::ConfigurationChange;
+use vaneway_server::util::frames;
+use vaneway_server::util::frames::Encoded;
 use vaneway_test_support::Caller;
 use vaneway_test_support::CloudPlatform;
 use vaneway_test_support::ControlGroup;
@@ -24,6 +32,7 @@
 use vaneway_test_support::Replica;
 use vaneway_test_support::Several;
 use vaneway_test_support::Throttle;
+use vaneway_test_support::configurations::with_routes;
 use vaneway_test_support::fleet;
 
 use crate::common::Args;
@@ -40,12 +49,58 @@
     if args.wants("marks") {
         measure_marks(if args.quick { 20 } else { 100 });
     }
+    if args.wants("change") {
+        ROUTES.into_iter().for_each(change);
+    }
     if args.wants("restart") {
         let parts = if args.quick { vec![0.3] } else { vec![0.3, 0.15, 0.06] };
         parts.into_iter().for_each(restart);
     }
 }
 
+/// Routes of small, large and the largest configurations.
+const ROUTES: [usize; 3] = [10, 1_400, 5_000];
+
+/// Rounds over which the processor time is the mean.
+const ROUNDS: u32 = 50;
+
+fn change(routes: usize) {
+    let version = |version| -> Configuration {
+        serde_json::from_value(with_routes(version, routes)).expect("a configuration")
+    };
+    let (base, next) = (version(1), version(2));
+    let change = ConfigurationChange::between(&base, &next).expect("parts can be told apart");
+    let whole = Encoded::new(&ToEntry::Configuration(next.clone()));
+    let told = Encoded::new(&ToEntry::ConfigurationChange(change.clone()));
+    let took = |work: &mut dyn FnMut()| {
+        let begun = Instant::now();
+        (0..ROUNDS).for_each(|_| work());
+        (begun.elapsed() / ROUNDS).as_micros() as u64
+    };
+    let payload = |message: &Encoded| message.frame().slice(4..);
+    let (whole_payload, told_payload) = (payload(&whole), payload(&told));
+    let line = json!({
+        "figure": "change", "routes": routes,
+        "whole_bytes": whole.frame().len(), "change_bytes": told.frame().len(),
+        "find_change_us": took(&mut || {
+            black_box(ConfigurationChange::between(&base, &next));
+        }),
+        "read_whole_us": took(&mut || {
+            black_box(frames::decode::<ToEntry>(&whole_payload));
+        }),
+        "read_change_us": took(&mut || {
+            black_box(frames::decode::<ToEntry>(&told_payload));
+        }),
+        "apply_change_us": took(&mut || {
+            black_box(change.apply(&base));
+        }),
+        "prepare_us": took(&mut || {
+            black_box(RouteTable::new(next.clone()));
+        }),
+    });
+    println!("{line}");
+}
+
 fn measure_marks(rounds: usize) {
     let runtime = compio::runtime::Runtime::new().expect("the loop starts");
     runtime.block_on(async {
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod closed_port;
+pub mod configurations;
 pub mod control_group;
 pub mod deployment;
 pub mod engine;
