--- a/crates/vaneway-server/src/core/configuration_change.rs
+++ b/crates/vaneway-server/src/core/configuration_change.rs
@@ -159,9 +159,13 @@
         }
         let removed: BTreeSet<&T::Id> = self.removed.iter().collect();
         let mut put: BTreeMap<T::Id, &T> = self.put.iter().map(|part| (part.id(), part)).collect();
-        let kept = base.iter().filter(|part| !removed.contains(&part.id()));
-        let mut parts: Vec<T> =
-            kept.map(|part| put.remove(&part.id()).unwrap_or(part).clone()).collect();
+        let mut parts = Vec::with_capacity(base.len() + put.len());
+        for part in base {
+            let id = part.id();
+            if !removed.contains(&id) {
+                parts.push(put.remove(&id).unwrap_or(part).clone());
+            }
+        }
         parts.extend(put.into_values().cloned());
         parts
     }
