--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -25,7 +25,7 @@
 use crate::core::loads::Loads;
 use crate::core::usage::OthersQuotaUse;
 use crate::core::usage::UseReport;
-use crate::util::outgoing::Slot;
+use crate::util::outgoing::Topic;
 
 /// Time between two tellings of what requests used, in either direction. With one from the entry box and one from
 /// the control box, and the time on the way, it must stay well below the age up to which quotas go by the use
@@ -74,17 +74,17 @@
 /// Pause before a connection that broke is opened again.
 pub const RECONNECT_AFTER: Duration = Duration::from_millis(75);
 
-/// Where the configuration, or a change of it, waits for an entry box.
-pub const CONFIGURATION: Slot = Slot(0);
+/// The configuration, or a change of it, for an entry box.
+pub const CONFIGURATION: Topic = Topic(0);
 
-/// Where the version of the configuration that is agreed on waits for an entry box.
-pub const CONFIGURATION_AGREED: Slot = Slot(3);
+/// The version of the configuration that is agreed on, for an entry box.
+pub const CONFIGURATION_AGREED: Topic = Topic(1);
 
-/// Where entries of the agreement wait for another control box: each message has all that the one before it had.
-pub const ENTRIES: Slot = Slot(1);
+/// Entries of the agreement for another control box: each message has all that the one before it had.
+pub const ENTRIES: Topic = Topic(2);
 
-/// Where a snapshot of the agreement waits for another control box. Apart from entries, since heartbeats follow it.
-pub const SNAPSHOT: Slot = Slot(2);
+/// A snapshot of the agreement for another control box. Apart from entries, since heartbeats follow it.
+pub const SNAPSHOT: Topic = Topic(3);
 
 /// A message of an entry box to a control box.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -31,7 +31,7 @@
 use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::outgoing::Outgoing;
-use crate::util::outgoing::Slot;
+use crate::util::outgoing::Topic;
 use crate::util::socket::SocketStream;
 
 /// Time between two looks at which control boxes to be connected with.
@@ -51,15 +51,15 @@
 /// Sends a message to a node, if there is a connection to its box.
 pub fn send_to_node(control: &Control, node: NodeId, message: BetweenControl) {
     let address = control.cluster_address(node);
-    let slot = slot(&message);
+    let topic = topic(&message);
     if let Some(peer) = control.peers.borrow().get(&address) {
-        peer.send_in(slot, &Encoded::new(&ToControl::Control(message)));
+        peer.send_on(topic, &Encoded::new(&ToControl::Control(message)));
     }
 }
 
-/// Where a message waits for another control box, if newer ones of its kind take its place. To the agreement that is a
+/// The topic of a message, if newer ones take its place while it waits. To the agreement that is a
 /// message lost on the way, for which it is made.
-fn slot(message: &BetweenControl) -> Option<Slot> {
+fn topic(message: &BetweenControl) -> Option<Topic> {
     let BetweenControl::Agreement { message, .. } = message else { return None };
     match message {
         Message::Append(_) => Some(ENTRIES),
@@ -82,12 +82,12 @@
 
 impl PeerLink {
     fn send(&self, message: &Encoded) {
-        self.send_in(None, message);
+        self.send_on(None, message);
     }
 
-    fn send_in(&self, slot: Option<Slot>, message: &Encoded) {
-        match (&*self.outgoing.borrow(), slot) {
-            (Some(outgoing), Some(slot)) => outgoing.send_newest(slot, message),
+    fn send_on(&self, topic: Option<Topic>, message: &Encoded) {
+        match (&*self.outgoing.borrow(), topic) {
+            (Some(outgoing), Some(topic)) => outgoing.send_newest(topic, message),
             (Some(outgoing), None) => outgoing.send_encoded(message),
             (None, _) => {}
         }
--- a/crates/vaneway-server/src/util/outgoing.rs
+++ b/crates/vaneway-server/src/util/outgoing.rs
@@ -1,7 +1,7 @@
 //! What waits to be sent to another box.
 //!
 //! Why not one line of bytes: a box may read more slowly than there is news for it, and there are hundreds of boxes. So
-//! what is replaced by newer news of its kind is sent with a [`Slot`], in which only the newest waits; what goes to several
+//! what is replaced by newer news of its kind is sent with a [`Topic`], of which only the newest waits; what goes to several
 //! boxes is encoded once and shared by their queues; and a box that nevertheless has too much waiting for it is not told less
 //! in silence: its connection is ended, and over the next one it is told all that counts then.
 //!
@@ -25,7 +25,7 @@
 use crate::util::logline::Line;
 use crate::util::socket::SocketStream;
 
-/// Bytes that wait for one peer at most, beside what waits in slots.
+/// Bytes that wait for one peer at most, beside messages with a topic.
 const WAITING_BYTES_MOST: usize = 4 << 20;
 
 /// Length from which on a frame is shared by the queues in which it waits. Shorter ones are copied, so that many of them leave
@@ -34,7 +34,7 @@
 
 /// A kind of message of which only the newest waits for a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Slot(pub u8);
+pub struct Topic(pub u8);
 
 /// Bytes that the connections of a box hold, in sum.
 #[derive(Debug, Default)]
@@ -44,7 +44,7 @@
 }
 
 impl HeldBytes {
-    /// Bytes that wait for peers, without those in slots.
+    /// Bytes that wait for peers, without messages with a topic.
     pub fn waiting(&self) -> usize {
         self.waiting.get()
     }
@@ -60,7 +60,7 @@
     /// Frames that were copied.
     Copied(BytesMut),
     /// One frame that other queues may hold too.
-    Shared { frame: Bytes, slot: Option<Slot> },
+    Shared { frame: Bytes, topic: Option<Topic> },
 }
 
 impl Chunk {
@@ -84,7 +84,7 @@
     chunks: VecDeque<Chunk>,
     /// Whether a part of the first chunk was sent, so that the rest must follow.
     begun: bool,
-    /// Bytes that wait, without those in slots.
+    /// Bytes that wait, without messages with a topic.
     waiting: usize,
     /// Bytes that came of a frame that is not whole yet.
     arriving: usize,
@@ -106,20 +106,21 @@
         self.held.waiting.update(|sum| sum + frame.len());
         match self.chunks.back_mut() {
             _ if frame.len() >= SHARED_FROM => {
-                self.chunks.push_back(Chunk::Shared { frame: frame.clone(), slot: None });
+                self.chunks.push_back(Chunk::Shared { frame: frame.clone(), topic: None });
             }
             Some(Chunk::Copied(bytes)) => bytes.extend_from_slice(frame),
             _ => self.chunks.push_back(Chunk::Copied(BytesMut::from(&**frame))),
         }
     }
 
-    /// Puts a frame in the place of the one of its slot that waits, or at the end.
-    fn replace(&mut self, slot: Slot, frame: &Bytes) {
+    /// Puts a frame in the place of the one of its topic that waits, or at the end.
+    fn replace(&mut self, topic: Topic, frame: &Bytes) {
         let begun = usize::from(self.begun);
         let mut waiting = self.chunks.iter_mut().skip(begun);
-        let older = waiting
-            .find(|chunk| matches!(chunk, Chunk::Shared { slot: Some(held), .. } if *held == slot));
-        let newer = Chunk::Shared { frame: frame.clone(), slot: Some(slot) };
+        let older = waiting.find(
+            |chunk| matches!(chunk, Chunk::Shared { topic: Some(held), .. } if *held == topic),
+        );
+        let newer = Chunk::Shared { frame: frame.clone(), topic: Some(topic) };
         match older {
             Some(older) => *older = newer,
             None => self.chunks.push_back(newer),
@@ -131,7 +132,7 @@
         let Some(first) = self.chunks.front_mut() else { return };
         first.advance(count);
         self.begun = true;
-        if !matches!(first, Chunk::Shared { slot: Some(_), .. }) {
+        if !matches!(first, Chunk::Shared { topic: Some(_), .. }) {
             self.waiting -= count;
             self.held.waiting.update(|sum| sum - count);
         }
@@ -199,11 +200,11 @@
         queue.wake();
     }
 
-    /// Queues a message that takes the place of the one of its kind that waits.
-    pub fn send_newest(&self, slot: Slot, message: &Encoded) {
+    /// Queues a message that takes the place of the one of its topic that waits.
+    pub fn send_newest(&self, topic: Topic, message: &Encoded) {
         let mut queue = self.0.borrow_mut();
         if !queue.closed {
-            queue.replace(slot, message.frame());
+            queue.replace(topic, message.frame());
             queue.wake();
         }
     }
@@ -213,7 +214,7 @@
         !self.0.borrow().chunks.is_empty()
     }
 
-    /// Bytes that wait for the peer, without those in slots.
+    /// Bytes that wait for the peer, without messages with a topic.
     pub fn waiting_bytes(&self) -> usize {
         self.0.borrow().waiting
     }
