--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -47,6 +47,7 @@
 pub fn run(program: &Path, seed: u64, time: Duration) -> Report {
     let mut steps = plan::plan(seed, time);
     steps.extend(plan::limits(seed));
+    steps.extend(plan::configurations(seed, time));
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
     let callers = Callers::start(seed, world.entry_addresses());
@@ -56,6 +57,7 @@
         world.apply(&step.action);
     }
     world.heal();
+    world.wait_until_configured();
     // Limits bind all boxes only now.
     std::thread::sleep(limits::BINDS_AFTER + limits::COUNTED_OVER);
     let calls = callers.finish();
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -50,6 +50,8 @@
     Delay(usize, Duration),
     /// Puts the next configuration in force.
     Configure,
+    /// Puts a configuration in force that has so many routes more from now on.
+    AddRoutes(usize),
     /// Lets an endpoint say that it leaves, and another take its place.
     Drain(usize),
     /// Lets an endpoint name so many requests a second as its limit from now on.
@@ -102,6 +104,26 @@
     limits
 }
 
+/// Routes by which a configuration grows, up to those of the users' large ones.
+const ROUTES: [usize; 3] = [20, 350, 1_400];
+
+/// Sets the configurations' random numbers apart from the faults'.
+const CONFIGURATIONS_STREAM: u64 = 0x434F_4E46_4947;
+
+/// The configurations of a seed within `time`: it grows at the beginning, then a series of changes as of a herd of operators.
+pub fn configurations(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ CONFIGURATIONS_STREAM);
+    let routes = ROUTES[rng.random_range(0..ROUTES.len())];
+    let mut at = Duration::from_millis(rng.random_range(0..1_000));
+    let mut steps = vec![Step { at, action: Action::AddRoutes(routes) }];
+    at += Duration::from_millis(rng.random_range(0..1_000));
+    while at < time {
+        steps.push(Step { at, action: Action::Configure });
+        at += Duration::from_millis(rng.random_range(80..600));
+    }
+    steps
+}
+
 /// The actions with which a fault begins and ends.
 fn fault(rng: &mut Pcg64Mcg) -> (Vec<Action>, Vec<Action>) {
     let entry = rng.random_range(0..ENTRY_BOXES);
--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -112,9 +112,12 @@
     over.collect()
 }
 
-/// An acknowledged configuration is kept, and none older takes its place.
+/// An acknowledged configuration is kept, none older takes its place, and it is what was sent.
 fn configuration(world: &World) -> Option<String> {
     let (read, acknowledged) = (world.configuration_read(), world.configuration_acknowledged());
-    (read < acknowledged)
-        .then(|| format!("configuration {acknowledged} was acknowledged, {read} is read"))
+    if read < acknowledged {
+        return Some(format!("configuration {acknowledged} was acknowledged, {read} is read"));
+    }
+    (!world.is_configuration_as_sent())
+        .then(|| format!("configuration {read} is not as it was sent"))
 }
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -61,4 +61,7 @@
     let plan = |seed| soak::plan::plan(seed, TIME);
     assert_eq!(plan(5), plan(5));
     assert_ne!(plan(5), plan(6));
+    let configurations = |seed| soak::plan::configurations(seed, TIME);
+    assert_eq!(configurations(5), configurations(5));
+    assert_ne!(configurations(5), configurations(6));
 }
