--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -118,11 +118,7 @@
     assert_eq!(read.status, 503);
 }
 
-/// Seen: a box that lost its disk did not vote again for as long as none of the boxes that it was told of led, so
-/// that the next lost disks could have been one too many.
-///
-/// How it came about: it asked only those that it was told of to be let in, and they kept it to themselves. A
-/// box that is no member knows no others.
+/// Guards against a box without a vote for as long as none of the boxes that it was told of leads.
 #[test]
 fn box_that_lost_its_disk_is_let_in_though_the_only_box_that_it_knows_does_not_lead() {
     let mut group = group(5);
--- a/tests/testsuite/control_overload.rs
+++ b/tests/testsuite/control_overload.rs
@@ -1,20 +1,6 @@
 //! Control boxes with little processor time and a large fleet of entry boxes.
 //!
-//! Seen: in a fleet of 295 entry boxes all control boxes were killed and were back within a second. From then on
-//! they used all of their processor time, twice of what they had needed before, until the end. None led again,
-//! no configuration was accepted or could be read, and half of the callers' requests were refused.
-//!
-//! How it came about: entry boxes gave up a connection after 1.5 s without a message and opened another one. To take
-//! one in cost a control box 3 ms of its processor, 10 ms of time, so that 3 s passed until it had taken in
-//! the last; by then the first had given up. What it did was for connections that were closed already, and the
-//! messages of the agreement waited behind it for seconds, while an election has to be won within one.
-//!
-//! Cause: work that grows with the number of those who wait, no order in which it is done, and callers
-//! that come again after a fixed time. It never ended by itself, though there was time enough for all of them.
-//!
-//! Proved by these tests: a profile of the first shows 60% of the time in sums over all boxes that were made for each box
-//! newly told; with sums that are kept it passes, but with half of the processor time or less still nobody leads;
-//! with an order of work, and entry boxes that wait, a fifth of the time is enough.
+//! What happened once, and why, is in docs/incidents/control-overload.md.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -36,14 +22,13 @@
 /// Requests after which the use of quotas of all slots that are kept has been told: 12 s of them.
 const REQUESTS: u64 = 12_000;
 
-/// In calm each control box needed 0.16 of a core here, half of what it gets after it has started again.
+/// Guards against entry boxes that give up and come again before control boxes have taken them in, so that none leads.
 #[test]
 fn control_boxes_that_start_together_lead_and_tell_a_large_fleet() {
     restart_with_part_of_a_core(0.3);
 }
 
-/// Less time than all that entry boxes would tell takes: then they have to tell less, and what makes the
-/// agreement goes first.
+/// Guards against an agreement that waits behind what entry boxes tell, where they have more to tell than there is time for.
 #[test]
 fn control_boxes_with_too_little_time_for_all_reports_still_lead_and_tell_a_large_fleet() {
     restart_with_part_of_a_core(0.06);
--- a/tests/testsuite/endpoint_limits.rs
+++ b/tests/testsuite/endpoint_limits.rs
@@ -1,11 +1,6 @@
 //! Endpoints that name how many requests a second they take from all entry boxes together.
 //!
-//! Seen: engines in need named 1 to 1.5 requests a second, and got two to five times that from eight entry boxes, as many
-//! as before. How: nothing read what an endpoint names, so it got what its load and its kept prompt parts brought.
-//! Cause: an answer's head was read for its outcome alone, and no box that chooses an endpoint knew of anything that an
-//! endpoint says of all boxes together. Proof: the first test, in which eighty requests reached the endpoint in 4 s where
-//! eleven are allowed, as long as the header was unread; arrivals at the engines that had named a limit and at the others were
-//! alike.
+//! What happened once, and why, is in docs/incidents/endpoint-limit.md.
 
 use std::path::Path;
 use std::rc::Rc;
--- a/tests/testsuite/quota_fleet.rs
+++ b/tests/testsuite/quota_fleet.rs
@@ -1,4 +1,6 @@
 //! Quotas of a whole fleet of entry boxes, told by a control box, under loads that arrive anywhere.
+//!
+//! What happened once, and why, is in docs/incidents/quota-over-limit.md.
 
 use std::time::Duration;
 
@@ -18,16 +20,7 @@
 /// A limit far below what the organisation sends.
 const LOWERED: Limit = Limit { rate: 58_304.0, burst: 209_892.0 };
 
-/// Seen: an organisation whose limit had been lowered to half of what it usually sends got more than its limit
-/// when it sent eight times as much, though all boxes heard of each other and nothing else was amiss.
-///
-/// How it came about: while the organisation had nothing left, no box admitted anything, so what each kept back
-/// for the others' unheard requests fell to nothing. When the bucket held a request again, all boxes opened at
-/// once and admitted all that came until they heard of each other: 14 times the limit for 0.1 s. Meanwhile
-/// what had been taken more than 12 s before was forgotten, and the debt with it.
-///
-/// Proved by the charges in the boxes' logs: the level that they saw was 250,000 tokens above a bucket that
-/// forgets nothing, and fell to -138,000 within one telling.
+/// Guards against boxes that open together once a bucket that was empty holds a request again, and against debts that are forgotten.
 #[test]
 fn organisation_that_sends_many_times_its_limit_for_long_gets_no_more_than_the_limit() {
     for seed in 1..=8 {
@@ -42,10 +35,7 @@
     }
 }
 
-/// Seen in the boxes' logs while limits changed under a flood: at each change every box began with a full bucket.
-///
-/// How it came about: what was taken before a change did not count against the new limit, and boxes apply a
-/// configuration at moments of their own.
+/// Guards against a full bucket at each box after a change of the limit.
 #[test]
 fn limit_that_is_raised_under_a_flood_gives_no_second_burst() {
     let limit = Limit { rate: 200_000.0, burst: 200_000.0 };
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -91,8 +91,7 @@
     assert_eq!(entry.wait(), Some(0));
 }
 
-/// Seen: a process ended by a hangup right after it had said that it had started, and could by one that came while
-/// it wrote its state: in both moments nothing listened, and the system's default for a hangup is to end.
+/// Guards against a hangup that ends a process which listens to none yet, or not while it writes its state.
 #[test]
 fn hangups_in_a_row_from_the_first_moment_on_end_nothing() {
     let a = engine();
