--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -30,10 +30,10 @@
 use crate::core::configuration::QuotaUnit;
 use crate::core::configuration::RequestKind;
 use crate::core::configuration::Route;
-use crate::core::configuration::RouteTable;
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::entry::Entry;
 use crate::core::quarantine;
+use crate::core::route_table::RouteTable;
 use crate::util::body::CallerBody;
 use crate::util::hash;
 use crate::util::logline::Line;
@@ -65,7 +65,7 @@
 /// Logs and counts a request that is refused before it reaches an endpoint.
 fn refused(entry: &Entry, id: &str, error: ApiError) -> ApiError {
     entry.metrics.refused.with_label_values(&[error.code]).inc();
-    let version = entry.table().map(|table| table.configuration().version);
+    let version = entry.table().map(|table| table.version());
     Line::new("request_refused")
         .with("request", id)
         .with("code", error.code)
@@ -122,7 +122,7 @@
     })?;
     let organisation = organisation(&table, route, head.key.as_deref())?;
     own::admit(entry)?;
-    let body_bytes = table.configuration().limits.body_bytes;
+    let body_bytes = table.limits().body_bytes;
     let body = own::read_body(entry, body, body_bytes).await?;
     let name = organisation.map_or("", |organisation| organisation.name.as_str());
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
@@ -155,7 +155,7 @@
     key: Option<&str>,
 ) -> Result<Option<&'a OrganisationSpec>, ApiError> {
     let found = key.and_then(|key| table.organisation(key));
-    if found.is_some() || route.public || table.configuration().organisations.is_empty() {
+    if found.is_some() || route.public || table.organisations().next().is_none() {
         return Ok(found);
     }
     let message = "send `Authorization: Bearer` with the key of a known organisation";
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -42,7 +42,6 @@
 use crate::core::cluster::wire::WINDOWS_TOLD;
 use crate::core::cluster::wire::Wanted;
 use crate::core::cluster::work_at_endpoints;
-use crate::core::configuration::Version;
 use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
 use crate::core::limits;
@@ -201,7 +200,7 @@
         FromEntry::Hello {
             name: self.entry.settings.name.clone(),
             boot: self.entry.boot(),
-            configuration: self.version(),
+            configuration: self.entry.version(),
             known: self.entry.quotas.known_boxes(),
         }
     }
@@ -323,7 +322,7 @@
 
     /// Asks a control box for the newest configuration, if it is time to.
     fn ask_for_configuration(&self) {
-        let own = self.version();
+        let own = self.entry.version();
         let open = self.open.borrow();
         let preferred = open.iter().find(|(_, link)| link.wanted.get().loads);
         let preferred = preferred.map(|(address, _)| *address);
@@ -334,11 +333,6 @@
         }
     }
 
-    /// Version of the configuration that is in force here; 0 if none is.
-    fn version(&self) -> Version {
-        self.entry.table().map_or(0, |table| table.configuration().version)
-    }
-
     /// Asks the control boxes that are to tell what the others use, and lets the others cease.
     fn choose_tellers(&self) {
         let open = self.open.borrow();
--- a/crates/vaneway-server/src/core/configuration.rs
+++ b/crates/vaneway-server/src/core/configuration.rs
@@ -7,11 +7,10 @@
 //!
 //! Data flow: an operators' interface decodes a document into a [`Configuration`]; [`check`] finds
 //! everything that is wrong with it; the control boxes agree on it; entry boxes look requests up
-//! in a [`RouteTable`] made of it.
+//! in a [`RouteTable`](crate::core::route_table::RouteTable) made of it.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -240,71 +239,6 @@
     }
 }
 
-/// A configuration in the form that requests are looked up in.
-#[derive(Debug)]
-pub struct RouteTable {
-    configuration: Configuration,
-    hosts: BTreeMap<String, HostRoutes>,
-    /// Position of the organisation that holds a key.
-    keys: BTreeMap<String, usize>,
-    services: BTreeMap<String, usize>,
-}
-
-/// The routes of one host.
-#[derive(Debug, Default)]
-struct HostRoutes {
-    /// Positions of the routes.
-    by_prefix: HashMap<String, usize>,
-    /// Bytes of the longest prefix.
-    longest: usize,
-}
-
-impl RouteTable {
-    /// Prepares a configuration that was checked.
-    pub fn new(configuration: Configuration) -> Self {
-        let mut hosts = BTreeMap::<String, HostRoutes>::new();
-        for (i, route) in configuration.routes.iter().enumerate() {
-            let routes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
-            routes.longest = routes.longest.max(route.prefix.len());
-            routes.by_prefix.entry(route.prefix.clone()).or_insert(i);
-        }
-        let organisations = configuration.organisations.iter().enumerate();
-        let keys = organisations
-            .flat_map(|(i, organisation)| organisation.keys.iter().map(move |k| (k.clone(), i)))
-            .collect();
-        let services = configuration.services.iter().enumerate();
-        let services = services.map(|(i, service)| (service.name.clone(), i)).collect();
-        Self { configuration, hosts, keys, services }
-    }
-
-    /// The configuration.
-    pub fn configuration(&self) -> &Configuration {
-        &self.configuration
-    }
-
-    /// The route of a request: of the host's routes, the one with the longest prefix of `path`.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let routes = self.hosts.get(&host.to_ascii_lowercase())?;
-        // Every prefix ends with a slash, so only what ends with one of the path's is looked up; of a path without end
-        // no more than a prefix can have.
-        let ends = path.rmatch_indices('/').map(|(at, slash)| at + slash.len());
-        let mut ends = ends.skip_while(|end| *end > routes.longest);
-        let position = ends.find_map(|end| routes.by_prefix.get(&path[..end]))?;
-        Some(&self.configuration.routes[*position])
-    }
-
-    /// The organisation that holds a key.
-    pub fn organisation(&self, key: &str) -> Option<&OrganisationSpec> {
-        self.keys.get(key).map(|i| &self.configuration.organisations[*i])
-    }
-
-    /// A service by its name.
-    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
-        self.services.get(name).map(|i| &self.configuration.services[*i])
-    }
-}
-
 impl Route {
     /// The service for a request, by weight; `draw` is spread evenly over all numbers.
     pub fn pick(&self, draw: u64) -> Option<&str> {
--- a/crates/vaneway-server/src/core/configuration_change.rs
+++ b/crates/vaneway-server/src/core/configuration_change.rs
@@ -26,27 +26,27 @@
     pub base: Version,
     /// The version that it makes.
     pub version: Version,
-    routes: Edits<RoutePlace, Route>,
-    services: Edits<String, ServiceSpec>,
-    organisations: Edits<String, OrganisationSpec>,
-    limits: CallerLimits,
+    pub(super) routes: Edits<RoutePlace, Route>,
+    pub(super) services: Edits<String, ServiceSpec>,
+    pub(super) organisations: Edits<String, OrganisationSpec>,
+    pub(super) limits: CallerLimits,
     /// Of the configuration that it makes.
-    checksum: u32,
+    pub(super) checksum: u32,
 }
 
 /// A host in lower case, and a prefix.
-type RoutePlace = (String, String);
+pub(super) type RoutePlace = (String, String);
 
 /// What is to be taken out and put in; what is put in takes the place of what has the same identity.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Edits<K, T> {
+pub(super) struct Edits<K, T> {
     removed: Vec<K>,
-    put: Vec<T>,
+    pub(super) put: Vec<T>,
 }
 
 /// A part of a configuration that is told from others of its kind.
-trait Identified: Clone + PartialEq + Serialize {
-    type Id: Ord;
+pub(super) trait Identified: Clone + PartialEq + Serialize {
+    type Id: Ord + Clone;
 
     fn id(&self) -> Self::Id;
 }
@@ -107,21 +107,6 @@
     pub fn parts(&self) -> usize {
         self.routes.parts() + self.services.parts() + self.organisations.parts()
     }
-
-    /// The configuration that it makes of `base`; none if it was not made for that.
-    pub fn apply(&self, base: &Configuration) -> Option<Configuration> {
-        if base.version != self.base {
-            return None;
-        }
-        let made = Configuration {
-            version: self.version,
-            routes: self.routes.apply(&base.routes),
-            services: self.services.apply(&base.services),
-            limits: self.limits,
-            organisations: self.organisations.apply(&base.organisations),
-        };
-        (checksum(&made) == self.checksum).then_some(made)
-    }
 }
 
 impl<T: Identified> Edits<T::Id, T> {
@@ -153,21 +138,9 @@
         self.removed.len() + self.put.len()
     }
 
-    fn apply(&self, base: &[T]) -> Vec<T> {
-        if self.removed.is_empty() && self.put.is_empty() {
-            return base.to_vec();
-        }
-        let removed: BTreeSet<&T::Id> = self.removed.iter().collect();
-        let mut put: BTreeMap<T::Id, &T> = self.put.iter().map(|part| (part.id(), part)).collect();
-        let mut parts = Vec::with_capacity(base.len() + put.len());
-        for part in base {
-            let id = part.id();
-            if !removed.contains(&id) {
-                parts.push(put.remove(&id).unwrap_or(part).clone());
-            }
-        }
-        parts.extend(put.into_values().cloned());
-        parts
+    /// Identities of the parts that are no longer as they were.
+    pub(super) fn gone(&self) -> impl Iterator<Item = T::Id> {
+        self.removed.iter().cloned().chain(self.put.iter().map(T::id))
     }
 }
 
@@ -177,26 +150,21 @@
     (known.len() == parts.len()).then_some(known)
 }
 
-/// A sum over all parts, whatever their order.
+/// A sum over all parts, whatever their order, so that it can be kept up by what changes.
 fn checksum(configuration: &Configuration) -> u32 {
     let Configuration { version, routes, services, limits, organisations } = configuration;
-    let mut buf = Vec::new();
-    let mut sum = checksum_of(&(version, limits), &mut buf);
-    for route in routes {
-        sum = sum.wrapping_add(checksum_of(route, &mut buf));
-    }
-    for service in services {
-        sum = sum.wrapping_add(checksum_of(service, &mut buf));
-    }
-    for organisation in organisations {
-        sum = sum.wrapping_add(checksum_of(organisation, &mut buf));
-    }
-    sum
+    let head = checksum_of_head(*version, limits);
+    let parts = routes.iter().map(checksum_of);
+    let parts = parts.chain(services.iter().map(checksum_of));
+    parts.chain(organisations.iter().map(checksum_of)).fold(head, u32::wrapping_add)
+}
+
+/// The checksum of what is no part.
+pub(super) fn checksum_of_head(version: Version, limits: &CallerLimits) -> u32 {
+    checksum_of(&(version, limits))
 }
 
-/// The checksum of a part's bytes, for which `buf` is used.
-fn checksum_of<T: Serialize>(part: &T, buf: &mut Vec<u8>) -> u32 {
-    buf.clear();
-    *buf = postcard::to_extend(part, std::mem::take(buf)).expect("parts can be encoded");
-    crc32fast::hash(buf)
+/// The checksum of a part.
+pub(super) fn checksum_of<T: Serialize>(part: &T) -> u32 {
+    crc32fast::hash(&postcard::to_stdvec(part).expect("parts can be encoded"))
 }
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -36,13 +36,14 @@
 use crate::core::cluster::datagram::Cluster;
 use crate::core::configuration::CallerLimits;
 use crate::core::configuration::Configuration;
-use crate::core::configuration::RouteTable;
+use crate::core::configuration::Version;
 use crate::core::configuration_change::ConfigurationChange;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::metrics::Metrics;
 use crate::core::occupancy::Occupancy;
 use crate::core::pace::Inflow;
 use crate::core::quotas::Quotas;
+use crate::core::route_table::RouteTable;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
 use crate::core::usage::Used;
@@ -270,46 +271,50 @@
         self.table.borrow().clone()
     }
 
+    /// Version of the configuration in force; 0 if none is.
+    pub fn version(&self) -> Version {
+        self.table().map_or(0, |table| table.version())
+    }
+
     /// Puts a configuration in force unless it is not above the one in force.
     pub fn configure(&self, configuration: Configuration) {
-        let held = self.table().map(|table| table.configuration().version);
-        let version = configuration.version;
-        if held.is_some_and(|held| held >= version) {
-            return;
+        if configuration.version > self.version() {
+            self.put_in_force(RouteTable::new(configuration));
         }
-        for service in &configuration.services {
-            self.service_id(&service.name);
-        }
-        self.quotas.configure(self.cluster_time(), &configuration);
-        Line::new("configured")
-            .with("version", version)
-            .with("before", held.unwrap_or_default())
-            .with("routes", configuration.routes.len())
-            .with("organisations", configuration.organisations.len())
-            .info();
-        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
     /// Puts in force what a change makes of the configuration, unless that is in force already. Returns false if the change
     /// was not made for the configuration in force.
     pub fn change_configuration(&self, change: &ConfigurationChange) -> bool {
-        let table = self.table();
-        let held = table.as_ref().map(|table| table.configuration());
-        if held.is_some_and(|held| held.version >= change.version) {
+        if self.version() >= change.version {
             return true;
         }
-        if let Some(configuration) = held.and_then(|held| change.apply(held)) {
-            self.configure(configuration);
+        if let Some(table) = self.table().and_then(|table| table.changed(change)) {
+            self.put_in_force(table);
             return true;
         }
         Line::new("configuration_change_unfit")
             .with("base", change.base)
             .with("version", change.version)
-            .with("held", held.map_or(0, |held| held.version))
+            .with("held", self.version())
             .warn();
         false
     }
 
+    fn put_in_force(&self, table: RouteTable) {
+        for service in table.services() {
+            self.service_id(&service.name);
+        }
+        self.quotas.configure(self.cluster_time(), table.version(), table.organisations());
+        Line::new("configured")
+            .with("version", table.version())
+            .with("before", self.version())
+            .with("routes", table.routes())
+            .with("organisations", table.organisations().count())
+            .info();
+        *self.table.borrow_mut() = Some(Rc::new(table));
+    }
+
     /// Limits on callers: the configuration's, or the settings' before there is one.
     pub fn caller_limits(&self) -> CallerLimits {
         self.table().map_or_else(
@@ -318,7 +323,7 @@
                 body_bytes: self.settings.limits.body_bytes,
                 ..CallerLimits::default()
             },
-            |table| table.configuration().limits,
+            |table| table.limits(),
         )
     }
 
@@ -474,7 +479,7 @@
             "caller_connections": self.callers.get(),
             "idle_connections": self.connections.idle(),
             "timers": self.timers.waiting(),
-            "configuration": self.table().map(|table| table.configuration().version),
+            "configuration": self.table().map(|table| table.version()),
             "quarantine": self.quarantine.borrow().cases().iter().map(|(fingerprint, case)| json!({
                 "fingerprint": format!("{fingerprint:016x}"),
                 "verdict": case.verdict.name(),
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -18,8 +18,8 @@
 use vaneway_quota::Slot;
 use vaneway_quota::View;
 
-use crate::core::configuration::Configuration;
 use crate::core::configuration::OrganisationSpec;
+use crate::core::configuration::Version;
 use crate::core::settings::QuotaAllowance;
 use crate::core::usage::OthersQuotaUse;
 use crate::core::usage::OwnQuotaUse;
@@ -56,18 +56,23 @@
     }
 
     /// Puts the limits of a configuration in force.
-    pub fn configure(&self, now: Duration, configuration: &Configuration) {
+    pub fn configure<'a>(
+        &self,
+        now: Duration,
+        version: Version,
+        organisations: impl IntoIterator<Item = &'a OrganisationSpec>,
+    ) {
         let mut quotas = self.by_organisation.borrow_mut();
         for known in quotas.values_mut() {
             known.in_force = false;
         }
-        for (name, limit) in configuration.organisations.iter().filter_map(|o| self.limited(o)) {
+        for (name, limit) in organisations.into_iter().filter_map(|o| self.limited(o)) {
             let before = quotas.get(name).map(|known| known.quota.limit());
             let known = quotas.entry(name.to_owned()).or_insert_with(|| self.new_quota(now, limit));
             known.in_force = true;
             known.quota.set_limit(now, limit);
             if before != Some(limit) {
-                log_limit(configuration.version, name, before, limit, known.quota.level(now));
+                log_limit(version, name, before, limit, known.quota.level(now));
             }
         }
         quotas.retain(|_, known| known.in_force || !known.quota.is_idle(now));
--- a/crates/vaneway-test-support/src/fleet.rs
+++ b/crates/vaneway-test-support/src/fleet.rs
@@ -125,16 +125,12 @@
         compio::runtime::spawn(requests).detach();
     }
     while !shared.ended.load(Ordering::Relaxed) {
-        let versions = boxes.iter().map(|running| version(running.entry()));
+        let versions = boxes.iter().map(|running| running.entry().version());
         shared.version.store(versions.min().unwrap_or_default(), Ordering::Relaxed);
         compio::time::sleep(LOOK_EVERY).await;
     }
 }
 
-fn version(entry: &Entry) -> u64 {
-    entry.table().map_or(0, |table| table.configuration().version)
-}
-
 /// Charges quotas and occupies endpoints as requests would.
 async fn make_requests(entry: Rc<Entry>, rng: Rc<RefCell<Pcg64Mcg>>, shared: Arc<Shared>) {
     loop {
