--- a/crates/vaneway-test-support/src/slow_readers.rs
+++ b/crates/vaneway-test-support/src/slow_readers.rs
@@ -60,8 +60,6 @@
     taken_in: AtomicUsize,
     /// Bytes that each takes at a time.
     take: AtomicUsize,
-    /// Connections that the control box ended.
-    ended: AtomicU64,
     stop: AtomicBool,
 }
 
@@ -110,11 +108,6 @@
         let told = || self.shared.version.load(Ordering::Relaxed);
         wait(&format!("all are told of version {version}"), || told() >= version);
     }
-
-    /// Connections that the control box ended since the start.
-    pub fn ended(&self) -> u64 {
-        self.shared.ended.load(Ordering::Relaxed)
-    }
 }
 
 impl Drop for SlowReaders {
@@ -139,7 +132,6 @@
     let take = shared.take.load(Ordering::Relaxed);
     for (i, reader) in readers.iter_mut().enumerate() {
         if !reader.read(take) {
-            shared.ended.fetch_add(1, Ordering::Relaxed);
             let anew = Reader::connect(control, i, reader.of);
             *reader = Reader { version: reader.version, ..anew };
         }
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -110,7 +110,7 @@
 /// Sets the configurations' random numbers apart from the faults'.
 const CONFIGURATIONS_STREAM: u64 = 0x434F_4E46_4947;
 
-/// The configurations of a seed within `time`: it grows at the beginning, then a series of changes as of a herd of operators.
+/// The configurations of a seed within `time`: it grows at the beginning, then a series of changes.
 pub fn configurations(seed: u64, time: Duration) -> Vec<Step> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ CONFIGURATIONS_STREAM);
     let routes = ROUTES[rng.random_range(0..ROUTES.len())];
