--- a/crates/vaneway-server/src/core/control/memory.rs
+++ b/crates/vaneway-server/src/core/control/memory.rs
@@ -2,7 +2,7 @@
 //! message to arrive.
 //!
 //! These are what grows when others are slower than this box; all else grows with the deployment. Each has a bound: entry
-//! boxes that come anew wait until there is [`room_for_newcomers`], and while the disk is behind nothing is added to what it
+//! boxes that come anew wait until there is room for them, and while the disk is behind nothing is added to what it
 //! must write ([`without_writes`]).
 
 use std::rc::Rc;
