--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -26,7 +26,6 @@
 use crate::core::cluster::wire::Wanted;
 use crate::core::configuration::Version;
 use crate::core::control::group;
-use crate::core::control::memory;
 use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
@@ -52,8 +51,6 @@
     pub(super) box_number: Cell<Option<BoxNumber>>,
     /// Version of the configuration that it had when it connected.
     had: Version,
-    /// Whether it was not told of the use of quotas since it had not taken what it was told before.
-    pub(super) missed_use: Cell<bool>,
     configurations: Cell<Configurations>,
 }
 
@@ -208,7 +205,6 @@
             return;
         };
         if matches!(message, ToControl::Entry(FromEntry::Hello { .. })) {
-            memory::room_for_newcomers(&control).await;
             control.turns.next().await;
         }
         received(&control, &outgoing, &mut sender, message);
@@ -315,7 +311,6 @@
         wanted,
         box_number: Cell::default(),
         had,
-        missed_use: Cell::default(),
         configurations: Cell::new(Configurations::Unknown),
     };
     control.entries.borrow_mut().insert(link, Rc::new(entry));
--- a/crates/vaneway-server/src/core/control/memory.rs
+++ b/crates/vaneway-server/src/core/control/memory.rs
@@ -1,9 +1,9 @@
 //! How much a control box holds of what waits: for entry boxes, for other control boxes, for the disk, or for the rest of a
 //! message to arrive.
 //!
-//! These are what grows when others are slower than this box; all else grows with the deployment. Each has a bound: entry
-//! boxes that come anew wait until there is room for them, and while the disk is behind nothing is added to what it
-//! must write ([`without_writes`]).
+//! These are what grows when others are slower than this box; all else grows with the deployment. What waits for one box has a
+//! bound ([`outgoing`](crate::util::outgoing)); while the disk is behind nothing is added to what it must write
+//! ([`without_writes`]).
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,22 +21,9 @@
 /// Bytes from which on what waits is logged.
 const LOGGED_FROM: usize = 16 << 20;
 
-/// Bytes that wait for boxes up to which an entry box that connects is told all that it must know.
-const ROOM_BELOW: usize = 48 << 20;
-
-/// Time between two looks whether there is room.
-const ROOM_EVERY: Duration = Duration::from_millis(20);
-
 /// Bytes that wait for the disk up to which more is written.
 const UNWRITTEN_MOST: usize = 32 << 20;
 
-/// Waits until what waits for boxes leaves room for what a newcomer is told.
-pub(super) async fn room_for_newcomers(control: &Control) {
-    while control.held.waiting() > ROOM_BELOW {
-        control.timers.sleep(ROOM_EVERY).await;
-    }
-}
-
 /// Whether the disk is so far behind that nothing may be added to what it must write.
 pub(super) fn is_disk_behind(control: &Control) -> bool {
     control.unwritten.get() > UNWRITTEN_MOST
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -36,9 +36,6 @@
 /// Age of the last sign of a leader up to which this box is not cut off.
 const LED_WITHIN: Duration = Duration::from_millis(1_500);
 
-/// Bytes that wait for an entry box from which on it is not told of the use of quotas, of which newer news will come.
-const USE_WAITING_MOST: usize = 64 << 10;
-
 /// Tells the entry boxes again and again what the others used, until dropped.
 pub async fn tell_entries(control: Rc<Control>) {
     let mut boxes = Vec::new();
@@ -100,14 +97,7 @@
     let news = QuotaNews::of(control, first);
     for link in told {
         control.turns.next().await;
-        if link.outgoing.waiting_bytes() > USE_WAITING_MOST {
-            link.missed_use.set(true);
-        } else if link.missed_use.replace(false) && !all {
-            link.outgoing
-                .send(&QuotaNews { first: 0, ..news.clone() }.for_entry(control, &link.start));
-        } else {
-            link.outgoing.send(&news.for_entry(control, &link.start));
-        }
+        link.outgoing.send(&news.for_entry(control, &link.start));
     }
 }
 
@@ -230,7 +220,6 @@
 }
 
 /// Who shares the quotas, as all that are told at a time are told.
-#[derive(Debug, Clone)]
 struct QuotaNews {
     /// The entry boxes that are heard; none if this box can't tell the time.
     heard: BTreeSet<EntryStart>,
--- a/crates/vaneway-server/src/util/outgoing.rs
+++ b/crates/vaneway-server/src/util/outgoing.rs
@@ -5,7 +5,7 @@
 //! boxes is encoded once and shared by their queues; and a box that nevertheless has too much waiting for it is not told less
 //! in silence: its connection is ended, and over the next one it is told all that counts then.
 //!
-//! [`HeldBytes`] knows what the queues of a box hold in sum, for whoever may wait before adding to it.
+//! [`HeldBytes`] knows what the queues of a box hold in sum.
 
 use std::cell::Cell;
 use std::cell::RefCell;
