--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -232,7 +232,10 @@
                 && entry.configurations.get() == Configurations::Unknown
             {
                 entry.configurations.set(Configurations::Sent);
-                send_configuration(control, &entry, entry.had);
+                // It can't read how a configuration differs from the one that it has.
+                if control.machine.borrow().version() > entry.had {
+                    send_configuration(control, &entry, 0);
+                }
             }
             let time = control.known_time();
             let time_us = time.map(|time| time.as_micros() as u64);
--- a/crates/vaneway-test-support/src/slow_readers.rs
+++ b/crates/vaneway-test-support/src/slow_readers.rs
@@ -64,7 +64,8 @@
 }
 
 impl SlowReaders {
-    /// Connects readers to a control box, each of which takes `bytes_a_second`, and waits until all are taken in.
+    /// Connects readers to a control box, each of which has the version `had` of the configuration and takes
+    /// `bytes_a_second`, and waits until all are taken in.
     ///
     /// # Panics
     ///
@@ -74,6 +75,7 @@
         count: usize,
         bytes_a_second: usize,
         version: BoxVersion,
+        had: u64,
     ) -> Self {
         let shared = Arc::new(Shared::default());
         let theirs = Arc::clone(&shared);
@@ -81,7 +83,7 @@
         readers.take(bytes_a_second);
         let run = move || {
             let mut readers: Vec<_> =
-                (0..count).map(|i| Reader::connect(control, i, version)).collect();
+                (0..count).map(|i| Reader::connect(control, i, version, had)).collect();
             while !theirs.stop.load(Ordering::Relaxed) {
                 read_all(&mut readers, control, &theirs);
                 std::thread::sleep(READ_EVERY);
@@ -132,8 +134,7 @@
     let take = shared.take.load(Ordering::Relaxed);
     for (i, reader) in readers.iter_mut().enumerate() {
         if !reader.read(take) {
-            let anew = Reader::connect(control, i, reader.of);
-            *reader = Reader { version: reader.version, ..anew };
+            *reader = Reader::connect(control, i, reader.of, reader.version);
         }
     }
     let versions = readers.iter().map(|reader| reader.version);
@@ -154,7 +155,7 @@
 }
 
 impl Reader {
-    fn connect(control: SocketAddr, i: usize, of: BoxVersion) -> Self {
+    fn connect(control: SocketAddr, i: usize, of: BoxVersion, had: u64) -> Self {
         let socket = Socket::new(Domain::for_address(control), Type::STREAM, None);
         let socket = socket.expect("a socket");
         socket.set_recv_buffer_size(RECEIVE_BYTES).expect("a size of the buffer");
@@ -164,12 +165,12 @@
             stream: socket.into(),
             arrived: BytesMut::new(),
             of,
-            version: 0,
+            version: had,
             taken_in: false,
             pinged: Instant::now(),
         };
         let name = format!("reader-{i}");
-        reader.send(FromEntry::Hello { name, boot: 1, configuration: 0, known: 0 });
+        reader.send(FromEntry::Hello { name, boot: 1, configuration: had, known: 0 });
         reader
     }
 
