--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::future::poll_fn;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -64,28 +65,41 @@
 }
 
 /// Whether an endpoint has ended and not by plan: nothing listens at its address, and it had not said that it leaves.
+/// What speaks against it is logged, since nothing is held then against the request that it ran.
 pub async fn endpoint_has_ended(entry: &Entry, endpoint: EndpointId) -> bool {
-    let (address, state) = {
+    let (name, address, state) = {
         let pool = entry.pool.borrow();
         let endpoint = pool.get(endpoint);
-        (endpoint.spec.address, endpoint.state)
+        (endpoint.spec.name.clone(), endpoint.spec.address, endpoint.state)
     };
+    let Some(why) = why_not_ended(entry, address, state).await else { return true };
+    Line::new("endpoint_end_not_confirmed").with("replica", name).with("why", why).info();
+    false
+}
+
+/// Why an endpoint at which a connection broke has not ended, as far as can be seen; none if it has.
+async fn why_not_ended(
+    entry: &Entry,
+    address: SocketAddr,
+    state: EndpointState,
+) -> Option<&'static str> {
     if matches!(state, EndpointState::Leaving | EndpointState::Gone) {
-        return false;
+        return Some("it had said that it leaves");
     }
     for _ in 0..CONFIRM_TRIES {
         let stream = match socket::connect_within(&entry.timers, address, CONFIRM_WITHIN).await {
             Ok(stream) => stream,
-            Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return None,
+            Err(_) => return Some("its address can't be reached"),
         };
         // Nothing was asked of it, so whatever comes is its end.
         let ends = poll_fn(|cx| stream.poll_recv_ready(cx));
         if entry.timers.until(Instant::now() + LASTS, ends).await.is_none() {
-            return false;
+            return Some("it takes connections");
         }
         entry.timers.sleep(CONFIRM_PAUSE).await;
     }
-    false
+    Some("it ends new connections at once")
 }
 
 /// Gives an endpoint that has ended no more work for a while, and tells the other boxes.
@@ -139,12 +153,14 @@
     }
     let fingerprint = fingerprint(request);
     let now = entry.cluster_time();
+    let ends = known_ends(entry, fingerprint);
     if entry.quarantine.borrow_mut().served(now, fingerprint) {
         let cleared = Verdict::Cleared.name();
         entry.metrics.quarantine.with_label_values(&[&request.service_name, cleared]).inc();
         Line::new("request_cleared")
             .with("request", &request.id)
             .with("fingerprint", format!("{fingerprint:016x}"))
+            .with("ended_in_all", ends)
             .info();
     }
 }
