--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -158,6 +158,12 @@
         self.heartbeat_from(self.address(), service, state, seq)
     }
 
+    /// The same with the Unix millisecond in which this incarnation was born.
+    pub fn heartbeat_born(&self, service: &str, born: u64, seq: u64) -> (String, String) {
+        let (path, body) = self.heartbeat(service, "ready", seq);
+        (path, body.replacen('{', &format!(r#"{{"born":{born},"#), 1))
+    }
+
     /// The same with the address of a proxy before it.
     pub fn heartbeat_from(
         &self,
