--- a/crates/vaneway-server/src/core/callers/own.rs
+++ b/crates/vaneway-server/src/core/callers/own.rs
@@ -223,6 +223,7 @@
         service: service as u32,
         service_name: settings.name.clone(),
         organisation: organisation.name.clone(),
+        addressed_to: settings.name.clone(),
         method: head.method,
         path,
         headers: head.headers,
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -132,6 +132,7 @@
         service: entry.service_id(service),
         service_name: service.to_owned(),
         organisation: name.to_owned(),
+        addressed_to: head.host.clone(),
         method: parts.method,
         path,
         headers: parts.headers,
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -64,6 +64,8 @@
     pub service_name: String,
     /// The organisation that sent it; empty where callers need no key.
     pub organisation: String,
+    /// The host or the service that the caller named, which stays the same while routes move to other services.
+    pub addressed_to: String,
     /// The method.
     pub method: Method,
     /// Path and query as the endpoint gets them.
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -46,22 +46,14 @@
 const LASTS: Duration = Duration::from_millis(20);
 
 /// What makes a request the same when its caller sends it again, under another id and to any box: who sent it, where
-/// to, its body and its prompt. Nobody can get another organisation's request condemned.
+/// to, and its body. Nobody can get another organisation's request condemned.
+///
+/// Left out is what a copy may come with anew: the service, since a route may be split or move, and what the caller says
+/// of the prompt, which follows from the body.
 pub fn fingerprint(request: &CallRequest) -> Fingerprint {
-    let work = request.work.as_ref();
-    let prompt = work.map(|work| {
-        let parts: Vec<_> = work.parts.iter().map(|part| (part.id, part.tokens)).collect();
-        (work.prompt_tokens, work.max_tokens, parts)
-    });
     let method = request.method.as_str();
-    hash::of((
-        &request.organisation,
-        &request.service_name,
-        method,
-        &request.path,
-        &request.body,
-        prompt,
-    ))
+    let CallRequest { organisation, addressed_to, path, body, .. } = request;
+    hash::of((organisation, addressed_to, method, path, body))
 }
 
 /// Whether an endpoint has ended and not by plan: nothing listens at its address, and it had not said that it leaves.
