--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -16,7 +16,7 @@
 //! The second end that counts condemns, and the third of any kind: so three endpoints are the most that a caller's
 //! request can end over all its tries at boxes that hear of each other. Copies that other callers send at the same time may
 //! end more before their boxes hear of it. An innocent request is condemned only if its prompt was being read at
-//! two unrelated crashes. A request that is answered whole is cleared.
+//! two unrelated crashes. A request that is answered whole and with success is cleared.
 //!
 //! Findings are merged by the cluster's time, so they may be lost, repeated and reordered: the worst verdict counts
 //! until a later clearance.
@@ -82,7 +82,7 @@
 /// What is held of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Verdict {
-    /// It was answered whole, or an operator released it.
+    /// It was answered whole and with success, or an operator released it.
     Cleared,
     /// An endpoint ended under it.
     Suspected,
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Learns that a request was answered whole, or that an operator releases it; true if it was held for
+    /// Learns that a request was answered whole and with success, or that an operator releases it; true if it was held for
     /// something.
     pub fn served(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         let Some(case) = self.cases.get(&fingerprint) else { return false };
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -115,6 +115,7 @@
         failure: None,
         stalled: None,
         began: false,
+        succeeded: false,
         ended_under: Vec::new(),
         received: Instant::now(),
         request,
@@ -146,6 +147,8 @@
     stalled: Option<Sleep>,
     /// Whether an endpoint began to work on it.
     began: bool,
+    /// Whether the endpoint whose answer is passed on ran it with success.
+    succeeded: bool,
     /// Endpoints that ended while they ran it.
     ended_under: Vec<(EndpointName, Progress)>,
     received: Instant,
@@ -226,6 +229,7 @@
         match item {
             Item::Head(mut head) => {
                 self.protocol.pass_headers(&mut head.headers);
+                self.succeeded = head.status.is_success();
                 self.reply.begin(head);
                 Event::Head { attempt }
             }
@@ -239,6 +243,7 @@
             }
             Item::Answer(response) => {
                 self.count_begun();
+                self.succeeded = response.status().is_success();
                 self.entry.report(endpoint, EndpointEvent::Answered);
                 self.count_attempt(Outcome::Done);
                 if self.relay.splice().opened() {
@@ -423,7 +428,8 @@
             (None, state) => state.name(),
         };
         self.entry.metrics.requests.with_label_values(&[&self.request.service_name, end]).inc();
-        if self.relay.state() == RequestState::Complete {
+        // An error may come from what stands before the endpoint's own work, so it shows no good run.
+        if self.relay.state() == RequestState::Complete && self.succeeded {
             quarantine::request_served(&self.entry, &self.request);
         }
         let is_condemned = self.failure.is_some_and(|f| f.kind == FailureKind::EndsEndpoints);
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! Data flow: an attempt that breaks off asks whether its endpoint has ended ([`endpoint_has_ended`]). If so, the
 //! call counts it against its request ([`endpoint_ended`]) and ends there if the request is condemned. What is
-//! answered whole is cleared ([`request_served`]), and a request that is condemned is refused wherever it is sent
+//! answered with success is cleared ([`request_served`]), and a request that is condemned is refused wherever it is sent
 //! again ([`check`]). What is found is told to the other boxes, and what they found is learned ([`learn`]).
 
 use std::collections::BTreeSet;
@@ -138,7 +138,7 @@
     quarantine.cases().get(&fingerprint).map_or(0, |case| case.ends.len())
 }
 
-/// Clears a request that was answered whole, if anything was held against it.
+/// Clears a request that was answered whole and with success, if anything was held against it.
 pub fn request_served(entry: &Entry, request: &CallRequest) {
     if entry.quarantine.borrow().is_empty() {
         return;
