--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -8,7 +8,8 @@
 //! ([`Quarantine::endpoint_ended`]) and which are answered whole ([`Quarantine::served`]). What others have to know
 //! comes out as [`Finding`]s ([`Quarantine::take_news`]), and what they found goes in by [`Quarantine::merge`].
 //!
-//! The evidence against a request is the set of endpoints that ended under it. An end counts unless
+//! The evidence against a request is the set of endpoints that ended under it; one that starts again under its name and ends
+//! again counts again. An end counts unless
 //!
 //! - events of its answer had come from there: its prompt was read without harm;
 //! - it has a common cause with others: several endpoints that end at the same moment.
@@ -21,18 +22,19 @@
 //! Findings are merged by the cluster's time, so they may be lost, repeated and reordered: the worst verdict counts
 //! until a later clearance.
 
+mod incarnation;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use crate::incarnation::Incarnation;
+
 /// Names a request by its content, so that it is known again when its caller sends it once more.
 pub type Fingerprint = u64;
 
-/// Names an endpoint.
-pub type EndpointName = String;
-
 /// Time since 1970 by the cluster's clock.
 pub type Time = Duration;
 
@@ -113,7 +115,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Case {
     /// Endpoints that ended under it, and how far it was there.
-    pub ends: BTreeMap<EndpointName, Progress>,
+    pub ends: BTreeMap<Incarnation, Progress>,
     /// What follows from that.
     pub verdict: Verdict,
     /// When the verdict was last changed or confirmed.
@@ -126,7 +128,7 @@
     /// An endpoint has ended.
     EndpointEnded {
         /// The endpoint.
-        endpoint: EndpointName,
+        endpoint: Incarnation,
         /// When the first box saw it.
         at: Time,
     },
@@ -144,7 +146,7 @@
 pub struct Quarantine {
     cases: BTreeMap<Fingerprint, Case>,
     /// Endpoints that have ended, and when that was seen first.
-    ended: BTreeMap<EndpointName, Time>,
+    ended: BTreeMap<Incarnation, Time>,
     news: Vec<Finding>,
 }
 
@@ -170,7 +172,7 @@
         &mut self,
         now: Time,
         fingerprint: Fingerprint,
-        ends: &[(EndpointName, Progress)],
+        ends: &[(Incarnation, Progress)],
     ) -> Verdict {
         if let Some((endpoint, _)) = ends.last() {
             self.found_ended(now, endpoint);
@@ -183,10 +185,10 @@
     }
 
     /// Learns that an endpoint has ended, whether or not it ran anything.
-    pub fn found_ended(&mut self, now: Time, endpoint: &str) {
+    pub fn found_ended(&mut self, now: Time, endpoint: &Incarnation) {
         self.forget(now);
         if self.note_end(endpoint, now) {
-            self.news.push(Finding::EndpointEnded { endpoint: endpoint.to_owned(), at: now });
+            self.news.push(Finding::EndpointEnded { endpoint: endpoint.clone(), at: now });
         }
     }
 
@@ -232,7 +234,7 @@
     }
 
     /// Notes when an endpoint ended; true if that is news.
-    fn note_end(&mut self, endpoint: &str, at: Time) -> bool {
+    fn note_end(&mut self, endpoint: &Incarnation, at: Time) -> bool {
         match self.ended.get_mut(endpoint) {
             Some(known) if *known <= at => false,
             Some(known) => {
@@ -240,7 +242,7 @@
                 true
             }
             None => {
-                self.ended.insert(endpoint.to_owned(), at);
+                self.ended.insert(endpoint.clone(), at);
                 true
             }
         }
@@ -260,7 +262,7 @@
     }
 
     fn judge(&self, case: &Case) -> Verdict {
-        let counts = |(endpoint, progress): &(&EndpointName, &Progress)| {
+        let counts = |(endpoint, progress): &(&Incarnation, &Progress)| {
             **progress == Progress::Reading && !self.has_common_cause(endpoint)
         };
         let counting = case.ends.iter().filter(counts).count();
@@ -271,7 +273,7 @@
     }
 
     /// Whether an endpoint ended at the same moment as several others.
-    fn has_common_cause(&self, endpoint: &str) -> bool {
+    fn has_common_cause(&self, endpoint: &Incarnation) -> bool {
         let Some(at) = self.ended.get(endpoint) else { return false };
         let together = self.ended.values().filter(|other| other.abs_diff(*at) <= COMMON_WITHIN);
         together.count() >= COMMON_LEAST
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -24,7 +24,7 @@
 use futures_util::StreamExt as _;
 use hyper::Response;
 use vaneway_chart::ChartName as _;
-use vaneway_quarantine::EndpointName;
+use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
 use vaneway_relay::Action;
@@ -116,6 +116,7 @@
         stalled: None,
         began: false,
         succeeded: false,
+        runs_at: None,
         ended_under: Vec::new(),
         received: Instant::now(),
         request,
@@ -149,8 +150,10 @@
     began: bool,
     /// Whether the endpoint whose answer is passed on ran it with success.
     succeeded: bool,
+    /// Where its attempt runs, or ran last.
+    runs_at: Option<Incarnation>,
     /// Endpoints that ended while they ran it.
-    ended_under: Vec<(EndpointName, Progress)>,
+    ended_under: Vec<(Incarnation, Progress)>,
     received: Instant,
 }
 
@@ -170,6 +173,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Start { attempt, endpoint, how } => {
+                    call.runs_at = Some(quarantine::incarnation(&call.entry, endpoint));
                     let items = Box::pin(call.start(endpoint, how));
                     running = Some(Running { attempt, endpoint, items });
                 }
@@ -260,27 +264,25 @@
             }
             Item::Ended { outcome, cause, seen } => {
                 let event = self.ended(attempt, endpoint, outcome, &cause);
-                if seen != Seen::Nothing {
-                    quarantine::found_ended(&self.entry, endpoint);
+                let ended = self.runs_at.as_ref().filter(|_| seen != Seen::Nothing);
+                if let Some(ended) = ended {
+                    quarantine::found_ended(&self.entry, endpoint, ended);
                 }
                 match seen {
                     Seen::Replaced => {
                         self.entry.report(endpoint, EndpointEvent::Removed);
                         event
                     }
-                    Seen::Ended(progress) if self.is_condemned(endpoint, progress) => {
-                        Event::Condemned
-                    }
+                    Seen::Ended(progress) if self.is_condemned(progress) => Event::Condemned,
                     _ => event,
                 }
             }
         }
     }
 
-    /// Counts the end of an endpoint against the request that it ran; whether it may run nowhere else.
-    fn is_condemned(&mut self, endpoint: EndpointId, progress: Progress) -> bool {
-        let name = self.entry.pool.borrow().get(endpoint).spec.name.clone();
-        self.ended_under.push((name, progress));
+    /// Counts the end of the endpoint that ran the request against it; whether it may run nowhere else.
+    fn is_condemned(&mut self, progress: Progress) -> bool {
+        self.ended_under.extend(self.runs_at.clone().map(|ended| (ended, progress)));
         let verdict = quarantine::endpoint_ended(&self.entry, &self.request, &self.ended_under);
         verdict == Verdict::Condemned
     }
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -13,12 +13,11 @@
 use std::time::Instant;
 
 use hyper::StatusCode;
-use vaneway_quarantine::EndpointName;
 use vaneway_quarantine::Finding;
 use vaneway_quarantine::Fingerprint;
+use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
-use vaneway_registry::InstanceId;
 use vaneway_relay::Event;
 use vaneway_relay::FailureKind;
 use vaneway_route::EndpointId;
@@ -94,18 +93,24 @@
     Some("it ends new connections at once")
 }
 
+/// The life of an endpoint that runs now, as this box knows it.
+pub fn incarnation(entry: &Entry, endpoint: EndpointId) -> Incarnation {
+    let pool = entry.pool.borrow();
+    let name = &pool.get(endpoint).spec.name;
+    Incarnation::new(name, entry.registry.borrow().born(name))
+}
+
 /// Gives an endpoint that has ended no more work for a while, and tells the other boxes.
 ///
 /// Of many boxes each would find it for itself, at the cost of a request's time, of an arrival at another endpoint and
 /// of the budget of retries: 900 times after two waves of 23 crashes of 60 endpoints under 69 boxes, as simulated.
-pub fn found_ended(entry: &Entry, endpoint: EndpointId) {
-    let name = entry.pool.borrow().get(endpoint).spec.name.clone();
-    if !entry.registered.borrow().contains_key(&name) {
+pub fn found_ended(entry: &Entry, endpoint: EndpointId, ended: &Incarnation) {
+    if !entry.registered.borrow().contains_key(ended.name()) {
         // One that the settings name starts again as the same endpoint, without anyone saying so.
         return;
     }
     let now = entry.cluster_time();
-    entry.quarantine.borrow_mut().found_ended(now, &name);
+    entry.quarantine.borrow_mut().found_ended(now, ended);
     entry.change(|pool, now, out| pool.ended(now, endpoint, out));
 }
 
@@ -113,7 +118,7 @@
 pub fn endpoint_ended(
     entry: &Entry,
     request: &CallRequest,
-    ends: &[(EndpointName, Progress)],
+    ends: &[(Incarnation, Progress)],
 ) -> Verdict {
     let fingerprint = fingerprint(request);
     let now = entry.cluster_time();
@@ -124,7 +129,7 @@
         .with("fingerprint", format!("{fingerprint:016x}"))
         .with("organisation", &request.organisation)
         .with("service", &request.service_name)
-        .with("replica", ends.last().map_or("", |(endpoint, _)| endpoint))
+        .with("replica", ends.last().map_or_else(String::new, |(endpoint, _)| endpoint.to_string()))
         .with("progress", ends.last().map_or("", |(_, progress)| progress.name()))
         .with("verdict", verdict.name())
         .with("ended_here", ends.len())
@@ -242,10 +247,15 @@
     }
 }
 
-fn learn_ended(entry: &Entry, name: &InstanceId) {
-    let endpoint = entry.registered.borrow().get(name).copied();
+fn learn_ended(entry: &Entry, ended: &Incarnation) {
+    let born = entry.registry.borrow().born(ended.name());
+    let has_started_again = ended.born() > 0 && born > ended.born();
+    if has_started_again {
+        return;
+    }
+    let endpoint = entry.registered.borrow().get(ended.name()).copied();
     if let Some(endpoint) = endpoint {
-        Line::new("endpoint_ended_told").with("replica", name).info();
+        Line::new("endpoint_ended_told").with("replica", ended).info();
         entry.change(|pool, now, out| pool.ended(now, endpoint, out));
     }
 }
