--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -35,6 +35,8 @@
 use crate::core::limits::Heard;
 use crate::core::occupancy::Occupancy;
 use crate::core::quarantine;
+use crate::core::rests;
+use crate::core::rests::Refusal;
 use crate::util::body::CallerBody;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::outbox;
@@ -198,6 +200,14 @@
                 }
             }
             Verdict::Refused => {
+                let refusal = Refusal {
+                    endpoint,
+                    request: &request.id,
+                    service: &request.service_name,
+                    status: head.status,
+                    headers: &head.headers,
+                };
+                rests::refused(&entry, &refusal);
                 entry.connections.put_refused(&entry.timers, spec.address, body).await;
                 Item::ended(Outcome::Refused, "the endpoint did not run it")
             }
--- a/crates/vaneway-server/src/core/metrics.rs
+++ b/crates/vaneway-server/src/core/metrics.rs
@@ -38,6 +38,8 @@
     pub quarantine: IntCounterVec,
     /// Changes of the limits that endpoints name in their answers, by service: `named`, `ended` or `unreadable`.
     pub limits: IntCounterVec,
+    /// Rests that endpoints ask for in refusals, by service: `asked` or `unreadable`.
+    pub rests: IntCounterVec,
     /// Reclaim notices seen.
     pub notices: IntCounter,
     /// Datagrams dropped because their tag, form or sender was wrong.
@@ -80,6 +82,12 @@
                 "Changes of the limits that endpoints name",
                 &["service", "change"],
             ),
+            rests: vec(
+                &registry,
+                "endpoint_rests",
+                "Rests that endpoints ask for in refusals",
+                &["service", "rest"],
+            ),
             notices: counter(&registry, "notices", "Reclaim notices seen"),
             datagrams_dropped: counter(&registry, "datagrams_dropped", "Datagrams dropped"),
             open: register(
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod quota_ledger;
 pub mod quotas;
+pub mod rests;
 pub mod route_table;
 pub mod running;
 pub mod settings;
--- /dev/null
+++ b/crates/vaneway-server/src/core/rests.rs
@@ -0,0 +1,123 @@
+//! Rest that endpoints ask for when they turn a request away.
+//!
+//! Why: an endpoint that is overloaded says for how long it wants nothing from the box that it has turned away. What is
+//! sent there meanwhile costs it work and the caller time, and is turned away as well.
+//!
+//! Data flow: each refusal's head is read here ([`refused`]).
+
+use std::fmt;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::header::HeaderMap;
+use hyper::header::RETRY_AFTER;
+use vaneway_route::EndpointId;
+
+use crate::core::entry::Entry;
+use crate::util::logline::Line;
+
+/// Longest rest that an endpoint gets: one that asks for more is asked again, or nobody would learn that it is well.
+pub const REST_MOST: Duration = Duration::from_hours(1);
+
+/// Why a rest can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestError {
+    /// It is no decimal number.
+    NotANumber,
+    /// It is below zero.
+    Negative,
+}
+
+impl RestError {
+    /// The error's name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotANumber => "not_a_number",
+            Self::Negative => "negative",
+        }
+    }
+}
+
+impl fmt::Display for RestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotANumber => "a rest must be a decimal number of seconds",
+            Self::Negative => "a rest must not be below zero",
+        })
+    }
+}
+
+impl std::error::Error for RestError {}
+
+/// Reads the rest that a refusal asks for, in seconds with or without a fraction; none if it asks for nothing. Of
+/// several the longest counts, and one over [`REST_MOST`] becomes that.
+///
+/// # Errors
+///
+/// If one of them is no number of seconds. A date is none: it would need clocks that agree.
+pub fn read_rest(headers: &HeaderMap) -> Result<Option<Duration>, RestError> {
+    let mut longest = None;
+    for value in headers.get_all(RETRY_AFTER) {
+        let text = value.to_str().map_err(|_| RestError::NotANumber)?;
+        for part in text.split(',') {
+            longest = longest.max(Some(read_seconds(part.trim())?));
+        }
+    }
+    Ok(longest.filter(|rest| !rest.is_zero()))
+}
+
+fn read_seconds(text: &str) -> Result<Duration, RestError> {
+    let is_decimal = |c: char| c.is_ascii_digit() || matches!(c, '.' | '+' | '-');
+    if !text.chars().all(is_decimal) {
+        return Err(RestError::NotANumber);
+    }
+    let seconds: f64 = text.parse().map_err(|_| RestError::NotANumber)?;
+    if seconds < 0.0 {
+        return Err(RestError::Negative);
+    }
+    Ok(Duration::from_secs_f64(seconds.min(REST_MOST.as_secs_f64())))
+}
+
+/// An endpoint's refusal of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Refusal<'a> {
+    /// The endpoint that refused it.
+    pub endpoint: EndpointId,
+    /// Id of the request, for logs.
+    pub request: &'a str,
+    /// The endpoint's service, for metrics.
+    pub service: &'a str,
+    /// The answer's status.
+    pub status: StatusCode,
+    /// The answer's headers.
+    pub headers: &'a HeaderMap,
+}
+
+/// Learns from a refusal which rest its endpoint wants from this box. Only a 503 speaks of the endpoint as a whole.
+pub fn refused(entry: &Entry, refusal: &Refusal<'_>) {
+    if refusal.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    match read_rest(refusal.headers) {
+        Ok(None) => {}
+        Ok(Some(rest)) => {
+            count(entry, refusal, "asked");
+            line(entry, "endpoint_asks_rest", refusal).with("rest_ms", rest.as_millis()).info();
+        }
+        Err(error) => {
+            count(entry, refusal, "unreadable");
+            line(entry, "endpoint_rest_unreadable", refusal).with("why", error.name()).warn();
+        }
+    }
+}
+
+fn count(entry: &Entry, refusal: &Refusal<'_>, what: &str) {
+    entry.metrics.rests.with_label_values(&[refusal.service, what]).inc();
+}
+
+fn line(entry: &Entry, event: &str, refusal: &Refusal<'_>) -> Line {
+    let pool = entry.pool.borrow();
+    Line::new(event)
+        .with("replica", &pool.get(refusal.endpoint).spec.name)
+        .with("request", refusal.request)
+}
