--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -66,6 +66,10 @@
     behaviour: Behaviour,
     /// Requests a second that its answers name as its limit.
     limit: Option<String>,
+    /// Seconds for which its refusals want nothing from the box that they go to.
+    rest: Option<String>,
+    /// Whether its answers say that it leaves.
+    leaving: bool,
     seen: Vec<Seen>,
     runs: BTreeMap<String, u32>,
     /// Ends it; none once it has ended.
@@ -133,6 +137,16 @@
         lock(&self.state).limit = limit.map(str::to_owned);
     }
 
+    /// Asks for rest in all further refusals, or for none.
+    pub fn ask_rest(&self, seconds: Option<&str>) {
+        lock(&self.state).rest = seconds.map(str::to_owned);
+    }
+
+    /// Says in all further answers that it leaves.
+    pub fn say_leaving(&self) {
+        lock(&self.state).leaving = true;
+    }
+
     /// The requests that it got.
     pub fn seen(&self) -> Vec<Seen> {
         lock(&self.state).seen.clone()
@@ -204,14 +218,14 @@
     let streamed = headers.contains_key("x-token-usage");
     let after = headers.get("last-event-id").and_then(|after| after.parse().ok()).unwrap_or(0);
     let ends_by = headers.get(ENDS_ENDPOINT).cloned();
-    let (behaviour, limit) = {
+    let (behaviour, limit, rest, leaving) = {
         let mut state = lock(&state);
         let body = String::from_utf8_lossy(&body).into_owned();
         state.seen.push(Seen { at: Instant::now(), line, headers, body });
         if expected && state.behaviour != Behaviour::Refuse {
             *state.runs.entry(id.clone()).or_default() += 1;
         }
-        (state.behaviour, state.limit.clone())
+        (state.behaviour, state.limit.clone(), state.rest.clone(), state.leaving)
     };
     if !expected {
         return answer(
@@ -243,6 +257,10 @@
             let body = CallerBody::full(Bytes::new());
             let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, &id, &instance, body);
             response.headers_mut().insert("x-not-run", "1".parse().expect("valid header value"));
+            if let Some(rest) = rest {
+                let rest = rest.parse().expect("valid header value");
+                response.headers_mut().insert("retry-after", rest);
+            }
             response
         }
         Behaviour::Fail => {
@@ -285,6 +303,9 @@
     if let Some(limit) = limit {
         response.headers_mut().insert("server-limit", limit.parse().expect("valid header value"));
     }
+    if leaving {
+        response.headers_mut().insert("server-leaving", "1".parse().expect("valid header value"));
+    }
     response
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod decisions_of_control;
 mod deploy;
 mod endpoint_limits;
+mod endpoint_rest;
 mod engine_speeds;
 mod event_streams;
 mod limits_fleet;
