--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -121,6 +121,8 @@
     pub gone_at: Option<Instant>,
     /// No new work before this time.
     pub suspended_until: Option<Instant>,
+    /// It wants nothing from this box before this time.
+    pub rests_until: Option<Instant>,
     /// Failures since it last answered.
     pub failures: u32,
     /// Requests this box has open there.
@@ -199,6 +201,7 @@
             retired: VecDeque::new(),
             gone_at: None,
             suspended_until: None,
+            rests_until: None,
             failures: 0,
             open: 0,
             open_tokens: 0,
@@ -214,7 +217,12 @@
     /// Whether new work may go there at `now`.
     pub fn takes_work(&self, now: Instant) -> bool {
         let state = matches!(self.state, EndpointState::Serving | EndpointState::Suspect);
-        state && self.suspended_until.is_none_or(|until| until <= now)
+        state && self.takes_work_from().is_none_or(|from| from <= now)
+    }
+
+    /// When its suspension and its rest are over, if it has either.
+    pub(crate) fn takes_work_from(&self) -> Option<Instant> {
+        self.suspended_until.max(self.rests_until)
     }
 
     /// How long nothing has come of the answers that should be arriving; none if there are none.
@@ -270,6 +278,7 @@
     /// Starts over as a new instance.
     pub(crate) fn reset(&mut self) {
         self.restore();
+        self.rests_until = None;
         self.gone_at = None;
     }
 
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -72,7 +72,7 @@
     Late,
     /// None can take it before the given time, if one is known.
     Unavailable {
-        /// When the first suspension ends.
+        /// When the first of them is over a suspension or a rest.
         until: Option<Instant>,
     },
 }
@@ -196,6 +196,12 @@
         self.endpoints[id as usize].trouble.add(now, REFUSAL_WORTH);
     }
 
+    /// Notes that an endpoint wants nothing from this box before `until`. What it answers meanwhile ends no rest.
+    pub fn rest(&mut self, id: EndpointId, until: Instant) {
+        let endpoint = &mut self.endpoints[id as usize];
+        endpoint.rests_until = endpoint.rests_until.max(Some(until));
+    }
+
     /// Marks an endpoint as leaving, to be gone at `gone_at`. A second notice can only bring the
     /// time forward.
     pub fn notice(
@@ -352,8 +358,10 @@
             let is_limited = takes_work.all(|endpoint| !endpoint.gate.is_open(query.sender));
             return if is_limited { Choice::Limited } else { Choice::Full };
         }
-        let suspended = of_service().filter(|e| e.state == EndpointState::Suspect);
-        Choice::Unavailable { until: suspended.filter_map(|e| e.suspended_until).min() }
+        let stays =
+            |e: &&Endpoint| matches!(e.state, EndpointState::Serving | EndpointState::Suspect);
+        let waits = of_service().filter(stays);
+        Choice::Unavailable { until: waits.filter_map(Endpoint::takes_work_from).min() }
     }
 
     /// Counts an attempt that begins: `tokens` of work, or what the endpoint must read of a prompt.
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -455,6 +455,9 @@
                     "gone_in_ms": endpoint.gone_at.map(|at| {
                         at.saturating_duration_since(now).as_millis() as u64
                     }),
+                    "rests_ms": endpoint.rests_until.map(|until| {
+                        until.saturating_duration_since(now).as_millis() as u64
+                    }),
                     "failures": endpoint.failures,
                     "open": endpoint.open,
                     "open_tokens": endpoint.open_tokens,
--- a/crates/vaneway-server/src/core/rests.rs
+++ b/crates/vaneway-server/src/core/rests.rs
@@ -3,10 +3,12 @@
 //! Why: an endpoint that is overloaded says for how long it wants nothing from the box that it has turned away. What is
 //! sent there meanwhile costs it work and the caller time, and is turned away as well.
 //!
-//! Data flow: each refusal's head is read here ([`refused`]).
+//! Data flow: each refusal's head is read here ([`refused`]), and the pool keeps the endpoint out of every choice until its
+//! rest is over. The rest is between the endpoint and this box, so no other box is told.
 
 use std::fmt;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -101,6 +103,7 @@
     match read_rest(refusal.headers) {
         Ok(None) => {}
         Ok(Some(rest)) => {
+            entry.pool.borrow_mut().rest(refusal.endpoint, Instant::now() + rest);
             count(entry, refusal, "asked");
             line(entry, "endpoint_asks_rest", refusal).with("rest_ms", rest.as_millis()).info();
         }
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -8,6 +8,7 @@
 use vaneway_limit::Named;
 use vaneway_limit::Sender;
 use vaneway_route::Choice;
+use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
 use vaneway_route::Load;
@@ -225,3 +226,22 @@
         assert_eq!(choices.last(), Some(&Choice::Limited), "seed {seed}");
     }
 }
+
+/// Guards against a rest that ends early: by a shorter one, or by the answer to a request that was under way.
+#[test]
+fn endpoint_that_rests_is_in_no_choice_until_the_longest_rest_is_over() {
+    let mut fleet = Fleet::in_zones(&["a", "a"]);
+    let over = fleet.now + Duration::from_secs(3);
+    fleet.pool.rest(0, over);
+    fleet.pool.rest(0, fleet.now + Duration::from_secs(1));
+    fleet.pool.handle(fleet.now, 0, EndpointEvent::Answered, &mut Vec::new());
+    fleet.pass(Duration::from_secs(2));
+    for _ in 0..20 {
+        assert_eq!(fleet.choose("a"), Choice::Endpoint(1));
+    }
+
+    fleet.pool.rest(1, over + Duration::from_secs(1));
+    assert_eq!(fleet.choose("a"), Choice::Unavailable { until: Some(over) });
+    fleet.now = over;
+    assert_eq!(fleet.choose("a"), Choice::Endpoint(0));
+}
