--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -28,6 +28,7 @@
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::endpoints::protocol::Sending;
 use crate::core::endpoints::protocol::Verdict;
+use crate::core::endpoints::registered;
 use crate::core::endpoints::upstream::Answered;
 use crate::core::endpoints::upstream::SendError;
 use crate::core::entry::Entry;
@@ -174,6 +175,9 @@
                 named: protocol.named_limit(&head.headers),
             };
             limits::answered(&entry, &heard);
+            if protocol.says_leaving(&head.headers) {
+                registered::says_leaving(&entry, endpoint, &request.id);
+            }
         }
         let item = match verdict {
             Verdict::Answer => {
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -40,6 +40,9 @@
 /// long as it says so.
 pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("x-vaneway-limit");
 
+/// Header of an answer in which an endpoint says that it leaves: `1`.
+pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("x-vaneway-leaving");
+
 /// Headers that belong to one connection and do not pass through.
 pub const HOP_HEADERS: [HeaderName; 9] = [
     CONNECTION,
@@ -121,6 +124,9 @@
     /// Requests a second that the endpoint takes from all entry boxes together, if the head of an answer names that.
     fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, RateError>;
 
+    /// Whether the head of an answer says that its endpoint leaves.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Prepares the headers of an answer for the caller.
     fn pass_headers(&self, headers: &mut HeaderMap);
 }
@@ -138,6 +144,11 @@
     Ok(lowest)
 }
 
+/// Whether the header `name` says yes: `1`.
+pub fn read_mark(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers.get_all(name).iter().any(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// Copies the headers that pass through: all but those of one connection and those in `own`,
 /// which this box sets itself.
 pub fn copy_headers(builder: Builder, headers: &HeaderMap, own: &[HeaderName]) -> Builder {
@@ -205,6 +216,10 @@
         read_limit(headers, &LIMIT_HEADER)
     }
 
+    fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        read_mark(headers, &LEAVING_HEADER)
+    }
+
     fn pass_headers(&self, headers: &mut HeaderMap) {
         remove_hop_headers(headers);
         headers.insert(RUN_HEADER, HeaderValue::from_static(RunState::Ran.name()));
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -16,6 +16,7 @@
 use vaneway_registry::Standing;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
+use vaneway_route::EndpointState;
 
 use crate::core::entry::Entry;
 use crate::core::limits;
@@ -24,6 +25,10 @@
 /// How long an endpoint that leaves without naming a time may finish what it has.
 const FINISH_WITHIN: Duration = Duration::from_mins(2);
 
+/// How long an endpoint that the settings name gets nothing after it has said that it leaves: longer than most take to start
+/// again.
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(10);
+
 /// Requests that an endpoint queues for each one that it works on; more are not sent there.
 const QUEUED_A_SLOT: u32 = 2;
 
@@ -121,6 +126,27 @@
     }
 }
 
+/// Gives an endpoint whose answer to a request says that it leaves no new work. What it has may finish. Other boxes learn it
+/// from their own answers, or from its registration.
+///
+/// One that the settings name rests instead: it starts again as the same endpoint, without anyone saying so.
+pub fn says_leaving(entry: &Entry, endpoint: EndpointId, request: &str) {
+    let (name, state) = {
+        let pool = entry.pool.borrow();
+        let endpoint = pool.get(endpoint);
+        (endpoint.spec.name.clone(), endpoint.state)
+    };
+    if matches!(state, EndpointState::Leaving | EndpointState::Gone) {
+        return;
+    }
+    Line::new("endpoint_says_leaving").with("replica", &name).with("request", request).info();
+    if entry.registered.borrow().values().any(|registered| *registered == endpoint) {
+        entry.change(|pool, now, out| pool.notice(now, endpoint, now + FINISH_WITHIN, out));
+    } else {
+        entry.pool.borrow_mut().rest(endpoint, Instant::now() + ASK_AGAIN_AFTER);
+    }
+}
+
 fn add(entry: &Entry, instance: &InstanceId, details: &Details) -> EndpointId {
     let spec = EndpointSpec {
         name: instance.clone(),
--- a/crates/vaneway-server/src/core/rests.rs
+++ b/crates/vaneway-server/src/core/rests.rs
@@ -60,7 +60,7 @@
 pub fn read_rest(headers: &HeaderMap) -> Result<Option<Duration>, RestError> {
     let mut longest = None;
     for value in headers.get_all(RETRY_AFTER) {
-        let text = value.to_str().map_err(|_| RestError::NotANumber)?;
+        let text = value.to_str().ok().ok_or(RestError::NotANumber)?;
         for part in text.split(',') {
             longest = longest.max(Some(read_seconds(part.trim())?));
         }
