--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -20,6 +20,7 @@
 use futures_util::Stream;
 use futures_util::StreamExt as _;
 use futures_util::stream::unfold;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response;
@@ -34,6 +35,7 @@
 use crate::core::endpoints::link::LinkBody;
 use crate::core::endpoints::link::SharedBody;
 use crate::core::endpoints::protocol;
+use crate::core::endpoints::protocol::LEAVING_HEADER;
 use crate::core::endpoints::protocol::LIMIT_HEADER;
 use crate::util::socket;
 use crate::util::timers::Timers;
@@ -277,6 +279,8 @@
     Head {
         /// Requests a second that it takes from all entry boxes together, if it names that.
         limit: Result<Option<Rate>, RateError>,
+        /// Whether it says that it leaves.
+        leaving: bool,
     },
     /// One server-sent event.
     Data {
@@ -292,6 +296,15 @@
         /// The answer's body.
         body: Bytes,
     },
+    /// The engine did not run the request.
+    Refused {
+        /// The answer's status.
+        status: StatusCode,
+        /// The answer's headers.
+        headers: HeaderMap,
+        /// What happened, for the log.
+        cause: String,
+    },
     /// The attempt ended.
     Ended {
         /// What is known of it.
@@ -369,29 +382,31 @@
     let Answered { response, mut attempt } = answered;
     let status = response.status();
     let limit = protocol::read_limit(response.headers(), &LIMIT_HEADER);
-    let mut body = response.into_body();
+    let leaving = protocol::read_mark(response.headers(), &LEAVING_HEADER);
+    let (head, mut body) = response.into_parts();
     if status == StatusCode::OK {
         let body = SharedBody::new(body);
         let events = body.clone().eventsource();
         let reading = Reading { connections, timers, addr, stall, body, attempt, events };
-        return (Item::Head { limit }, Stage::Reading(Box::new(reading)));
+        return (Item::Head { limit, leaving }, Stage::Reading(Box::new(reading)));
     }
     let mut held = BytesMut::new();
     let read = body.read_into(&mut held, ERROR_BYTES_MOST);
     if let Some(Ok(true)) = timers.until(Instant::now() + stall, read).await {
         connections.put(addr, body);
     }
-    (engine_error(&mut attempt, status, held.freeze()), Stage::Over)
+    (engine_error(&mut attempt, head, held.freeze()), Stage::Over)
 }
 
 /// What an engine's error means, by the engine protocol of docs/INTERFACES.md: overload, a lost
 /// state and a stopping engine are refusals; a fault in the engine leaves the outcome unknown;
 /// everything else is an answer to the request itself.
-fn engine_error(attempt: &mut Attempt, status: StatusCode, body: Bytes) -> Item {
+fn engine_error(attempt: &mut Attempt, head: response::Parts, body: Bytes) -> Item {
+    let response::Parts { status, headers, .. } = head;
     let cause = format!("the engine answered {}", status.as_u16());
     match status {
         StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            Item::Ended { outcome: Outcome::Refused, cause }
+            Item::Refused { status, headers, cause }
         }
         _ if status.is_client_error() => Item::Rejected { status, body },
         _ => {
--- a/crates/vaneway-server/src/core/rests.rs
+++ b/crates/vaneway-server/src/core/rests.rs
@@ -73,7 +73,7 @@
     if !text.chars().all(is_decimal) {
         return Err(RestError::NotANumber);
     }
-    let seconds: f64 = text.parse().map_err(|_| RestError::NotANumber)?;
+    let seconds: f64 = text.parse().ok().ok_or(RestError::NotANumber)?;
     if seconds < 0.0 {
         return Err(RestError::Negative);
     }
--- a/crates/vaneway-test-support/src/engine/mod.rs
+++ b/crates/vaneway-test-support/src/engine/mod.rs
@@ -113,6 +113,8 @@
     pub generated: u64,
     /// Orders accepted, by their text.
     pub orders: Vec<String>,
+    /// Requests refused as not run.
+    pub refused: u64,
     /// Orders refused for an old epoch.
     pub orders_refused: u64,
 }
@@ -131,6 +133,8 @@
     faults: Mutex<Faults>,
     /// Requests a second that its answers name as its limit.
     limit: Mutex<Option<String>>,
+    /// Seconds for which its refusals want nothing from the box that they go to.
+    rest: Mutex<Option<String>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -178,6 +182,11 @@
         *lock(&self.shared.limit) = limit.map(str::to_owned);
     }
 
+    /// Asks for rest in all further refusals, or for none.
+    pub fn ask_rest(&self, seconds: Option<&str>) {
+        *lock(&self.shared.rest) = seconds.map(str::to_owned);
+    }
+
     /// Makes a token only every so many steps.
     pub fn slow_down(&self, steps_for_each: u32) {
         lock(&self.shared.faults).steps_for_each = steps_for_each;
@@ -255,7 +264,13 @@
 
 async fn complete(local: &Rc<Local>, req: Request<Incoming>, chat: bool) -> Response<CallerBody> {
     if lock(&local.shared.faults).refusing {
-        return error(StatusCode::SERVICE_UNAVAILABLE, "refusing");
+        lock(&local.shared.stats).refused += 1;
+        let mut response = error(StatusCode::SERVICE_UNAVAILABLE, "refusing");
+        if let Some(rest) = &*lock(&local.shared.rest) {
+            let rest = rest.parse().expect("valid header value");
+            response.headers_mut().insert("retry-after", rest);
+        }
+        return response;
     }
     let id = header(&req, "x-request-id").unwrap_or("anonymous").to_owned();
     let priority = header(&req, "x-priority").and_then(|p| p.parse().ok()).unwrap_or(5);
--- a/crates/vaneway-test-support/src/plain_service.rs
+++ b/crates/vaneway-test-support/src/plain_service.rs
@@ -28,6 +28,7 @@
     refuse: bool,
     fail_after_run: bool,
     pause: Duration,
+    leaving: bool,
 }
 
 /// A running plain service. `POST` and `GET` at any path execute the call and answer with JSON
@@ -78,6 +79,11 @@
         lock(&self.state).fail_after_run = fail;
     }
 
+    /// Says in its answers that it leaves, or no more.
+    pub fn say_leaving(&self, leaving: bool) {
+        lock(&self.state).leaving = leaving;
+    }
+
     /// Waits before each answer.
     pub fn pause(&self, pause: Duration) {
         lock(&self.state).pause = pause;
@@ -120,5 +126,10 @@
     let body = String::from_utf8_lossy(&body);
     let answer =
         json!({ "method": method, "path": path, "body": body, "organisation": organisation });
-    server::json(StatusCode::OK, &answer)
+    let mut response = server::json(StatusCode::OK, &answer);
+    if lock(&state).leaving {
+        let yes = "1".parse().expect("valid header value");
+        response.headers_mut().insert("x-vaneway-leaving", yes);
+    }
+    response
 }
