--- a/crates/vaneway-server/src/core/callers/own.rs
+++ b/crates/vaneway-server/src/core/callers/own.rs
@@ -4,7 +4,6 @@
 //! the request was sent to an endpoint.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -38,6 +37,7 @@
 use crate::core::settings::Organisation;
 use crate::core::settings::ServiceKind;
 use crate::util::body::CallerBody;
+use crate::util::clock;
 
 /// Where paths to plain services begin.
 const SERVICES: &str = "/services/";
@@ -145,7 +145,7 @@
     if body.size_hint().lower() > most as u64 {
         return Err(too_large());
     }
-    let until = Instant::now() + limits.caller_stall;
+    let until = clock::now() + limits.caller_stall;
     let body = Limited::new(body, most).collect();
     match entry.timers.until(until, body).await {
         // A copy: the original is a slice of the connection's read buffer, which it would keep
@@ -213,7 +213,7 @@
     });
     let limits = CallLimits {
         max_attempts: settings.max_attempts,
-        deadline: Instant::now() + settings.deadline,
+        deadline: clock::now() + settings.deadline,
         patience: Patience::Within(settings.patience),
         head_within: settings.stall,
         pause_within: settings.stall,
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -35,6 +35,7 @@
 use crate::core::quarantine;
 use crate::core::route_table::RouteTable;
 use crate::util::body::CallerBody;
+use crate::util::clock;
 use crate::util::hash;
 use crate::util::logline::Line;
 
@@ -82,7 +83,7 @@
     head: &CallerHead,
     req: Request<Incoming>,
 ) -> Result<Response<CallerBody>, ApiError> {
-    let received = Instant::now();
+    let received = clock::now();
     let (request, limits, units) = match admit(entry, head, req, received).await {
         Ok(admitted) => admitted,
         Err(error) => return Err(refused(entry, &head.id, error)),
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::BytesMut;
 use futures_util::Stream;
@@ -39,6 +38,7 @@
 use crate::core::rests;
 use crate::core::rests::Refusal;
 use crate::util::body::CallerBody;
+use crate::util::clock;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::outbox;
 
@@ -142,9 +142,9 @@
     async fn send(self: Box<Self>) -> (Item, Stage<E>) {
         let Self { entry, protocol, request, limits, endpoint, occupancy, after } = *self;
         let spec = entry.pool.borrow().get(endpoint).spec.clone();
-        let left = limits.deadline.saturating_duration_since(Instant::now());
+        let left = limits.deadline.saturating_duration_since(clock::now());
         let req = protocol.request(&request, Sending { to: &spec, left, after });
-        let head_by = Instant::now() + limits.head_within;
+        let head_by = clock::now() + limits.head_within;
         let fresh = entry.settings.routing.fresh_for_at_most_once && !request.repeatable;
         let sent = entry.connections.send(&entry.timers, spec.address, req, fresh, head_by);
         let sent = unless_silent(&entry, endpoint, request.repeatable, sent).await;
@@ -240,12 +240,12 @@
         return Some(work.await);
     }
     let mut work = pin!(work);
-    let mut look_at = Instant::now() + SILENT_AFTER;
+    let mut look_at = clock::now() + SILENT_AFTER;
     loop {
         if let Some(done) = entry.timers.until(look_at, work.as_mut()).await {
             return Some(done);
         }
-        let now = Instant::now();
+        let now = clock::now();
         if entry.pool.borrow().is_silent(now, endpoint) {
             return None;
         }
@@ -262,7 +262,7 @@
         let limits = &reading.limits;
         let within =
             if reading.occupancy.is_arriving() { limits.pause_within } else { limits.head_within };
-        let until = Instant::now() + within;
+        let until = clock::now() + within;
         let timers = reading.entry.timers.clone();
         match timers.until(until, reading.body.data()).await {
             Some(Some(Ok(data))) => reading.cutter.push(&data),
@@ -342,7 +342,7 @@
 /// Moves a body into an outbox; true if all of it arrived.
 async fn feed(entry: &Entry, tx: &Outbox, body: &mut LinkBody) -> bool {
     loop {
-        let until = Instant::now() + entry.settings.limits.caller_stall;
+        let until = clock::now() + entry.settings.limits.caller_stall;
         let room = poll_fn(|cx| match tx.poll_gone(cx) {
             Poll::Ready(()) => Poll::Ready(false),
             Poll::Pending => tx.poll_room(cx).map(|()| true),
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -61,6 +61,7 @@
 use crate::core::quarantine;
 use crate::core::quarantine::Placing;
 use crate::util::body::CallerBody;
+use crate::util::clock;
 use crate::util::logline::Line;
 use crate::util::timers::Sleep;
 
@@ -104,7 +105,7 @@
     };
     let (tx, rx) = oneshot::channel();
     if let Some(work) = &request.work {
-        entry.inflow.count(Instant::now(), request.service, work);
+        entry.inflow.count(clock::now(), request.service, work);
     }
     let request = Rc::new(request);
     open.request().set_call(Rc::clone(&request));
@@ -118,7 +119,7 @@
         succeeded: false,
         runs_at: None,
         ended_under: Vec::new(),
-        received: Instant::now(),
+        received: clock::now(),
         request,
         entry,
         protocol,
@@ -191,7 +192,7 @@
     fn decide(&mut self, event: Event, actions: &mut Vec<Action>) {
         let mut budgets = self.entry.budgets.borrow_mut();
         let budget = &mut budgets[self.request.service as usize];
-        self.relay.handle(Instant::now(), event, budget, actions);
+        self.relay.handle(clock::now(), event, budget, actions);
     }
 
     fn poll_event<S: Stream<Item = Item>>(
@@ -297,7 +298,7 @@
         match outcome {
             Outcome::Done => self.entry.report(endpoint, EndpointEvent::Answered),
             Outcome::Refused => {
-                self.entry.pool.borrow_mut().refused(Instant::now(), endpoint);
+                self.entry.pool.borrow_mut().refused(clock::now(), endpoint);
             }
             Outcome::NotSent | Outcome::Unknown => {
                 self.entry.report(endpoint, EndpointEvent::Failed);
@@ -324,7 +325,7 @@
                 .with("replica", &self.entry.pool.borrow().get(endpoint).spec.name)
                 .with("outcome", outcome.name())
                 .with("events", self.relay.splice().sent())
-                .with("after_ms", self.received.elapsed().as_millis())
+                .with("after_ms", clock::elapsed(self.received).as_millis())
                 .with("cause", cause)
                 .info();
         }
@@ -380,7 +381,7 @@
             Action::Emit { chunk } => {
                 let limit = self.entry.settings.limits.stream_bytes;
                 if self.relay.splice().sent() <= 1 {
-                    let taken = self.received.elapsed().as_secs_f64();
+                    let taken = clock::elapsed(self.received).as_secs_f64();
                     self.entry.metrics.first_token.observe(taken);
                 }
                 self.reply.push(limit, chunk.data.as_bytes());
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -70,6 +70,7 @@
 use crate::core::rests::Refusal;
 use crate::core::settings::Organisation;
 use crate::util::body::CallerBody;
+use crate::util::clock;
 use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::timers::Sleep;
@@ -223,7 +224,7 @@
         form: AnswerForm::Tokens,
         wants_usage: request.wants_usage,
         max_attempts: service.max_attempts,
-        deadline: Instant::now() + service.deadline,
+        deadline: clock::now() + service.deadline,
         patience: Patience::Within(service.patience),
         prompt_tokens: request.prompt_tokens,
         max_tokens: request.max_tokens,
@@ -320,7 +321,7 @@
 
     fn decide(&mut self, event: Event, actions: &mut Vec<Action>) {
         let budget = &mut self.entry.budgets.borrow_mut()[self.request.service];
-        self.relay.handle(Instant::now(), event, budget, actions);
+        self.relay.handle(clock::now(), event, budget, actions);
     }
 
     /// The next event, from whichever source has one.
@@ -531,7 +532,7 @@
             "request": self.id, "from": entry.address(from).to_string(), "tokens": tokens
         });
         compio::runtime::spawn(async move {
-            let until = Instant::now() + TRANSFER_WITHIN;
+            let until = clock::now() + TRANSFER_WITHIN;
             let to = entry.address(to);
             let whole = post(&entry, to, "/v1/kv/import", order.to_string(), until).await;
             open.signal(Event::Transferred { attempt, whole });
@@ -544,7 +545,7 @@
         let entry = Rc::clone(&self.entry);
         let path = format!("/v1/requests/{}/cancel", self.id);
         compio::runtime::spawn(async move {
-            let until = Instant::now() + CANCEL_WITHIN;
+            let until = clock::now() + CANCEL_WITHIN;
             let addr = entry.address(endpoint);
             if !post(&entry, addr, &path, String::new(), until).await {
                 log::debug!("event=cancel_failed addr={addr}");
--- a/crates/vaneway-server/src/core/calls/open_requests.rs
+++ b/crates/vaneway-server/src/core/calls/open_requests.rs
@@ -21,6 +21,7 @@
 use vaneway_route::EndpointId;
 
 use crate::core::endpoints::protocol::CallRequest;
+use crate::util::clock;
 
 /// Number of a request at this box since its start.
 pub type RequestNumber = u64;
@@ -84,7 +85,7 @@
 
     /// How long the request has been open.
     pub fn age(&self) -> std::time::Duration {
-        self.since.elapsed()
+        clock::elapsed(self.since)
     }
 
     fn dump(&self) -> Value {
@@ -127,7 +128,7 @@
             number,
             organisation: organisation.to_owned(),
             service: service.to_owned(),
-            since: Instant::now(),
+            since: clock::now(),
             state: Cell::new(RequestState::Accepted),
             endpoint: Cell::new(None),
             sent: Cell::new(0),
--- a/crates/vaneway-server/src/core/cloud_notices.rs
+++ b/crates/vaneway-server/src/core/cloud_notices.rs
@@ -6,7 +6,6 @@
 
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use http_body_util::Full;
 use hyper::Request;
@@ -19,6 +18,7 @@
 use crate::core::cluster::marks;
 use crate::core::entry::Entry;
 use crate::core::settings::Platform;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 /// Pause after the platform did not answer.
@@ -102,7 +102,7 @@
             .with("instance", &notice.instance)
             .with("gone_in_ms", notice.gone_in_ms)
             .info();
-        let gone_at = Instant::now() + Duration::from_millis(notice.gone_in_ms);
+        let gone_at = clock::now() + Duration::from_millis(notice.gone_in_ms);
         let instance =
             Instance { box_name: notice.name.clone(), instance: notice.instance.clone() };
         entry.mark(&instance, gone_at);
@@ -139,7 +139,7 @@
     path: &str,
     within: Duration,
 ) -> Option<T> {
-    let until = Instant::now() + within;
+    let until = clock::now() + within;
     let req = Request::builder().uri(path).body(Full::default()).expect("the path is valid");
     let (connections, limit) = (&entry.connections, ANSWER_BYTES_MOST);
     let exchange = connections.exchange(&entry.timers, platform.address, req, limit, until).await;
--- a/crates/vaneway-server/src/core/cluster/control_link.rs
+++ b/crates/vaneway-server/src/core/cluster/control_link.rs
@@ -13,6 +13,7 @@
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::Wanted;
+use crate::util::clock;
 use crate::util::frames::Encoded;
 use crate::util::outgoing::Outgoing;
 
@@ -37,7 +38,7 @@
 
 impl ControlLink {
     pub(super) fn new(outgoing: Outgoing) -> Self {
-        let now = Instant::now();
+        let now = clock::now();
         Self {
             outgoing,
             opened: now,
@@ -60,7 +61,7 @@
         if !self.taken_in.get() {
             return;
         }
-        if self.pinged.get().is_some_and(|at| at.elapsed() > BEHIND_AFTER) {
+        if self.pinged.get().is_some_and(|at| clock::elapsed(at) > BEHIND_AFTER) {
             self.missed.set(true);
             return;
         }
@@ -70,7 +71,7 @@
     /// Asks for a sign that all before it was taken in, unless one is still to come.
     pub(super) fn ping(&self, sent_us: u64) {
         if self.taken_in.get() && self.pinged.get().is_none() {
-            self.pinged.set(Some(Instant::now()));
+            self.pinged.set(Some(clock::now()));
             self.send(FromEntry::Ping { sent_us });
         }
     }
@@ -80,8 +81,8 @@
         Teller {
             address,
             at_home: self.at_home.get(),
-            silent: self.heard.get().elapsed(),
-            connected: self.opened.elapsed(),
+            silent: clock::elapsed(self.heard.get()),
+            connected: clock::elapsed(self.opened),
         }
     }
 }
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -51,6 +51,7 @@
 use crate::core::usage::ClusterTime;
 use crate::core::usage::UseReport;
 use crate::core::usage::WINDOWS_KEPT;
+use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::Encoded;
 use crate::util::frames::Silence;
@@ -108,14 +109,14 @@
         kept: RefCell::default(),
         open: RefCell::default(),
         told: RefCell::default(),
-        told_by_since: Cell::new(Instant::now()),
+        told_by_since: Cell::new(clock::now()),
         said_done: Cell::new(false),
         clock_from: Cell::new(None),
     });
     follower.keep(&seeds);
-    let mut pinged = Instant::now();
+    let mut pinged = clock::now();
     let mut round: u64 = 0;
-    let mut use_told = Instant::now();
+    let mut use_told = clock::now();
     loop {
         follower.entry.timers.sleep(LOADS_EVERY).await;
         if follower.said_done.get() {
@@ -130,19 +131,19 @@
             follower.say_done();
             continue;
         }
-        if use_told.elapsed() < USE_EVERY {
+        if clock::elapsed(use_told) < USE_EVERY {
             continue;
         }
-        use_told = Instant::now();
+        use_told = clock::now();
         round += 1;
         let report = follower.report(round.is_multiple_of(TELL_ALL_EVERY));
         follower.send_to_all(FromEntry::Use(report));
-        if pinged.elapsed() >= PING_EVERY {
-            pinged = Instant::now();
+        if clock::elapsed(pinged) >= PING_EVERY {
+            pinged = clock::now();
             let sent_us = follower.steady_us();
             follower.open.borrow().values().for_each(|link| link.ping(sent_us));
         }
-        if follower.told_by_since.get().elapsed() >= TELLERS_KEPT {
+        if clock::elapsed(follower.told_by_since.get()) >= TELLERS_KEPT {
             follower.choose_tellers();
         }
     }
@@ -215,7 +216,7 @@
         link.ping(self.steady_us());
         Line::new("control_connected")
             .with("address", address)
-            .with("waited_ms", link.opened.elapsed().as_millis())
+            .with("waited_ms", clock::elapsed(link.opened).as_millis())
             .info();
     }
 
@@ -244,7 +245,7 @@
 
     fn received(self: &Rc<Self>, from: SocketAddr, message: ToEntry) {
         if let Some(link) = self.open.borrow().get(&from) {
-            link.heard.set(Instant::now());
+            link.heard.set(clock::now());
         }
         match message {
             ToEntry::Hello { availability_zone } => {
@@ -315,7 +316,7 @@
 
     /// Endpoints that are known to be leaving or gone.
     fn leaving(&self) -> Vec<Report> {
-        let mut reports = self.entry.registry.borrow().reports(Instant::now());
+        let mut reports = self.entry.registry.borrow().reports(clock::now());
         reports.retain(|report| report.standing > Standing::Ready);
         reports
     }
@@ -326,7 +327,7 @@
         let open = self.open.borrow();
         let preferred = open.iter().find(|(_, link)| link.wanted.get().loads);
         let preferred = preferred.map(|(address, _)| *address);
-        let of = self.source.borrow_mut().ask(Instant::now(), own, preferred);
+        let of = self.source.borrow_mut().ask(clock::now(), own, preferred);
         if let Some(link) = of.and_then(|of| open.get(&of)) {
             let have = if self.whole_wanted.get() { 0 } else { own };
             link.send(FromEntry::WantConfiguration { have });
@@ -346,7 +347,7 @@
                 loads: chosen.first() == Some(address),
             };
             if link.wanted.replace(wanted) != wanted {
-                self.told_by_since.set(Instant::now());
+                self.told_by_since.set(clock::now());
                 link.send(FromEntry::Tell(wanted));
                 log::debug!("event=teller address={address} wanted={wanted:?}");
             }
@@ -436,7 +437,7 @@
     /// Estimates the cluster's time as in the middle of the exchange; the shortest round trip of
     /// late gives the best estimate.
     fn learn_time(&self, sent_us: u64, time_us: u64) {
-        let now = Instant::now();
+        let now = clock::now();
         let round_trip = Duration::from_micros(self.steady_us().saturating_sub(sent_us));
         if let Some((best, at)) = self.clock_from.get()
             && round_trip > best
--- a/crates/vaneway-server/src/core/cluster/marks.rs
+++ b/crates/vaneway-server/src/core/cluster/marks.rs
@@ -21,6 +21,7 @@
 use crate::core::cluster::datagram::seal;
 use crate::core::cluster::datagram::unseal;
 use crate::core::entry::Entry;
+use crate::util::clock;
 
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 2_048;
@@ -37,14 +38,14 @@
     let mut actions = Vec::new();
     cluster.marks.borrow_mut().start(&mut actions);
     carry_out(entry, actions).await;
-    entry.timers.until(Instant::now() + HELLO_WITHIN, rx).await;
+    entry.timers.until(clock::now() + HELLO_WITHIN, rx).await;
 }
 
 /// Tells the peers of a mark that this box learned of.
 pub fn learn(entry: &Rc<Entry>, instance: &Instance, gone_at: Instant) {
     let Some(cluster) = &entry.cluster else { return };
     let mut actions = Vec::new();
-    cluster.marks.borrow_mut().learn(Instant::now(), instance, gone_at, &mut actions);
+    cluster.marks.borrow_mut().learn(clock::now(), instance, gone_at, &mut actions);
     let entry = Rc::clone(entry);
     compio::runtime::spawn(async move { carry_out(&entry, actions).await }).detach();
 }
@@ -72,7 +73,7 @@
         };
         let pushed = matches!(envelope.message, Message::Push { .. });
         let mut actions = Vec::new();
-        let now = Instant::now();
+        let now = clock::now();
         cluster.marks.borrow_mut().handle(now, from, envelope.message, &mut actions);
         carry_out(&entry, actions).await;
         if pushed && let Some(first) = cluster.first.borrow_mut().take() {
@@ -88,7 +89,7 @@
     loop {
         entry.timers.sleep(TICK).await;
         let mut actions = Vec::new();
-        cluster.marks.borrow_mut().tick(Instant::now(), &mut actions);
+        cluster.marks.borrow_mut().tick(clock::now(), &mut actions);
         carry_out(&entry, actions).await;
     }
 }
--- a/crates/vaneway-server/src/core/cluster/reconnect.rs
+++ b/crates/vaneway-server/src/core/cluster/reconnect.rs
@@ -6,10 +6,10 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::core::cluster::wire::CONNECT_WITHIN;
 use crate::core::cluster::wire::RECONNECT_AFTER;
+use crate::util::clock;
 use crate::util::hash;
 use crate::util::socket;
 use crate::util::socket::SocketStream;
@@ -35,9 +35,9 @@
     while wanted() {
         match socket::connect_within(timers, address, CONNECT_WITHIN).await {
             Ok(stream) => {
-                let begun = Instant::now();
+                let begun = clock::now();
                 run(stream).await;
-                useless = if begun.elapsed() < USEFUL_AFTER { useless + 1 } else { 0 };
+                useless = if clock::elapsed(begun) < USEFUL_AFTER { useless + 1 } else { 0 };
             }
             // Nobody was troubled by it, so that the next try need not be later.
             Err(error) => log::debug!("event=box_unreachable address={address} error={error:?}"),
--- a/crates/vaneway-server/src/core/cluster/work_at_endpoints.rs
+++ b/crates/vaneway-server/src/core/cluster/work_at_endpoints.rs
@@ -1,7 +1,6 @@
 //! What an entry box tells of its work at registered endpoints, and what it learns of all boxes' work there.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
@@ -10,6 +9,7 @@
 use crate::core::entry::Entry;
 use crate::core::kept_parts::KeptParts;
 use crate::core::loads::Loads;
+use crate::util::clock;
 
 /// What this box has open at each registered endpoint that has anything.
 pub fn open_loads(entry: &Entry) -> Loads {
@@ -31,7 +31,7 @@
     loads: &[(InstanceId, Load)],
     own: &BTreeMap<InstanceId, Load>,
 ) {
-    let now = Instant::now();
+    let now = clock::now();
     let mut pool = entry.pool.borrow_mut();
     let registered = entry.registered.borrow();
     if whole {
@@ -67,7 +67,7 @@
 
 /// Learns which prompt parts requests of any box brought to endpoints.
 pub fn learn_parts(entry: &Entry, parts: &[(InstanceId, Vec<PartId>)]) {
-    let now = Instant::now();
+    let now = clock::now();
     let mut pool = entry.pool.borrow_mut();
     let registered = entry.registered.borrow();
     for (instance, parts) in parts {
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -26,6 +26,7 @@
 use crate::core::control::state::Control;
 use crate::core::control::telling;
 use crate::core::settings::CloudSettings;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 /// Silence after which a replica no longer counts as running.
@@ -57,7 +58,7 @@
         protocol: &C,
     ) {
         let Some(held) = control.machine.borrow().held().cloned() else { return };
-        if control.started.elapsed() < KNOWS_AFTER {
+        if clock::elapsed(control.started) < KNOWS_AFTER {
             return;
         }
         let configuration = &held.configuration;
@@ -65,7 +66,7 @@
             let Some(spec) = &service.capacity else { continue };
             let (input, seen) = self.input(control, service, spec);
             let planner = self.planner(control, service);
-            for order in planner.plan(Instant::now(), &input) {
+            for order in planner.plan(clock::now(), &input) {
                 if !duties::holds_duty(control) {
                     return;
                 }
@@ -78,7 +79,7 @@
                     .with("limited", format!("{:.2}", input.limited))
                     .with("answer", format!("{answer:?}"));
                 with_demand(line, seen).info();
-                planner.answered(Instant::now(), &order, answer);
+                planner.answered(clock::now(), &order, answer);
             }
         }
     }
@@ -90,13 +91,13 @@
     /// demand, for five seconds in which hardly a request is in time.
     pub fn watch(&mut self, control: &Control) {
         let Some(held) = control.machine.borrow().held().cloned() else { return };
-        if control.started.elapsed() < KNOWS_AFTER {
+        if clock::elapsed(control.started) < KNOWS_AFTER {
             return;
         }
         for service in &held.configuration.services {
             let Some(spec) = &service.capacity else { continue };
             let (input, _) = self.input(control, service, spec);
-            self.planner(control, service).watch(Instant::now(), &input);
+            self.planner(control, service).watch(clock::now(), &input);
         }
     }
 
@@ -129,7 +130,7 @@
         let ledger = control.use_ledger.borrow();
         let told = ledger.rates(control.now(), &service.name);
         if told.runs > 0.0 {
-            self.seen_since.entry(service.name.clone()).or_insert_with(Instant::now);
+            self.seen_since.entry(service.name.clone()).or_insert_with(clock::now);
         }
         let since = *self.seen_since.get(&service.name)?;
         let speeds = ledger.speeds(&service.name);
@@ -143,7 +144,7 @@
         if heard >= known {
             self.rates.insert(service.name.clone(), told);
         }
-        (since.elapsed() >= SETTLED_AFTER).then(|| speeds.demand(rates, size, running))
+        (clock::elapsed(since) >= SETTLED_AFTER).then(|| speeds.demand(rates, size, running))
     }
 }
 
@@ -160,7 +161,7 @@
 
 /// What runs of a service and what may be ordered; the demand is filled in later.
 fn input(control: &Control, service: &str, spec: &CapacitySpec) -> Input {
-    let now = Instant::now();
+    let now = clock::now();
     let mut running = BTreeMap::<(ZoneName, Kind), u32>::new();
     let mut leaving = BTreeMap::<ZoneName, u32>::new();
     for (_, known) in control.registry.borrow().iter() {
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -10,7 +10,6 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::StatusCode;
 use hyper::header::HOST;
@@ -25,6 +24,7 @@
 use crate::core::settings::CloudSettings;
 use crate::core::usage::UseLedger;
 use crate::core::usage::Window;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 /// Time between two looks at what is due.
@@ -83,7 +83,8 @@
 
 /// Whether this box may act for the deployment now.
 pub(super) fn holds_duty(control: &Control) -> bool {
-    let settled = control.leads_since.get().is_some_and(|since| since.elapsed() > TAKE_OVER_AFTER);
+    let settled =
+        control.leads_since.get().is_some_and(|since| clock::elapsed(since) > TAKE_OVER_AFTER);
     settled && control.leads_surely() && !control.stopping.get()
 }
 
@@ -112,7 +113,7 @@
         }
         let counts = control.use_ledger.borrow().counts(window);
         let command = Command::FixUsage { window, counts };
-        group::propose(control, &command, Instant::now() + FIX_WITHIN).await;
+        group::propose(control, &command, clock::now() + FIX_WITHIN).await;
     }
 }
 
@@ -142,7 +143,7 @@
         req.headers_mut().insert(HOST, host);
     }
     let path = req.uri().path().to_owned();
-    let until = Instant::now() + ANSWER_WITHIN;
+    let until = clock::now() + ANSWER_WITHIN;
     let (connections, timers) = (&control.connections, &control.timers);
     let exchange = connections.exchange(timers, cloud.address, req, ANSWER_BYTES_MOST, until);
     match exchange.await {
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -32,6 +32,7 @@
 use crate::core::control::state::node_address;
 use crate::core::control::store;
 use crate::core::control::store::Write;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 /// Bytes of commands after which a snapshot takes their place.
@@ -65,7 +66,7 @@
     let Some(event) = event else { return };
     let committed = handle(control, event);
     if control.node.borrow().leader().is_some() {
-        control.led_at.set(Instant::now());
+        control.led_at.set(clock::now());
     }
     if committed {
         compact(control);
@@ -75,7 +76,7 @@
 /// Applies an event and carries out what it brings; returns whether entries were committed.
 fn handle(control: &Rc<Control>, event: Event) -> bool {
     let mut actions = Vec::new();
-    control.node.borrow_mut().handle(Instant::now(), event, &mut actions);
+    control.node.borrow_mut().handle(clock::now(), event, &mut actions);
     let committed = actions.iter().any(|action| matches!(action, Action::Commit { .. }));
     for action in actions {
         perform(control, action);
@@ -248,14 +249,14 @@
 fn role_changed(control: &Rc<Control>, role: Role, term: Term) {
     Line::new("role").with("role", format!("{role:?}")).with("term", term).info();
     let leads = role == Role::Leader;
-    control.leads_since.set(leads.then(Instant::now));
+    control.leads_since.set(leads.then(clock::now));
 }
 
 /// Lets time pass for the agreement until dropped.
 pub async fn run_timers(control: Rc<Control>) {
     loop {
         let deadline = control.node.borrow().next_deadline();
-        let look = deadline.min(Instant::now() + LOOK_EVERY);
+        let look = deadline.min(clock::now() + LOOK_EVERY);
         control.timers.sleep_until(look).await;
         step(&control, Event::Tick);
     }
@@ -271,7 +272,7 @@
         let leads = control.node.borrow().role() == Role::Leader;
         if leads {
             change_members(&control);
-        } else if !is_member(&control) || control.led_at.get().elapsed() > JOIN_AFTER {
+        } else if !is_member(&control) || clock::elapsed(control.led_at.get()) > JOIN_AFTER {
             let node = control.node.borrow().id();
             peers::send_to_all(&control, BetweenControl::Join { node });
         }
@@ -281,7 +282,7 @@
 /// Takes in that `node` wants to join, as `from` says. A box that has no part in the agreement may know only
 /// boxes that don't lead.
 pub(super) fn learn_joining(control: &Control, from: NodeId, node: NodeId) {
-    control.joining.borrow_mut().insert(node, Instant::now());
+    control.joining.borrow_mut().insert(node, clock::now());
     let (own, leader) = {
         let node = control.node.borrow();
         (node.id(), node.leader())
@@ -297,7 +298,7 @@
 }
 
 fn change_members(control: &Rc<Control>) {
-    let now = Instant::now();
+    let now = clock::now();
     control.joining.borrow_mut().retain(|_, asked| now - *asked < JOINING_FOR);
     let joining: Vec<NodeId> = control.joining.borrow().keys().copied().collect();
     let change = {
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use vaneway_agreement::Event;
 use vaneway_agreement::NodeId;
@@ -31,6 +30,7 @@
 use crate::core::control::state::Control;
 use crate::core::control::telling;
 use crate::core::usage::EntryStart;
+use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::Encoded;
 use crate::util::frames::Silence;
@@ -114,7 +114,7 @@
 
 /// Takes reports of endpoints in and spreads what is news; `direct` if an endpoint told this box.
 pub fn learn_endpoints(control: &Control, reports: &[Report], direct: bool) {
-    let now = Instant::now();
+    let now = clock::now();
     let mut news = Vec::new();
     for report in reports {
         let born_before = control.registry.borrow().born(&report.instance);
@@ -256,7 +256,7 @@
             }
         }
         ToControl::Entry(FromEntry::Parts(parts)) => {
-            control.parts.borrow_mut().learn(Instant::now(), &parts);
+            control.parts.borrow_mut().learn(clock::now(), &parts);
         }
         ToControl::Entry(FromEntry::Findings(findings)) => learn_findings(control, &findings),
         ToControl::Entry(FromEntry::Limits(told)) => learn_limits(control, &told),
@@ -301,7 +301,7 @@
     let availability_zone = control.settings.availability_zone.clone();
     outgoing.send(&ToEntry::Hello { availability_zone });
     outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
-    let reports = control.registry.borrow().reports(Instant::now());
+    let reports = control.registry.borrow().reports(clock::now());
     outgoing.send(&ToEntry::Registry(reports));
     if let Some(left) = remembered::left(control) {
         let endpoints = control.remembered.borrow().clone();
@@ -338,7 +338,7 @@
     if let BetweenControl::Hello { node } = message {
         *sender = Sender::Control { node };
         // What the peer missed while there was no connection.
-        let reports = control.registry.borrow().reports(Instant::now());
+        let reports = control.registry.borrow().reports(clock::now());
         outgoing.send(&BetweenControl::Registry(reports));
         let limits = control.limits.borrow().all();
         if !limits.is_empty() {
@@ -353,7 +353,7 @@
     match message {
         BetweenControl::Hello { .. } => {}
         BetweenControl::Ping { time_us, kept_us } => {
-            let now = Instant::now();
+            let now = clock::now();
             let mut clock = control.clock.borrow_mut();
             clock.learn(now, node, Duration::from_micros(time_us));
             if let Some(kept) = kept_us {
--- a/crates/vaneway-server/src/core/control/operations.rs
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use vaneway_agreement::NodeId;
 use vaneway_agreement::Role;
@@ -15,6 +14,7 @@
 use crate::core::control::machine::Held;
 use crate::core::control::state::Control;
 use crate::core::control::state::Proposed;
+use crate::util::clock;
 use crate::util::findings::Finding;
 use crate::util::findings::Findings;
 use crate::util::logline::Line;
@@ -55,7 +55,7 @@
     if control.leads_surely() && control.machine.borrow().version() >= version {
         return Ok(());
     }
-    let until = Instant::now() + COMMIT_WITHIN;
+    let until = clock::now() + COMMIT_WITHIN;
     let command = Command::Configure(held);
     let proposed = group::propose(control, &command, until).await;
     Line::new("configure").with("version", version).with("became", format!("{proposed:?}")).info();
@@ -88,7 +88,7 @@
         .with("role", format!("{:?}", node.role()))
         .with("term", node.term())
         .with("committed", node.committed())
-        .with("led_ms_ago", control.led_at.get().elapsed().as_millis())
+        .with("led_ms_ago", clock::elapsed(control.led_at.get()).as_millis())
         .info();
 }
 
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use vaneway_agreement::Message;
 use vaneway_agreement::NodeId;
@@ -95,7 +94,7 @@
 }
 
 pub(super) fn ping(control: &Control) -> BetweenControl {
-    let kept = control.clock.borrow().kept(Instant::now());
+    let kept = control.clock.borrow().kept(clock::now());
     BetweenControl::Ping {
         time_us: clock::since_epoch().as_micros() as u64,
         kept_us: kept.map(|kept| kept.as_micros() as u64),
@@ -139,7 +138,7 @@
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
     send(ping(control));
-    send(BetweenControl::Registry(control.registry.borrow().reports(Instant::now())));
+    send(BetweenControl::Registry(control.registry.borrow().reports(clock::now())));
     if let Some(peer) = control.peers.borrow().get(&address) {
         *peer.outgoing.borrow_mut() = Some(outgoing.clone());
     }
@@ -182,22 +181,22 @@
 
 /// Gives signs of life to the other control boxes until dropped.
 pub async fn ping_peers(control: Rc<Control>) {
-    let mut refreshed_at = Instant::now();
+    let mut refreshed_at = clock::now();
     let mut unreadable = 0;
     loop {
-        let due = Instant::now() + PING_EVERY;
+        let due = clock::now() + PING_EVERY;
         control.timers.sleep_until(due).await;
-        log_if_busy(&control, due.elapsed());
+        log_if_busy(&control, clock::elapsed(due));
         send_to_all(&control, ping(&control));
         let count = control.unreadable.get();
         if count > unreadable {
             Line::new("messages_unreadable").with("since_start", count).warn();
             unreadable = count;
         }
-        if refreshed_at.elapsed() < REFRESH_EVERY {
+        if clock::elapsed(refreshed_at) < REFRESH_EVERY {
             continue;
         }
-        refreshed_at = Instant::now();
+        refreshed_at = clock::now();
         control.registry.borrow_mut().expire(refreshed_at);
         for peer in control.peers.borrow().values() {
             let refreshed = peer.refreshed.take();
--- a/crates/vaneway-server/src/core/control/remembered.rs
+++ b/crates/vaneway-server/src/core/control/remembered.rs
@@ -94,7 +94,7 @@
 
 /// How long remembered endpoints still count; none if they do no more.
 pub(super) fn left(control: &Control) -> Option<Duration> {
-    let left = control.settings.remembered_for.checked_sub(control.started.elapsed());
+    let left = control.settings.remembered_for.checked_sub(clock::elapsed(control.started));
     left.filter(|left| !left.is_zero())
 }
 
@@ -110,7 +110,7 @@
         let endpoints = ready(&control);
         let entries = telling::sharers(&control).known;
         let stands = |(known, known_entries, at): &(Vec<Report>, u32, Instant)| {
-            *known == endpoints && *known_entries >= entries && at.elapsed() < AGE_MOST / 2
+            *known == endpoints && *known_entries >= entries && clock::elapsed(*at) < AGE_MOST / 2
         };
         if written.as_ref().is_some_and(stands) {
             continue;
@@ -121,7 +121,7 @@
                     .with("count", endpoints.len())
                     .with("entries", entries)
                     .info();
-                written = Some((endpoints, entries, Instant::now()));
+                written = Some((endpoints, entries, clock::now()));
             }
             Err(error) => {
                 Line::new("endpoints_not_written").with("error", error).warn();
@@ -133,7 +133,7 @@
 
 /// The endpoints that are ready, without what changes with every heartbeat.
 fn ready(control: &Control) -> Vec<Report> {
-    let mut endpoints = control.registry.borrow().reports(Instant::now());
+    let mut endpoints = control.registry.borrow().reports(clock::now());
     endpoints.retain(|report| report.standing == Standing::Ready && report.details.is_some());
     for report in &mut endpoints {
         report.age_ms = 0;
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use eyre::WrapErr as _;
 use futures_channel::mpsc;
@@ -103,7 +102,7 @@
         drift_per_mille: group::DRIFT_PER_MILLE,
         seed: boot ^ node,
     };
-    let now = Instant::now();
+    let now = clock::now();
     let mut machine = match &stored.durable.snapshot {
         Some(snapshot) => Machine::decode(&snapshot.data).wrap_err("the snapshot can't be read")?,
         None => Machine::default(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -148,15 +148,15 @@
 impl Control {
     /// The cluster's time since 1970.
     pub fn time(&self) -> Duration {
-        self.clock.borrow_mut().read(Instant::now(), clock::since_epoch())
+        self.clock.borrow_mut().read(clock::now(), clock::since_epoch())
     }
 
     /// The cluster's time since 1970 if this box can tell it: it keeps one, or has been up for so long
     /// that there are no others to learn it from.
     pub fn known_time(&self) -> Option<Duration> {
         let time = self.time();
-        let kept = self.clock.borrow().kept(Instant::now());
-        kept.or_else(|| (self.started.elapsed() >= TIME_WITHIN).then_some(time))
+        let kept = self.clock.borrow().kept(clock::now());
+        kept.or_else(|| (clock::elapsed(self.started) >= TIME_WITHIN).then_some(time))
     }
 
     /// Where the cluster's time stands.
@@ -183,7 +183,7 @@
     /// before.
     pub fn leads_surely(&self) -> bool {
         let node = self.node.borrow();
-        let lease = node.lease_until().is_some_and(|until| Instant::now() < until);
+        let lease = node.lease_until().is_some_and(|until| clock::now() < until);
         lease && node.log().term_at(node.committed()) == Some(node.term())
     }
 
@@ -199,7 +199,7 @@
     /// The whole state as JSON.
     pub fn dump(&self) -> Value {
         let node = self.node.borrow();
-        let now = Instant::now();
+        let now = clock::now();
         let registry = self.registry.borrow();
         let endpoints: Vec<_> = registry
             .iter()
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use vaneway_limit::BoxNumber;
 use vaneway_quota::Sharers;
@@ -28,6 +27,7 @@
 use crate::core::control::state::Control;
 use crate::core::limits;
 use crate::core::usage::EntryStart;
+use crate::util::clock;
 use crate::util::frames::Encoded;
 
 /// How long an entry box that was lost counts as one that may still take requests.
@@ -57,7 +57,7 @@
 /// go on taking requests, so it counts for a while; for good while this box knows of no leader, as
 /// it may then be this box that is cut off.
 pub(super) fn sharers(control: &Control) -> Sharers {
-    let now = Instant::now();
+    let now = clock::now();
     let mut seen = control.entries_seen.borrow_mut();
     for link in control.entries.borrow().values() {
         seen.insert(link.start.0.clone(), now);
@@ -70,7 +70,7 @@
     let seen = seen.len() as u32;
     // A box that has just started has not seen those that still come, and would share out all retries among the
     // first.
-    let may_come = control.started.elapsed() < LOST_COUNTED || !is_led;
+    let may_come = clock::elapsed(control.started) < LOST_COUNTED || !is_led;
     let known = if may_come { seen.max(control.entries_told.get()) } else { seen };
     Sharers { heard, known }
 }
@@ -141,7 +141,7 @@
     let news = {
         let mut parts = control.parts.borrow_mut();
         if forget {
-            parts.forget(Instant::now());
+            parts.forget(clock::now());
         }
         parts.take_news()
     };
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -6,7 +6,6 @@
 
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use vaneway_registry::Change;
 use vaneway_registry::Details;
@@ -20,6 +19,7 @@
 
 use crate::core::entry::Entry;
 use crate::core::limits;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 /// How long an endpoint that leaves without naming a time may finish what it has.
@@ -37,7 +37,7 @@
 
 /// Applies reports of a control box.
 pub fn apply(entry: &Entry, reports: &[Report]) {
-    let now = Instant::now();
+    let now = clock::now();
     for report in reports {
         let born_before = entry.registry.borrow().born(&report.instance);
         let change = entry.registry.borrow_mut().merge(now, report);
@@ -120,7 +120,7 @@
         .with("address", known.details.as_ref().map_or(String::new(), |d| d.address.to_string()))
         .info();
     if known.standing > Standing::Ready {
-        let now = Instant::now();
+        let now = clock::now();
         let gone_at = known.ends_at.unwrap_or(now + FINISH_WITHIN);
         entry.change(|pool, now, out| pool.notice(now, endpoint, gone_at, out));
     }
@@ -143,7 +143,7 @@
     if entry.registered.borrow().values().any(|registered| *registered == endpoint) {
         entry.change(|pool, now, out| pool.notice(now, endpoint, now + FINISH_WITHIN, out));
     } else {
-        entry.pool.borrow_mut().rest(endpoint, Instant::now() + ASK_AGAIN_AFTER);
+        entry.pool.borrow_mut().rest(endpoint, clock::now() + ASK_AGAIN_AFTER);
     }
 }
 
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -37,6 +37,7 @@
 use crate::core::endpoints::protocol;
 use crate::core::endpoints::protocol::LEAVING_HEADER;
 use crate::core::endpoints::protocol::LIMIT_HEADER;
+use crate::util::clock;
 use crate::util::socket;
 use crate::util::timers::Timers;
 
@@ -250,7 +251,7 @@
     pub async fn put_refused(&self, timers: &Timers, addr: SocketAddr, mut body: LinkBody) {
         let mut held = BytesMut::new();
         let read = body.read_into(&mut held, ERROR_BYTES_MOST);
-        let read = timers.until(Instant::now() + END_WITHIN, read).await;
+        let read = timers.until(clock::now() + END_WITHIN, read).await;
         if matches!(read, Some(Ok(true))) {
             self.put(addr, body);
         }
@@ -392,7 +393,7 @@
     }
     let mut held = BytesMut::new();
     let read = body.read_into(&mut held, ERROR_BYTES_MOST);
-    if let Some(Ok(true)) = timers.until(Instant::now() + stall, read).await {
+    if let Some(Ok(true)) = timers.until(clock::now() + stall, read).await {
         connections.put(addr, body);
     }
     (engine_error(&mut attempt, head, held.freeze()), Stage::Over)
@@ -420,7 +421,7 @@
 where
     C: std::ops::Deref<Target = Connections>,
 {
-    let until = Instant::now() + reading.stall;
+    let until = clock::now() + reading.stall;
     let broken = match reading.timers.until(until, reading.events.next()).await {
         Some(Some(Ok(event))) if event.data == "[DONE]" => {
             return (finish(*reading).await, Stage::Over);
@@ -445,7 +446,7 @@
 {
     let Reading { connections, timers, addr, body, mut attempt, mut events, .. } = reading;
     let outcome = attempt.handle(AttemptEvent::End).unwrap_or(Outcome::Done);
-    let soon = Instant::now() + END_WITHIN;
+    let soon = clock::now() + END_WITHIN;
     let ended = timers.until(soon, events.next()).await;
     drop(events);
     if let (Some(None), Some(body)) = (ended, body.into_body()) {
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -204,7 +204,7 @@
             inflow: Inflow::default(),
             quotas: Quotas::new(follow.map(|follow| follow.quota)),
             phase: Cell::new(Phase::Serving),
-            started: Instant::now(),
+            started: clock::now(),
             boot,
             next_id: Cell::new(0),
             retry_limits: Cell::new(limits),
@@ -235,7 +235,7 @@
 
     /// Time since this box started.
     pub fn up(&self) -> Duration {
-        self.started.elapsed()
+        clock::elapsed(self.started)
     }
 
     /// A number that no earlier start of this box had.
@@ -252,7 +252,7 @@
     pub fn choose(&self, query: Query<'_>) -> Event {
         let home = &self.settings.availability_zone;
         let query = Query { home, sender: self.sender(), ..query };
-        match self.pool.borrow_mut().choose(Instant::now(), query) {
+        match self.pool.borrow_mut().choose(clock::now(), query) {
             Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
             Choice::Full | Choice::Limited | Choice::Late => {
                 Event::Unavailable { full: true, until: None }
@@ -358,12 +358,12 @@
     /// The cluster's time since 1970, or this box's before it knows better.
     pub fn cluster_time(&self) -> Duration {
         let clock = self.used.borrow().clock();
-        clock.map_or_else(clock::since_epoch, |clock| clock.since_epoch(Instant::now()))
+        clock.map_or_else(clock::since_epoch, |clock| clock.since_epoch(clock::now()))
     }
 
     /// Counts a request that an endpoint began to work on.
     pub fn count_begun(&self, organisation: &str) {
-        self.used.borrow_mut().begin(Instant::now(), organisation);
+        self.used.borrow_mut().begin(clock::now(), organisation);
     }
 
     /// Counts an attempt that begins.
@@ -373,7 +373,7 @@
         tokens: u64,
         work: Option<&Work>,
     ) -> Occupancy {
-        let tokens = self.pool.borrow_mut().begin(Instant::now(), endpoint, tokens, work);
+        let tokens = self.pool.borrow_mut().begin(clock::now(), endpoint, tokens, work);
         Occupancy::new(Rc::clone(self), endpoint, tokens)
     }
 
@@ -390,7 +390,7 @@
     /// Applies a change to the pool and tells the open requests what it means for them.
     pub fn change<T>(&self, change: impl FnOnce(&mut Pool, Instant, &mut Vec<Effect>) -> T) -> T {
         let mut effects = Vec::new();
-        let done = change(&mut self.pool.borrow_mut(), Instant::now(), &mut effects);
+        let done = change(&mut self.pool.borrow_mut(), clock::now(), &mut effects);
         for effect in effects {
             self.apply(effect);
         }
@@ -440,7 +440,7 @@
 
     /// The whole state as JSON.
     pub fn dump(&self) -> Value {
-        let now = Instant::now();
+        let now = clock::now();
         let pool = self.pool.borrow();
         let endpoints: Vec<_> = pool
             .endpoints()
@@ -471,7 +471,7 @@
         json!({
             "name": self.settings.name,
             "phase": self.phase().name(),
-            "up_ms": self.started.elapsed().as_millis() as u64,
+            "up_ms": clock::elapsed(self.started).as_millis() as u64,
             "endpoints": endpoints,
             "open_requests": self.open.dump(),
             "retries_left": self.budgets.borrow().iter().map(RetryBudget::left).collect::<Vec<_>>(),
--- a/crates/vaneway-server/src/core/occupancy.rs
+++ b/crates/vaneway-server/src/core/occupancy.rs
@@ -7,6 +7,7 @@
 use vaneway_route::EndpointId;
 
 use crate::core::entry::Entry;
+use crate::util::clock;
 
 /// Counts an attempt at an endpoint until it is dropped.
 #[derive(Debug)]
@@ -67,7 +68,7 @@
         self.run = Some(WatchedRun {
             service: service.to_owned(),
             unread: self.tokens,
-            sent: Instant::now(),
+            sent: clock::now(),
             first: None,
             last: None,
             pauses: 0,
@@ -89,7 +90,7 @@
 
     /// Counts that a piece of the answer arrived, and with the first that the work has begun.
     pub fn heard(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         if let Some(run) = &mut self.run {
             run.heard(now);
         }
--- a/crates/vaneway-server/src/core/operators.rs
+++ b/crates/vaneway-server/src/core/operators.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use axum::Router;
 use axum::extract::State;
@@ -33,6 +32,7 @@
 use crate::proto::v1;
 use crate::proto::v1::operators_server::Operators;
 use crate::proto::v1::operators_server::OperatorsServer;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 type Question = Box<dyn FnOnce(&Entry) + Send>;
@@ -174,7 +174,7 @@
 }
 
 fn describe_endpoint(endpoint: &Endpoint, service: String) -> v1::Endpoint {
-    let now = Instant::now();
+    let now = clock::now();
     let gone_in = endpoint.gone_at.map(|at| at.saturating_duration_since(now));
     v1::Endpoint {
         replica: endpoint.spec.name.clone(),
@@ -191,7 +191,7 @@
 
 fn list_services(entry: &Entry) -> Vec<v1::Service> {
     let pool = entry.pool.borrow();
-    let now = Instant::now();
+    let now = clock::now();
     let describe = |(id, service): (usize, &crate::core::settings::Service)| {
         let of_service = || pool.endpoints().iter().filter(move |e| e.spec.service as usize == id);
         let kind = match service.kind {
--- a/crates/vaneway-server/src/core/pace.rs
+++ b/crates/vaneway-server/src/core/pace.rs
@@ -19,6 +19,7 @@
 
 use crate::core::cluster::wire::LOADS_EVERY;
 use crate::core::entry::Entry;
+use crate::util::clock;
 
 /// Part of the time to a request's objective that the work before it may take.
 ///
@@ -54,7 +55,7 @@
     if token <= 0.0 {
         return None;
     }
-    let now = Instant::now();
+    let now = clock::now();
     let boxes = f64::from(entry.quotas.known_boxes().max(1));
     Some(Pace {
         token,
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -10,7 +10,6 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::StatusCode;
 use vaneway_quarantine::Finding;
@@ -26,6 +25,7 @@
 use crate::core::callers::api_error::ApiError;
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::entry::Entry;
+use crate::util::clock;
 use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::socket;
@@ -85,7 +85,7 @@
         };
         // Nothing was asked of it, so whatever comes is its end.
         let ends = poll_fn(|cx| stream.poll_recv_ready(cx));
-        if entry.timers.until(Instant::now() + LASTS, ends).await.is_none() {
+        if entry.timers.until(clock::now() + LASTS, ends).await.is_none() {
             return Some("it takes connections");
         }
         entry.timers.sleep(CONFIRM_PAUSE).await;
--- a/crates/vaneway-server/src/core/rests.rs
+++ b/crates/vaneway-server/src/core/rests.rs
@@ -8,7 +8,6 @@
 
 use std::fmt;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -16,6 +15,7 @@
 use vaneway_route::EndpointId;
 
 use crate::core::entry::Entry;
+use crate::util::clock;
 use crate::util::logline::Line;
 
 /// Longest rest that an endpoint gets: one that asks for more is asked again, or nobody would learn that it is well.
@@ -103,7 +103,7 @@
     match read_rest(refusal.headers) {
         Ok(None) => {}
         Ok(Some(rest)) => {
-            entry.pool.borrow_mut().rest(refusal.endpoint, Instant::now() + rest);
+            entry.pool.borrow_mut().rest(refusal.endpoint, clock::now() + rest);
             count(entry, refusal, "asked");
             line(entry, "endpoint_asks_rest", refusal).with("rest_ms", rest.as_millis()).info();
         }
--- a/crates/vaneway-server/src/core/running.rs
+++ b/crates/vaneway-server/src/core/running.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use eyre::WrapErr as _;
 use futures_channel::oneshot;
@@ -160,7 +159,7 @@
     loop {
         entry.timers.sleep(LOOK_EVERY).await;
         let due = entry.pool.borrow().next_deadline();
-        if due.is_some_and(|at| at <= Instant::now()) {
+        if due.is_some_and(|at| at <= clock::now()) {
             entry.change(Pool::expire);
         }
     }
@@ -191,13 +190,13 @@
         entry.timers.sleep(entry.settings.stop.accept).await;
         entry.enter_phase(Phase::Finishing);
         front.finish();
-        let until = Instant::now() + entry.settings.stop.finish;
+        let until = clock::now() + entry.settings.stop.finish;
         let empty = std::future::poll_fn(|cx| entry.open.poll_empty(cx));
         entry.timers.until(until, empty).await;
         let cut_off = entry.open.len();
-        let until = Instant::now() + CLOSE_WITHIN;
+        let until = clock::now() + CLOSE_WITHIN;
         let busy = || entry.callers.get() + entry.claims.as_ref().map_or(0, Claims::held) > 0;
-        while busy() && Instant::now() < until {
+        while busy() && clock::now() < until {
             entry.timers.sleep(Duration::from_millis(5)).await;
         }
         if entry.settings.follow.is_some() && entry.is_done() {
--- a/crates/vaneway-server/src/ops/configuration.rs
+++ b/crates/vaneway-server/src/ops/configuration.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use eyre::WrapErr as _;
@@ -20,6 +19,7 @@
 
 use crate::core::endpoints::upstream::Connections;
 use crate::ops::client::Target;
+use crate::util::clock;
 use crate::util::timers::Timers;
 
 /// Path of the configuration.
@@ -83,7 +83,7 @@
             .header(HOST, address.to_string())
             .body(Full::new(body.clone()))
             .wrap_err("failed to write the request")?;
-        let until = Instant::now() + ANSWER_WITHIN;
+        let until = clock::now() + ANSWER_WITHIN;
         let (head, body) = connections
             .exchange_head(&timers, address, req, ANSWER_BYTES_MOST, until)
             .await
--- a/crates/vaneway-server/src/util/frames.rs
+++ b/crates/vaneway-server/src/util/frames.rs
@@ -13,7 +13,6 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Buf as _;
 use bytes::Bytes;
@@ -21,6 +20,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::util::clock;
 use crate::util::outgoing::Outgoing;
 use crate::util::socket::SocketStream;
 use crate::util::timers::Timers;
@@ -95,7 +95,7 @@
     let mut held = BytesMut::new();
     let mut drained = false;
     loop {
-        let until = Instant::now() + silence;
+        let until = clock::now() + silence;
         let read = timers
             .until(until, poll_fn(|cx| poll_both(stream, outgoing, (&mut held, &mut drained), cx)));
         match read.await {
--- a/crates/vaneway-server/src/util/http_server.rs
+++ b/crates/vaneway-server/src/util/http_server.rs
@@ -34,6 +34,7 @@
 use hyper::service::service_fn;
 
 use crate::util::body::CallerBody;
+use crate::util::clock;
 use crate::util::outbox::CutOff;
 use crate::util::socket::SocketListener;
 use crate::util::socket::SocketStream;
@@ -174,7 +175,7 @@
     /// Notes that bytes arrived.
     pub fn received(&self) {
         if !self.busy.get() && self.head_since.get().is_none() {
-            self.head_since.set(Some(Instant::now()));
+            self.head_since.set(Some(clock::now()));
         }
     }
 
--- a/crates/vaneway-server/src/util/logline.rs
+++ b/crates/vaneway-server/src/util/logline.rs
@@ -6,7 +6,6 @@
 use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::io::Write as _;
-use std::time::Instant;
 
 use env_logger::Env;
 use env_logger::Target;
@@ -115,7 +114,7 @@
     }
 
     fn log(self, level: Level) {
-        let now = Instant::now();
+        let now = clock::now();
         let admission = BUDGETS.with_borrow_mut(|budgets| budgets.admit(now, self.kind()));
         for (kind, count) in admission.left_out {
             log::warn!("event=log_lines_left_out kind={kind} count={count}");
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -14,7 +14,6 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
-use std::time::Instant;
 
 use compio::runtime::fd::PollFd;
 use hyper::rt::ReadBufCursor;
@@ -23,6 +22,7 @@
 use socket2::TcpKeepalive;
 use socket2::Type;
 
+use crate::util::clock;
 use crate::util::http_server::Activity;
 use crate::util::timers::Timers;
 
@@ -142,7 +142,7 @@
     addr: SocketAddr,
     within: Duration,
 ) -> io::Result<SocketStream> {
-    let connected = timers.until(Instant::now() + within, connect(addr)).await;
+    let connected = timers.until(clock::now() + within, connect(addr)).await;
     connected
         .unwrap_or_else(|| Err(io::Error::new(io::ErrorKind::TimedOut, "connecting took too long")))
 }
--- a/crates/vaneway-server/src/util/timers.rs
+++ b/crates/vaneway-server/src/util/timers.rs
@@ -18,6 +18,11 @@
 use vaneway_timer::TimerId;
 use vaneway_timer::TimerQueue;
 
+use crate::util::clock;
+
+/// Longest sleep without a look at the clock: the loop's own timer does not count time in which the box is suspended.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
 #[derive(Debug, Default)]
 struct Shared {
     queue: RefCell<TimerQueue<Waker>>,
@@ -51,7 +56,7 @@
 
     /// A future that is ready after `pause`.
     pub fn sleep(&self, pause: Duration) -> Sleep {
-        self.sleep_until(Instant::now() + pause)
+        self.sleep_until(clock::now() + pause)
     }
 
     /// Runs `work` until `at`; none if it was not done by then.
@@ -73,7 +78,7 @@
 
 /// Wakes whoever is due, then sleeps until the next deadline or until an earlier one is set.
 async fn run_once(shared: Rc<Shared>) {
-    let now = Instant::now();
+    let now = clock::now();
     loop {
         let due = shared.queue.borrow_mut().pop_due(now);
         match due {
@@ -93,7 +98,8 @@
     });
     match next {
         Some(at) => {
-            let sleep = compio::time::sleep_until(at).fuse();
+            let left = at.saturating_duration_since(clock::now());
+            let sleep = compio::time::sleep(left.min(LOOK_EVERY)).fuse();
             let earlier = earlier.fuse();
             futures_util::pin_mut!(sleep, earlier);
             futures_util::select_biased! {
@@ -155,7 +161,7 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        if self.at <= Instant::now() {
+        if self.at <= clock::now() {
             self.unsubscribe();
             return Poll::Ready(());
         }
--- a/crates/vaneway-server/src/util/turns.rs
+++ b/crates/vaneway-server/src/util/turns.rs
@@ -18,6 +18,8 @@
 
 use futures_channel::oneshot;
 
+use crate::util::clock;
+
 #[derive(Debug, Default)]
 struct Queue {
     waiting: VecDeque<Waiting>,
@@ -50,7 +52,7 @@
         let (tx, rx) = oneshot::channel();
         let idle = {
             let mut queue = self.0.borrow_mut();
-            queue.waiting.push_back(Waiting { tx, since: Instant::now() });
+            queue.waiting.push_back(Waiting { tx, since: clock::now() });
             queue.idle.take()
         };
         if let Some(waker) = idle {
@@ -109,7 +111,7 @@
     let mut queue = queue.borrow_mut();
     while let Some(Waiting { tx, since }) = queue.waiting.pop_front() {
         if tx.send(()).is_ok() {
-            queue.longest = queue.longest.max(since.elapsed());
+            queue.longest = queue.longest.max(clock::elapsed(since));
             return;
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod capacity_plan;
 mod claims;
+mod clock;
 mod configuration_changes;
 mod control;
 mod control_memory;
