--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -358,10 +358,23 @@
             let is_limited = takes_work.all(|endpoint| !endpoint.gate.is_open(query.sender));
             return if is_limited { Choice::Limited } else { Choice::Full };
         }
+        let first = self.first_to_take_work(query.service);
+        Choice::Unavailable { until: first.and_then(Endpoint::takes_work_from) }
+    }
+
+    /// When a service's first endpoint is over its rest, if all want nothing until then. A suspension is this box's guess, and
+    /// no such time.
+    pub fn rests_until(&self, service: ServiceId) -> Option<Instant> {
+        let first = self.first_to_take_work(service)?;
+        first.rests_until.filter(|rest| Some(*rest) >= first.suspended_until)
+    }
+
+    /// The endpoint of a service that waits for the shortest time, be it for a rest or a suspension.
+    fn first_to_take_work(&self, service: ServiceId) -> Option<&Endpoint> {
         let stays =
             |e: &&Endpoint| matches!(e.state, EndpointState::Serving | EndpointState::Suspect);
-        let waits = of_service().filter(stays);
-        Choice::Unavailable { until: waits.filter_map(Endpoint::takes_work_from).min() }
+        let of_service = self.endpoints.iter().filter(|e| e.spec.service == service);
+        of_service.filter(stays).min_by_key(|endpoint| endpoint.takes_work_from())
     }
 
     /// Counts an attempt that begins: `tokens` of work, or what the endpoint must read of a prompt.
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -459,8 +459,21 @@
             // An answer that has begun is cut off, since its outbox is dropped unfinished.
             (Some(failure), _) => {
                 self.events.log_failure(&self.request.id, failure, self.relay.moves().attempts);
-                self.reply.send(Err(ApiError::failed(failure)));
+                let error = self.told(failure);
+                self.reply.send(Err(error));
             }
         }
     }
+
+    /// What the caller is told of a failure. While all endpoints rest, it is no use to come back before the first one is
+    /// over that.
+    fn told(&self, failure: Failure) -> ApiError {
+        let mut error = ApiError::failed(failure);
+        if failure.kind == FailureKind::NoEndpoint {
+            let over = self.entry.pool.borrow().rests_until(self.request.service);
+            let left = over.map(|over| over.saturating_duration_since(clock::now()));
+            error.retry_after = error.retry_after.map(|after| after.max(left.unwrap_or_default()));
+        }
+        error
+    }
 }
--- a/tests/testsuite/endpoint_rest.rs
+++ b/tests/testsuite/endpoint_rest.rs
@@ -67,6 +67,27 @@
     assert_eq!(send(&fleet, "/safe/x").status, 200, "it is used again");
 }
 
+/// Guards against callers who are told to come back while all endpoints still rest.
+#[test]
+fn caller_is_told_to_come_back_when_the_first_endpoint_is_over_its_rest() {
+    let fleet = Fleet::start(1, &["i-a", "i-b"]);
+    for (endpoint, rest) in fleet.endpoints.iter().zip(["1000", "3000"]) {
+        endpoint.behave(Behaviour::Refuse);
+        endpoint.ask_rest(Some(rest));
+    }
+    let told = |answer: WholeAnswer| {
+        assert_eq!(answer.status, 503);
+        answer.retry_after.and_then(|after| after.parse::<f64>().ok()).expect("a time")
+    };
+    send(&fleet, "/safe/x");
+    send(&fleet, "/safe/x");
+    let after = told(send(&fleet, "/safe/x"));
+    // Spread from 0.6 to 1.4 of the time that is left.
+    assert!((500.0..1_400.0).contains(&after), "{after} s");
+    let got: usize = fleet.endpoints.iter().map(|endpoint| endpoint.seen().len()).sum();
+    assert_eq!(got, 2, "each endpoint turns the box away once");
+}
+
 /// Guards against requests that go on to an endpoint whose answers say that it leaves.
 #[test]
 fn endpoint_whose_answers_say_that_it_leaves_gets_nothing_more() {
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -242,6 +242,7 @@
 
     fleet.pool.rest(1, over + Duration::from_secs(1));
     assert_eq!(fleet.choose("a"), Choice::Unavailable { until: Some(over) });
+    assert_eq!(fleet.pool.rests_until(SERVICE), Some(over));
     fleet.now = over;
     assert_eq!(fleet.choose("a"), Choice::Endpoint(0));
 }
