--- a/crates/vaneway-server/src/core/callers/own.rs
+++ b/crates/vaneway-server/src/core/callers/own.rs
@@ -27,7 +27,7 @@
 use crate::core::callers::api_error::ApiError;
 use crate::core::callers::protocol::CallerProtocol;
 use crate::core::calls::call;
-use crate::core::calls::call::CallLimits;
+use crate::core::calls::call_limits::CallLimits;
 use crate::core::calls::keyed_call;
 use crate::core::calls::model_call;
 use crate::core::endpoints::protocol::CallRequest;
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -25,7 +25,7 @@
 use crate::core::callers::protocol::RoutedProtocol;
 use crate::core::callers::protocol::Work;
 use crate::core::calls::call;
-use crate::core::calls::call::CallLimits;
+use crate::core::calls::call_limits::CallLimits;
 use crate::core::configuration::OrganisationSpec;
 use crate::core::configuration::QuotaUnit;
 use crate::core::configuration::RequestKind;
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -19,7 +19,7 @@
 use vaneway_route::EndpointId;
 use vaneway_route::SILENT_AFTER;
 
-use crate::core::calls::call::CallLimits;
+use crate::core::calls::call_limits::CallLimits;
 use crate::core::calls::events::EventCutter;
 use crate::core::calls::events::RawEvent;
 use crate::core::endpoints::link::LinkBody;
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -15,7 +15,6 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 use std::time::Instant;
 
 use futures_channel::oneshot;
@@ -51,6 +50,7 @@
 use crate::core::calls::attempt::Item;
 use crate::core::calls::attempt::Seen;
 use crate::core::calls::call_events::CallEvents;
+use crate::core::calls::call_limits::CallLimits;
 use crate::core::calls::events::RawEvent;
 use crate::core::calls::reply::Answer;
 use crate::core::calls::reply::Reply;
@@ -65,21 +65,6 @@
 use crate::util::logline::Line;
 use crate::util::timers::Sleep;
 
-/// Limits of one call.
-#[derive(Debug, Clone, Copy)]
-pub struct CallLimits {
-    /// Most endpoints that it may reach.
-    pub max_attempts: u32,
-    /// When the caller is given up.
-    pub deadline: Instant,
-    /// When it waits for an endpoint.
-    pub patience: Patience,
-    /// Longest wait for an answer to begin, and for the first event of a stream.
-    pub head_within: Duration,
-    /// Longest pause between two events of a stream.
-    pub pause_within: Duration,
-}
-
 /// Sends a call to an endpoint of its service and returns the answer once its head is known.
 ///
 /// # Errors
--- a/crates/vaneway-server/src/core/calls/mod.rs
+++ b/crates/vaneway-server/src/core/calls/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 pub mod call;
 pub mod call_events;
+pub mod call_limits;
 pub mod claims;
 pub mod events;
 pub mod keyed_call;
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -23,7 +23,7 @@
 use crate::core::configuration_change::ConfigurationChange;
 use crate::core::kept_parts::KeptParts;
 use crate::core::loads::Loads;
-use crate::core::usage::OthersQuotaUse;
+use crate::core::quota_use::OthersQuotaUse;
 use crate::core::usage::UseReport;
 use crate::util::outgoing::Topic;
 
--- a/crates/vaneway-server/src/core/control/clock.rs
+++ b/crates/vaneway-server/src/core/control/clock.rs
@@ -13,7 +13,7 @@
 
 use vaneway_agreement::NodeId;
 
-use crate::core::usage::ClusterTime;
+use crate::core::cluster_time::ClusterTime;
 
 /// How long another box's time counts after it was told.
 const KEPT: Duration = Duration::from_secs(5);
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -15,6 +15,7 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 
+use crate::core::cluster_time::Window;
 use crate::core::control::capacity::Orders;
 use crate::core::control::group;
 use crate::core::control::machine::Command;
@@ -23,7 +24,6 @@
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
 use crate::core::usage::UseLedger;
-use crate::core::usage::Window;
 use crate::util::clock;
 use crate::util::logline::Line;
 
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -29,7 +29,7 @@
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
 use crate::core::control::telling;
-use crate::core::usage::EntryStart;
+use crate::core::entry_start::EntryStart;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::Encoded;
--- a/crates/vaneway-server/src/core/control/machine.rs
+++ b/crates/vaneway-server/src/core/control/machine.rs
@@ -9,9 +9,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::core::cluster_time::Window;
 use crate::core::configuration::Configuration;
 use crate::core::usage::Counts;
-use crate::core::usage::Window;
 
 /// Usage reports that are remembered: more than a new leader has to send again.
 const REPORTS_KEPT: usize = 32;
--- a/crates/vaneway-server/src/core/control/own.rs
+++ b/crates/vaneway-server/src/core/control/own.rs
@@ -26,6 +26,7 @@
 use vaneway_registry::Report;
 
 use crate::core::callers::answer::json_response;
+use crate::core::cluster_time::Window;
 use crate::core::configuration::Configuration;
 use crate::core::control::machine::Held;
 use crate::core::control::operations;
@@ -37,7 +38,6 @@
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::usage::Counts;
-use crate::core::usage::Window;
 use crate::util::body::CallerBody;
 
 /// Where the configuration is put and read.
--- a/crates/vaneway-server/src/core/control/protocol.rs
+++ b/crates/vaneway-server/src/core/control/protocol.rs
@@ -14,10 +14,10 @@
 pub use vaneway_capacity::Kind;
 pub use vaneway_capacity::Order;
 
+use crate::core::cluster_time::Window;
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::usage::Counts;
-use crate::core::usage::Window;
 use crate::util::body::CallerBody;
 
 /// Largest body of a call: above the largest configuration that operators send.
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -25,6 +25,8 @@
 use vaneway_registry::Report;
 
 use crate::core::cluster::wire::Wanted;
+use crate::core::cluster_time::ClusterNow;
+use crate::core::cluster_time::Window;
 use crate::core::control::changes::Changes;
 use crate::core::control::clock::Clock;
 use crate::core::control::links::EntryLink;
@@ -36,9 +38,7 @@
 use crate::core::endpoints::upstream::Connections;
 use crate::core::kept_parts::PartLedger;
 use crate::core::settings::ControlSettings;
-use crate::core::usage::ClusterNow;
 use crate::core::usage::UseLedger;
-use crate::core::usage::Window;
 use crate::util::clock;
 use crate::util::outgoing::HeldBytes;
 use crate::util::timers::Timers;
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -25,8 +25,8 @@
 use crate::core::control::links::EntryLink;
 use crate::core::control::peers;
 use crate::core::control::state::Control;
+use crate::core::entry_start::EntryStart;
 use crate::core::limits;
-use crate::core::usage::EntryStart;
 use crate::util::clock;
 use crate::util::frames::Encoded;
 
--- a/crates/vaneway-server/src/core/loads.rs
+++ b/crates/vaneway-server/src/core/loads.rs
@@ -13,7 +13,7 @@
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
 
-use crate::core::usage::EntryStart;
+use crate::core::entry_start::EntryStart;
 
 /// What is open at some endpoints.
 pub type Loads = Vec<(InstanceId, Load)>;
--- a/crates/vaneway-server/src/core/quota_ledger.rs
+++ b/crates/vaneway-server/src/core/quota_ledger.rs
@@ -13,11 +13,11 @@
 use vaneway_quota::SLOTS_KEPT;
 use vaneway_quota::Slot;
 
-use crate::core::usage::AHEAD_MOST;
-use crate::core::usage::ClusterNow;
-use crate::core::usage::EntryStart;
-use crate::core::usage::OthersQuotaUse;
-use crate::core::usage::OwnQuotaUse;
+use crate::core::cluster_time::AHEAD_MOST;
+use crate::core::cluster_time::ClusterNow;
+use crate::core::entry_start::EntryStart;
+use crate::core::quota_use::OthersQuotaUse;
+use crate::core::quota_use::OwnQuotaUse;
 
 /// Slots of quotas that a control box remembers.
 const LEDGER_SLOTS: usize = SLOTS_KEPT as usize + 4;
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -20,9 +20,9 @@
 
 use crate::core::configuration::OrganisationSpec;
 use crate::core::configuration::Version;
+use crate::core::quota_use::OthersQuotaUse;
+use crate::core::quota_use::OwnQuotaUse;
 use crate::core::settings::QuotaAllowance;
-use crate::core::usage::OthersQuotaUse;
-use crate::core::usage::OwnQuotaUse;
 use crate::util::hash;
 use crate::util::logline::Line;
 
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -18,12 +18,15 @@
 use vaneway_engine::Totals;
 use vaneway_quota::Slot;
 
+use crate::core::cluster_time::AHEAD_MOST;
+use crate::core::cluster_time::ClusterNow;
+use crate::core::cluster_time::ClusterTime;
+use crate::core::cluster_time::Window;
+use crate::core::entry_start::EntryStart;
 use crate::core::loads::LoadLedger;
 use crate::core::loads::Loads;
 use crate::core::quota_ledger::QuotaLedger;
-
-/// Number of an accounting window since 1970.
-pub type Window = u64;
+use crate::core::quota_use::OwnQuotaUse;
 
 /// Requests of each organisation.
 pub type Counts = BTreeMap<String, u64>;
@@ -31,35 +34,6 @@
 /// Windows that an entry box remembers: longer than a report may be late.
 pub const WINDOWS_KEPT: usize = 8;
 
-/// The cluster's time: true time as the control boxes agree on it, against this box's steady
-/// clock, which no step of the time of day changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClusterTime {
-    at: Instant,
-    since_epoch: Duration,
-}
-
-impl ClusterTime {
-    /// At `at` it was `since_epoch` since 1970.
-    pub fn new(at: Instant, since_epoch: Duration) -> Self {
-        Self { at, since_epoch }
-    }
-
-    /// The time since 1970 at `now`.
-    pub fn since_epoch(&self, now: Instant) -> Duration {
-        if now >= self.at {
-            self.since_epoch + (now - self.at)
-        } else {
-            self.since_epoch.saturating_sub(self.at - now)
-        }
-    }
-
-    /// The window that `now` falls into.
-    pub fn window(&self, now: Instant, length: Duration) -> Window {
-        (self.since_epoch(now).as_millis() / length.as_millis().max(1)) as Window
-    }
-}
-
 /// What the requests of one entry box used.
 #[derive(Debug, Default)]
 pub struct Used {
@@ -140,27 +114,6 @@
     }
 }
 
-/// Quota units by slot.
-pub type SlotUnits = Vec<(Slot, u64)>;
-
-/// What one entry box tells of an organisation's quota.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OwnQuotaUse {
-    /// Units that it was asked for since it started, admitted or not.
-    pub asked: u64,
-    /// Units that it took.
-    pub slots: SlotUnits,
-}
-
-/// What a control box tells of an organisation's quota.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OthersQuotaUse {
-    /// Units that all entry boxes were asked for in a second, admitted or not.
-    pub demand: u64,
-    /// Units that the others took.
-    pub slots: SlotUnits,
-}
-
 /// What one entry box tells of the engines of a service.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineUse {
@@ -185,9 +138,6 @@
     pub work: Vec<(String, EngineUse)>,
 }
 
-/// Names one start of an entry box.
-pub type EntryStart = (String, u64);
-
 /// What all entry boxes told one control box.
 #[derive(Debug, Default)]
 pub struct UseLedger {
@@ -216,24 +166,10 @@
 /// Windows that a control box remembers.
 const LEDGER_WINDOWS: usize = 16;
 
-/// Where the cluster's time stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClusterNow {
-    /// The time since 1970.
-    pub time: Duration,
-    /// The accounting window.
-    pub window: Window,
-    /// The slot of quotas.
-    pub slot: Slot,
-}
-
 /// Age of a report up to which an entry box counts as heard: two tellings and the way. Who isn't heard keeps
 /// its part of each quota, so that none of the others takes it.
 const HEARD_WITHIN: Duration = Duration::from_millis(250);
 
-/// Windows and slots that another box's time may be ahead.
-pub(super) const AHEAD_MOST: u64 = 1;
-
 /// Slots over which the demand is measured: a few seconds.
 const DEMAND_SLOTS: u64 = 8;
 
--- a/tests/testsuite/simulated_fleet.rs
+++ b/tests/testsuite/simulated_fleet.rs
@@ -12,15 +12,15 @@
 use vaneway_quota::Sharers;
 use vaneway_quota::Slot;
 use vaneway_server::core::cluster::wire::SLOTS_TOLD;
+use vaneway_server::core::cluster_time::ClusterNow;
 use vaneway_server::core::configuration::CallerLimits;
 use vaneway_server::core::configuration::Configuration;
 use vaneway_server::core::configuration::OrganisationSpec;
 use vaneway_server::core::configuration::QuotaUnit;
+use vaneway_server::core::entry_start::EntryStart;
+use vaneway_server::core::quota_use::OthersQuotaUse;
 use vaneway_server::core::quotas::Quotas;
 use vaneway_server::core::settings::QuotaAllowance;
-use vaneway_server::core::usage::ClusterNow;
-use vaneway_server::core::usage::EntryStart;
-use vaneway_server::core::usage::OthersQuotaUse;
 use vaneway_server::core::usage::UseLedger;
 use vaneway_server::core::usage::UseReport;
 
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -13,10 +13,10 @@
 use vaneway_server::core::cluster::tellers::TELLERS;
 use vaneway_server::core::cluster::tellers::Teller;
 use vaneway_server::core::cluster::tellers::choose;
+use vaneway_server::core::entry_start::EntryStart;
 use vaneway_server::core::kept_parts::PartLedger;
 use vaneway_server::core::loads::LoadLedger;
 use vaneway_server::core::loads::Loads;
-use vaneway_server::core::usage::EntryStart;
 use vaneway_test_support::control_group::ControlGroup;
 
 use crate::property;
