--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -47,6 +47,7 @@
 pub fn run(program: &Path, seed: u64, time: Duration) -> Report {
     let mut steps = plan::plan(seed, time);
     steps.extend(plan::limits(seed));
+    steps.extend(plan::rests(seed, time));
     steps.extend(plan::configurations(seed, time));
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -56,6 +56,8 @@
     Drain(usize),
     /// Lets an endpoint name so many requests a second as its limit from now on.
     NameLimit(usize, &'static str),
+    /// Lets an endpoint ask for so many seconds of rest in its refusals from now on, or for none.
+    AskRest(usize, Option<&'static str>),
 }
 
 /// An action with its time from the beginning.
@@ -104,6 +106,34 @@
     limits
 }
 
+/// Rests that endpoints ask for, in seconds.
+const RESTS: [&str; 3] = ["1", "1.5", "3"];
+
+/// Sets the rests' random numbers apart from the faults'.
+const RESTS_STREAM: u64 = 0x5245_5354;
+
+/// The rests of a seed within `time`: now and then an endpoint turns all away and asks for rest.
+pub fn rests(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ RESTS_STREAM);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..1_000));
+    while at < time {
+        let endpoint = rng.random_range(0..ENDPOINTS);
+        let rest = RESTS[rng.random_range(0..RESTS.len())];
+        let end = at + Duration::from_millis(rng.random_range(50..LASTS_MOST_MS));
+        let step = |at, action| Step { at, action };
+        steps.extend([
+            step(at, Action::AskRest(endpoint, Some(rest))),
+            step(at, Action::Behave(endpoint, Behaviour::Refuse)),
+            step(end, Action::Behave(endpoint, Behaviour::Steadily)),
+            step(end, Action::AskRest(endpoint, None)),
+        ]);
+        at += Duration::from_millis(rng.random_range(500..2_500));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Routes by which a configuration grows, up to those of the users' large ones.
 const ROUTES: [usize; 3] = [20, 350, 1_400];
 
--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -9,6 +9,7 @@
 use crate::soak::callers::Call;
 use crate::soak::callers::Kind;
 use crate::soak::world::Limited;
+use crate::soak::world::Rested;
 use crate::soak::world::World;
 
 /// Statuses that say that the request did not run and never will.
@@ -20,6 +21,15 @@
 /// Time after which an endpoint that said that it leaves gets nothing new, for entry boxes that were paused.
 const MARK_WITHIN: Duration = Duration::from_secs(3);
 
+/// Time after an endpoint asked for rest in which what was on its way may still arrive.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
+
+/// Requests that operators allow from one entry box while an endpoint rests.
+const IN_REST_MOST: usize = 2;
+
+/// Longest time for which a proxy holds a request up.
+const HELD_UP_MOST: Duration = Duration::from_millis(1_300);
+
 /// What callers saw, and what the deployment knows.
 #[derive(Debug)]
 pub struct Evidence<'a> {
@@ -47,6 +57,7 @@
     }
     broken.extend(marks(world));
     broken.extend(named_limits(evidence));
+    broken.extend(rests(evidence));
     broken.extend(configuration(world));
     broken
 }
@@ -112,6 +123,27 @@
     over.collect()
 }
 
+/// Endpoints that ask an entry box for rest get what operators allow from it meanwhile, unless something was done to it since.
+fn rests(evidence: &Evidence<'_>) -> Vec<String> {
+    let entry_of: BTreeMap<&str, usize> =
+        evidence.calls.iter().map(|call| (call.id.as_str(), call.entry)).collect();
+    let over = evidence.world.rested(HELD_UP_MOST).into_iter().filter_map(|rested| {
+        let Rested { name, from, rest, id, arrivals } = rested;
+        let entry = *entry_of.get(id.as_str())?;
+        if evidence.world.was_disturbed(entry, from + rest, rest + HELD_UP_MOST) {
+            return None;
+        }
+        let of_entry = |(at, id): &&(Instant, String)| {
+            *at > from + ON_ITS_WAY && entry_of.get(id.as_str()) == Some(&entry)
+        };
+        let got = arrivals.iter().filter(of_entry).count();
+        (got > IN_REST_MOST).then(|| {
+            format!("{name} asked entry box {entry} for {rest:?} of rest and got {got} requests")
+        })
+    });
+    over.collect()
+}
+
 /// An acknowledged configuration is kept, none older takes its place, and it is what was sent.
 fn configuration(world: &World) -> Option<String> {
     let (read, acknowledged) = (world.configuration_read(), world.configuration_acknowledged());
--- a/crates/vaneway-test-support/src/soak/world.rs
+++ b/crates/vaneway-test-support/src/soak/world.rs
@@ -54,6 +54,23 @@
     sequence: u64,
     /// Requests a second that it names as its limit, and since when.
     limit: Option<(f64, Instant)>,
+    /// When what passes to and from it was held up, or let go again.
+    held_up: Vec<Instant>,
+}
+
+/// A refusal with which an endpoint asked for rest.
+#[derive(Debug)]
+pub struct Rested {
+    /// The endpoint's name.
+    pub name: String,
+    /// When it refused.
+    pub from: Instant,
+    /// The rest that it asked for.
+    pub rest: Duration,
+    /// Id of the request that it refused.
+    pub id: String,
+    /// When requests came in that time, and the id of each.
+    pub arrivals: Vec<(Instant, String)>,
 }
 
 /// What an endpoint with a limit got.
@@ -204,6 +221,7 @@
             wants_to_leave: false,
             sequence: 0,
             limit: None,
+            held_up: Vec::new(),
         });
         endpoints.len() - 1
     }
@@ -244,9 +262,10 @@
                 }
             }
             Action::Behave(i, behaviour) => self.at(i, |e| e.standin.behave(behaviour)),
-            Action::Cut(i, cut) => self.at(i, |e| e.proxy.cut(cut)),
-            Action::Silence(i, silent) => self.at(i, |e| e.proxy.freeze(silent)),
-            Action::Delay(i, delay) => self.at(i, |e| e.proxy.delay(delay)),
+            Action::Cut(i, cut) => self.hold_up(i, |proxy| proxy.cut(cut)),
+            Action::Silence(i, silent) => self.hold_up(i, |proxy| proxy.freeze(silent)),
+            Action::Delay(i, delay) => self.hold_up(i, |proxy| proxy.delay(delay)),
+            Action::AskRest(i, rest) => self.at(i, |e| e.standin.ask_rest(rest)),
             Action::Configure => self.configure(),
             Action::AddRoutes(count) => {
                 self.more_routes += count;
@@ -267,6 +286,13 @@
         change(&mut lock(&self.endpoints)[self.serving[i]]);
     }
 
+    fn hold_up(&self, i: usize, change: impl FnOnce(&Proxy)) {
+        self.at(i, |endpoint| {
+            change(&endpoint.proxy);
+            endpoint.held_up.push(Instant::now());
+        });
+    }
+
     fn start_entry(&mut self, entry: usize) {
         if let Some(process) = self.entries[entry].take() {
             if !std::mem::take(&mut self.stopping[entry]) {
@@ -414,6 +440,12 @@
         limited.collect()
     }
 
+    /// Refusals that asked for rest, of endpoints that nothing held up meanwhile or within `before` before it.
+    pub fn rested(&self, before: Duration) -> Vec<Rested> {
+        let endpoints = lock(&self.endpoints);
+        endpoints.iter().flat_map(|endpoint| rests_of(endpoint, before)).collect()
+    }
+
     /// Endpoints that left: name, when that was acknowledged, and when a request last arrived.
     pub fn drained(&self) -> impl Iterator<Item = (String, Instant, Option<Instant>)> {
         let endpoints = lock(&self.endpoints);
@@ -473,6 +505,23 @@
     }
 }
 
+fn rests_of(endpoint: &Endpoint, before: Duration) -> Vec<Rested> {
+    let seen = endpoint.standin.seen();
+    let id = |headers: &BTreeMap<String, String>| headers.get("x-request-id").cloned();
+    let rested = seen.iter().filter_map(|refused| {
+        let (from, rest) = (refused.at, refused.rest?);
+        let over = from + rest;
+        if endpoint.held_up.iter().any(|at| from < *at + before && *at < over) {
+            return None;
+        }
+        let within = seen.iter().filter(|seen| from <= seen.at && seen.at < over);
+        let arrivals = within.filter_map(|seen| Some((seen.at, id(&seen.headers)?))).collect();
+        let (name, id) = (endpoint.name.clone(), id(&refused.headers)?);
+        Some(Rested { name, from, rest, id, arrivals })
+    });
+    rested.collect()
+}
+
 /// The status with which an entry box answers a request that may be repeated, if it answers.
 fn status_at(address: SocketAddr, prefix: &str) -> Option<u16> {
     let runtime = compio::runtime::Runtime::new().expect("the loop starts");
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -59,6 +59,8 @@
     pub headers: BTreeMap<String, String>,
     /// The body.
     pub body: String,
+    /// The rest that its refusal asked for, if it was refused so.
+    pub rest: Option<Duration>,
 }
 
 /// What its answers say of itself.
@@ -244,7 +246,10 @@
     let (behaviour, says) = {
         let mut state = lock(&state);
         let body = String::from_utf8_lossy(&body).into_owned();
-        state.seen.push(Seen { at: Instant::now(), line, headers, body });
+        let refuses = expected && state.behaviour == Behaviour::Refuse;
+        let rest = state.says.rest.as_ref().filter(|_| refuses);
+        let rest = rest.and_then(|rest| rest.parse().ok()).map(Duration::from_secs_f64);
+        state.seen.push(Seen { at: Instant::now(), line, headers, body, rest });
         if expected && state.behaviour != Behaviour::Refuse {
             *state.runs.entry(id.clone()).or_default() += 1;
         }
