--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -133,7 +133,7 @@
         service: entry.service_id(service),
         service_name: service.to_owned(),
         organisation: name.to_owned(),
-        addressed_to: head.host.clone(),
+        addressed_to: route.host.to_ascii_lowercase(),
         method: parts.method,
         path,
         headers: parts.headers,
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -163,6 +163,21 @@
     assert_eq!((answer.status, setup.ended()), (400, 2));
 }
 
+/// Guards against a caller that spells the host in another way and begins anew.
+#[test]
+fn copy_to_the_same_host_in_another_spelling_is_known_as_the_request_that_ends_endpoints() {
+    let setup = Setup::start();
+    let answer = setup.send(0, "/stream/x", "q1", "deadly", Some("at once"));
+    assert_eq!((answer.status, setup.ended()), (400, 2));
+
+    let host = format!("{}:80", HOST.to_ascii_uppercase());
+    let caller = Caller::new(setup.entries[0].listen(), KEY).at_host(&host);
+    let mut sent = stream_headers("q2");
+    sent.push((ENDS_ENDPOINT, "at once"));
+    let answer = block_on(caller.send_with(Method::POST, "/stream/x", &sent, "deadly"));
+    assert_eq!((answer.status, setup.ended()), (400, 2));
+}
+
 /// Guards against evidence that is taken back by an answer that shows no good run.
 #[test]
 fn error_of_an_endpoint_does_not_clear_a_request_that_ends_endpoints() {
