--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -85,13 +85,14 @@
     /// An attempt that broke off with its connection.
     async fn broken(
         entry: &Entry,
+        request: &CallRequest,
         endpoint: EndpointId,
         progress: Progress,
         outcome: Outcome,
         cause: impl Into<String>,
     ) -> Self {
-        let ended =
-            outcome == Outcome::Unknown && quarantine::endpoint_has_ended(entry, endpoint).await;
+        let ended = outcome == Outcome::Unknown
+            && quarantine::endpoint_has_ended(entry, request, endpoint).await;
         let seen = if ended { Seen::Ended(progress) } else { Seen::Nothing };
         Self::Ended { outcome, cause: cause.into(), seen }
     }
@@ -117,6 +118,7 @@
 /// An event stream that is being read.
 struct Reading {
     entry: Rc<Entry>,
+    request: Rc<CallRequest>,
     endpoint: EndpointId,
     addr: std::net::SocketAddr,
     body: LinkBody,
@@ -155,7 +157,8 @@
             }
             Some(Err(SendError { outcome, cause, is_down: false })) => {
                 return (
-                    Item::broken(&entry, endpoint, Progress::Reading, outcome, cause).await,
+                    Item::broken(&entry, &request, endpoint, Progress::Reading, outcome, cause)
+                        .await,
                     Stage::Over,
                 );
             }
@@ -190,6 +193,7 @@
                         limits,
                         occupancy,
                         entry,
+                        request,
                         body,
                         attempt,
                     };
@@ -198,7 +202,8 @@
                 let response = Response::from_parts(head, body);
                 let failed = response.status().is_server_error() && request.repeatable;
                 let answered = Answered { response, attempt };
-                match read_answer(entry, &*protocol, endpoint, spec.address, answered).await {
+                let read = read_answer(entry, &*protocol, &request, endpoint, answered).await;
+                match read {
                     Item::Answer(response) if failed => Item::Failed(response),
                     item => item,
                 }
@@ -274,7 +279,8 @@
     let outcome = reading.attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
     let progress =
         if reading.occupancy.is_arriving() { Progress::Answering } else { Progress::Reading };
-    let item = Item::broken(&reading.entry, reading.endpoint, progress, outcome, broken).await;
+    let Reading { entry, request, endpoint, .. } = &*reading;
+    let item = Item::broken(entry, request, *endpoint, progress, outcome, broken).await;
     (item, Stage::Over)
 }
 
@@ -295,10 +301,11 @@
 async fn read_answer<E: EndpointProtocol>(
     entry: Rc<Entry>,
     protocol: &E,
+    request: &CallRequest,
     endpoint: EndpointId,
-    addr: std::net::SocketAddr,
     answered: Answered,
 ) -> Item {
+    let addr = entry.address(endpoint);
     let Answered { response, mut attempt } = answered;
     let (mut head, mut body) = response.into_parts();
     let mut held = BytesMut::new();
@@ -315,7 +322,8 @@
         }
         Err(error) => {
             let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
-            Item::broken(&entry, endpoint, Progress::Reading, outcome, error.to_string()).await
+            let cause = error.to_string();
+            Item::broken(&entry, request, endpoint, Progress::Reading, outcome, cause).await
         }
     }
 }
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -57,14 +57,22 @@
 
 /// Whether an endpoint has ended and not by plan: nothing listens at its address, and it had not said that it leaves.
 /// What speaks against it is logged, since nothing is held then against the request that it ran.
-pub async fn endpoint_has_ended(entry: &Entry, endpoint: EndpointId) -> bool {
+pub async fn endpoint_has_ended(
+    entry: &Entry,
+    request: &CallRequest,
+    endpoint: EndpointId,
+) -> bool {
     let (name, address, state) = {
         let pool = entry.pool.borrow();
         let endpoint = pool.get(endpoint);
         (endpoint.spec.name.clone(), endpoint.spec.address, endpoint.state)
     };
     let Some(why) = why_not_ended(entry, address, state).await else { return true };
-    Line::new("endpoint_end_not_confirmed").with("replica", name).with("why", why).info();
+    Line::new("endpoint_end_not_confirmed")
+        .with("request", &request.id)
+        .with("replica", name)
+        .with("why", why)
+        .info();
     false
 }
 
