--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -26,6 +26,7 @@
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
+use vaneway_registry::Born;
 use vaneway_relay::Action;
 use vaneway_relay::AttemptId;
 use vaneway_relay::Chunk;
@@ -102,7 +103,7 @@
         stalled: None,
         began: false,
         succeeded: false,
-        runs_at: None,
+        born: 0,
         ended_under: Vec::new(),
         received: clock::now(),
         request,
@@ -136,8 +137,8 @@
     began: bool,
     /// Whether the endpoint whose answer is passed on ran it with success.
     succeeded: bool,
-    /// Where its attempt runs, or ran last.
-    runs_at: Option<Incarnation>,
+    /// When the endpoint of its attempt was born, as far as was known when that began.
+    born: Born,
     /// Endpoints that ended while they ran it.
     ended_under: Vec<(Incarnation, Progress)>,
     received: Instant,
@@ -159,7 +160,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Start { attempt, endpoint, how } => {
-                    call.runs_at = Some(quarantine::incarnation(&call.entry, endpoint));
+                    call.born = quarantine::born(&call.entry, endpoint);
                     let items = Box::pin(call.start(endpoint, how));
                     running = Some(Running { attempt, endpoint, items });
                 }
@@ -250,25 +251,31 @@
             }
             Item::Ended { outcome, cause, seen } => {
                 let event = self.ended(attempt, endpoint, outcome, &cause);
-                let ended = self.runs_at.as_ref().filter(|_| seen != Seen::Nothing);
-                if let Some(ended) = ended {
-                    quarantine::found_ended(&self.entry, endpoint, ended);
+                if seen != Seen::Nothing {
+                    quarantine::found_ended(&self.entry, endpoint, &self.incarnation(endpoint));
                 }
                 match seen {
                     Seen::Replaced => {
                         self.entry.report(endpoint, EndpointEvent::Removed);
                         event
                     }
-                    Seen::Ended(progress) if self.is_condemned(progress) => Event::Condemned,
+                    Seen::Ended(progress) if self.is_condemned(endpoint, progress) => {
+                        Event::Condemned
+                    }
                     _ => event,
                 }
             }
         }
     }
 
+    /// The life of the endpoint that its attempt runs at.
+    fn incarnation(&self, endpoint: EndpointId) -> Incarnation {
+        Incarnation::new(&self.entry.pool.borrow().get(endpoint).spec.name, self.born)
+    }
+
     /// Counts the end of the endpoint that ran the request against it; whether it may run nowhere else.
-    fn is_condemned(&mut self, progress: Progress) -> bool {
-        self.ended_under.extend(self.runs_at.clone().map(|ended| (ended, progress)));
+    fn is_condemned(&mut self, endpoint: EndpointId, progress: Progress) -> bool {
+        self.ended_under.push((self.incarnation(endpoint), progress));
         let verdict = quarantine::endpoint_ended(&self.entry, &self.request, &self.ended_under);
         verdict == Verdict::Condemned
     }
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -17,6 +17,7 @@
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
+use vaneway_registry::Born;
 use vaneway_relay::Event;
 use vaneway_relay::FailureKind;
 use vaneway_route::EndpointId;
@@ -101,11 +102,9 @@
     Some("it ends new connections at once")
 }
 
-/// The life of an endpoint that runs now, as this box knows it.
-pub fn incarnation(entry: &Entry, endpoint: EndpointId) -> Incarnation {
-    let pool = entry.pool.borrow();
-    let name = &pool.get(endpoint).spec.name;
-    Incarnation::new(name, entry.registry.borrow().born(name))
+/// When an endpoint that runs now was born, as this box knows it.
+pub fn born(entry: &Entry, endpoint: EndpointId) -> Born {
+    entry.registry.borrow().born(&entry.pool.borrow().get(endpoint).spec.name)
 }
 
 /// Gives an endpoint that has ended no more work for a while, and tells the other boxes.
