--- a/crates/vaneway-limit/src/lib.rs
+++ b/crates/vaneway-limit/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod gate;
 mod named;
+mod number;
 mod rate;
 
 pub use gate::BoxNumber;
@@ -24,5 +25,6 @@
 pub use named::NamedLimit;
 pub use named::NamedLimits;
 pub use named::Time;
+pub use number::NumberError;
+pub use number::read_number;
 pub use rate::Rate;
-pub use rate::RateError;
--- a/crates/vaneway-limit/src/rate.rs
+++ b/crates/vaneway-limit/src/rate.rs
@@ -6,6 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::NumberError;
+use crate::read_number;
+
 /// Parts of a request in which rates are kept, so that they compare exactly.
 const MILLIONTHS: f64 = 1e6;
 
@@ -13,36 +16,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rate(u64);
 
-/// Why a text names no rate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RateError {
-    /// It is no decimal number.
-    NotANumber,
-    /// It is below zero.
-    Negative,
-}
-
-impl RateError {
-    /// The error's name for logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::NotANumber => "not_a_number",
-            Self::Negative => "negative",
-        }
-    }
-}
-
-impl fmt::Display for RateError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NotANumber => "a limit must be a decimal number of requests a second",
-            Self::Negative => "a limit must not be below zero",
-        })
-    }
-}
-
-impl std::error::Error for RateError {}
-
 impl Rate {
     /// Requests a second.
     pub fn per_second(self) -> f64 {
@@ -51,20 +24,11 @@
 }
 
 impl FromStr for Rate {
-    type Err = RateError;
+    type Err = NumberError;
 
     /// Reads a decimal number; one that is larger than any limit becomes the largest.
-    fn from_str(text: &str) -> Result<Self, RateError> {
-        let is_decimal = |c: char| c.is_ascii_digit() || matches!(c, '.' | '+' | '-');
-        let text = text.trim();
-        if !text.chars().all(is_decimal) {
-            return Err(RateError::NotANumber);
-        }
-        let rate: f64 = text.parse().ok().ok_or(RateError::NotANumber)?;
-        if rate < 0.0 {
-            return Err(RateError::Negative);
-        }
-        Ok(Self((rate * MILLIONTHS).round() as u64))
+    fn from_str(text: &str) -> Result<Self, NumberError> {
+        Ok(Self((read_number(text)? * MILLIONTHS).round() as u64))
     }
 }
 
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -25,8 +25,8 @@
 use hyper::header::UPGRADE;
 use hyper::http::request::Builder;
 use hyper::http::response;
+use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
-use vaneway_limit::RateError;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::RunState;
 use vaneway_route::EndpointSpec;
@@ -122,7 +122,7 @@
     fn judge(&self, call: &CallRequest, head: &response::Parts) -> Verdict;
 
     /// Requests a second that the endpoint takes from all entry boxes together, if the head of an answer names that.
-    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, RateError>;
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, NumberError>;
 
     /// Whether the head of an answer says that its endpoint leaves.
     fn says_leaving(&self, headers: &HeaderMap) -> bool;
@@ -132,16 +132,28 @@
 }
 
 /// Reads a limit from the header `name`. Of several the lowest counts; if one of them can't be read, none does.
-pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Rate>, RateError> {
-    let mut lowest = None;
+pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Rate>, NumberError> {
+    Ok(read_each(headers, name, str::parse)?.into_iter().min())
+}
+
+/// Reads all that the headers `name` hold, each of which may hold several with commas between them.
+///
+/// # Errors
+///
+/// If one of them can't be read.
+pub fn read_each<T>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    read: fn(&str) -> Result<T, NumberError>,
+) -> Result<Vec<T>, NumberError> {
+    let mut all = Vec::new();
     for value in headers.get_all(name) {
-        let text = value.to_str().ok().ok_or(RateError::NotANumber)?;
+        let text = value.to_str().ok().ok_or(NumberError::NotANumber)?;
         for part in text.split(',') {
-            let rate: Rate = part.parse()?;
-            lowest = Some(lowest.map_or(rate, |known: Rate| known.min(rate)));
+            all.push(read(part)?);
         }
     }
-    Ok(lowest)
+    Ok(all)
 }
 
 /// Whether the header `name` says yes: `1`.
@@ -212,7 +224,7 @@
         }
     }
 
-    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, RateError> {
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<Rate>, NumberError> {
         read_limit(headers, &LIMIT_HEADER)
     }
 
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -24,8 +24,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response;
+use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
-use vaneway_limit::RateError;
 use vaneway_relay::Attempt;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
@@ -279,7 +279,7 @@
     /// The engine accepted the request.
     Head {
         /// Requests a second that it takes from all entry boxes together, if it names that.
-        limit: Result<Option<Rate>, RateError>,
+        limit: Result<Option<Rate>, NumberError>,
         /// Whether it says that it leaves.
         leaving: bool,
     },
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -4,8 +4,8 @@
 //! from them to the other entry boxes ([`learn`]). The pool's gates decide by it, each time that an endpoint is chosen.
 
 use vaneway_limit::NamedLimit;
+use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
-use vaneway_limit::RateError;
 use vaneway_registry::Born;
 use vaneway_registry::Registry;
 use vaneway_registry::Standing;
@@ -27,7 +27,7 @@
     /// Whether the endpoint ran the request with success.
     pub succeeded: bool,
     /// The limit that it names, if any.
-    pub named: Result<Option<Rate>, RateError>,
+    pub named: Result<Option<Rate>, NumberError>,
 }
 
 /// Learns what the head of an answer says.
@@ -113,7 +113,7 @@
     registered.is_none_or(|current| current == endpoint).then(born)
 }
 
-fn log_unreadable(entry: &Entry, name: &str, heard: &Heard<'_>, error: RateError) {
+fn log_unreadable(entry: &Entry, name: &str, heard: &Heard<'_>, error: NumberError) {
     entry.metrics.limits.with_label_values(&[heard.service, "unreadable"]).inc();
     Line::new("endpoint_limit_unreadable")
         .with("replica", name)
--- a/crates/vaneway-server/src/core/rests.rs
+++ b/crates/vaneway-server/src/core/rests.rs
@@ -6,14 +6,16 @@
 //! Data flow: each refusal's head is read here ([`refused`]), and the pool keeps the endpoint out of every choice until its
 //! rest is over. The rest is between the endpoint and this box, so no other box is told.
 
-use std::fmt;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use hyper::header::RETRY_AFTER;
+use vaneway_limit::NumberError;
+use vaneway_limit::read_number;
 use vaneway_route::EndpointId;
 
+use crate::core::endpoints::protocol::read_each;
 use crate::core::entry::Entry;
 use crate::util::clock;
 use crate::util::logline::Line;
@@ -21,63 +23,19 @@
 /// Longest rest that an endpoint gets: one that asks for more is asked again, or nobody would learn that it is well.
 pub const REST_MOST: Duration = Duration::from_hours(1);
 
-/// Why a rest can't be read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RestError {
-    /// It is no decimal number.
-    NotANumber,
-    /// It is below zero.
-    Negative,
-}
-
-impl RestError {
-    /// The error's name for logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::NotANumber => "not_a_number",
-            Self::Negative => "negative",
-        }
-    }
-}
-
-impl fmt::Display for RestError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NotANumber => "a rest must be a decimal number of seconds",
-            Self::Negative => "a rest must not be below zero",
-        })
-    }
-}
-
-impl std::error::Error for RestError {}
-
 /// Reads the rest that a refusal asks for, in seconds with or without a fraction; none if it asks for nothing. Of
 /// several the longest counts, and one over [`REST_MOST`] becomes that.
 ///
 /// # Errors
 ///
 /// If one of them is no number of seconds. A date is none: it would need clocks that agree.
-pub fn read_rest(headers: &HeaderMap) -> Result<Option<Duration>, RestError> {
-    let mut longest = None;
-    for value in headers.get_all(RETRY_AFTER) {
-        let text = value.to_str().ok().ok_or(RestError::NotANumber)?;
-        for part in text.split(',') {
-            longest = longest.max(Some(read_seconds(part.trim())?));
-        }
-    }
+pub fn read_rest(headers: &HeaderMap) -> Result<Option<Duration>, NumberError> {
+    let longest = read_each(headers, &RETRY_AFTER, read_seconds)?.into_iter().max();
     Ok(longest.filter(|rest| !rest.is_zero()))
 }
 
-fn read_seconds(text: &str) -> Result<Duration, RestError> {
-    let is_decimal = |c: char| c.is_ascii_digit() || matches!(c, '.' | '+' | '-');
-    if !text.chars().all(is_decimal) {
-        return Err(RestError::NotANumber);
-    }
-    let seconds: f64 = text.parse().ok().ok_or(RestError::NotANumber)?;
-    if seconds < 0.0 {
-        return Err(RestError::Negative);
-    }
-    Ok(Duration::from_secs_f64(seconds.min(REST_MOST.as_secs_f64())))
+fn read_seconds(text: &str) -> Result<Duration, NumberError> {
+    Ok(Duration::from_secs_f64(read_number(text)?.min(REST_MOST.as_secs_f64())))
 }
 
 /// An endpoint's refusal of a request.
--- a/tests/testsuite/endpoint_rest.rs
+++ b/tests/testsuite/endpoint_rest.rs
@@ -5,7 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper::HeaderMap;
 use hyper::Method;
+use hyper::header::RETRY_AFTER;
+use vaneway_limit::NumberError;
+use vaneway_server::core::rests::REST_MOST;
+use vaneway_server::core::rests::read_rest;
 use vaneway_test_support::Caller;
 use vaneway_test_support::PlainService;
 use vaneway_test_support::Replica;
@@ -100,6 +105,23 @@
     assert_eq!(late, 0, "requests after it had said that it leaves");
 }
 
+/// Of several rests the longest counts, an hour is the most, and what is no number of seconds is an error.
+#[test]
+fn rest_is_read_in_seconds_or_not_at_all() {
+    let read = |text: &str| {
+        let value = text.parse().expect("a header value");
+        read_rest(&HeaderMap::from_iter([(RETRY_AFTER, value)]))
+    };
+    assert_eq!(read("2.5"), Ok(Some(Duration::from_millis(2_500))));
+    assert_eq!(read("1, 3"), Ok(Some(Duration::from_secs(3))));
+    assert_eq!(read("99999999999999999999999"), Ok(Some(REST_MOST)));
+    assert_eq!(read("0"), Ok(None));
+    assert_eq!(read("-1"), Err(NumberError::Negative));
+    for text in ["", "soon", "nan", "inf", "1e3", "Thu, 03 Dec 2026 12:00:00 GMT"] {
+        assert_eq!(read(text), Err(NumberError::NotANumber), "{text}");
+    }
+}
+
 /// Over the product's own interface, with endpoints that the settings name and no control boxes.
 #[test]
 fn engine_that_asks_for_rest_over_the_own_interface_gets_nothing_until_it_is_over() {
