--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -102,10 +102,14 @@
     late.collect()
 }
 
+/// The entry box that each request was sent to, by its id.
+fn entry_of_each<'a>(evidence: &Evidence<'a>) -> BTreeMap<&'a str, usize> {
+    evidence.calls.iter().map(|call| (call.id.as_str(), call.entry)).collect()
+}
+
 /// Endpoints that name limits get what operators allow, from entry boxes that nothing was done to of late.
 fn named_limits(evidence: &Evidence<'_>) -> Vec<String> {
-    let entry_of: BTreeMap<&str, usize> =
-        evidence.calls.iter().map(|call| (call.id.as_str(), call.entry)).collect();
+    let entry_of = entry_of_each(evidence);
     let over = evidence.world.limited().into_iter().filter_map(|limited| {
         let counts = |(at, id): &&(Instant, String)| {
             let entry = entry_of.get(id.as_str());
@@ -125,8 +129,7 @@
 
 /// Endpoints that ask an entry box for rest get what operators allow from it meanwhile, unless something was done to it since.
 fn rests(evidence: &Evidence<'_>) -> Vec<String> {
-    let entry_of: BTreeMap<&str, usize> =
-        evidence.calls.iter().map(|call| (call.id.as_str(), call.entry)).collect();
+    let entry_of = entry_of_each(evidence);
     let over = evidence.world.rested(HELD_UP_MOST).into_iter().filter_map(|rested| {
         let Rested { name, from, rest, id, arrivals } = rested;
         let entry = *entry_of.get(id.as_str())?;
