--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod limits_fleet;
 mod logs;
 mod marks;
+mod news_between_boxes;
 mod operators;
 mod path;
 mod plain;
--- /dev/null
+++ b/tests/testsuite/news_between_boxes.rs
@@ -0,0 +1,359 @@
+//! What boxes tell each other besides the agreement, passed on from box to box without I/O.
+//!
+//! Control boxes pass on what is news to them, to each other and to entry boxes; entry boxes tell all that they hold whenever
+//! they connect. Messages take their time and overtake each other, clocks differ, boxes start anew, and all of it
+//! goes on for longer than anything is remembered.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fmt::Debug;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use vaneway_limit::NamedLimit;
+use vaneway_limit::NamedLimits;
+use vaneway_quarantine::Finding;
+use vaneway_quarantine::Incarnation;
+use vaneway_quarantine::Progress;
+use vaneway_quarantine::Quarantine;
+use vaneway_registry::Change;
+use vaneway_registry::Registry;
+use vaneway_registry::Report;
+use vaneway_registry::Standing;
+
+const CONTROL_BOXES: usize = 8;
+
+const ENTRY_BOXES: usize = 4;
+
+/// The time of the first step, by a clock that is right.
+const START: Duration = Duration::from_secs(1_700_000_000);
+
+/// Time in which things are found; all that is told later is told again.
+const FOUND_WITHIN: Duration = Duration::from_secs(20);
+
+/// Longer than anything is remembered that nobody hears of.
+const LASTS: Duration = Duration::from_mins(15);
+
+/// Longest time for a message to reach a box.
+const TOLD_WITHIN: Duration = Duration::from_millis(300);
+
+/// Time between two moments in which a box forgets what no longer counts.
+const FORGETS_EVERY: Duration = Duration::from_millis(500);
+
+/// How far a box's idea of the cluster's time is ahead at most.
+const AHEAD_MOST: Duration = Duration::from_secs(3);
+
+/// Things that are found, and boxes that connect and tell all that they hold.
+const FOUND: usize = 40;
+const CONNECTIONS: usize = 600;
+
+/// A box's time: the cluster's as it knows it, and its steady clock.
+#[derive(Debug, Clone, Copy)]
+struct Now {
+    cluster: Duration,
+    steady: Instant,
+}
+
+/// One kind of state that boxes tell each other.
+trait Told {
+    type Piece: Clone + Debug;
+
+    fn new() -> Self;
+
+    /// Finds something that no other box knows; returns what has to be told.
+    fn find(&mut self, now: Now, number: u64) -> Vec<Self::Piece>;
+
+    /// Learns what another box told; returns what of it a control box passes on.
+    fn learn(&mut self, now: Now, told: &[Self::Piece]) -> Vec<Self::Piece>;
+
+    /// All that a box which connects tells.
+    fn all(&self, now: Now) -> Vec<Self::Piece>;
+
+    /// Forgets what no longer counts.
+    fn forget(&mut self, now: Now);
+}
+
+impl Told for Quarantine {
+    type Piece = Finding;
+
+    fn new() -> Self {
+        Self::default()
+    }
+
+    fn find(&mut self, now: Now, number: u64) -> Vec<Finding> {
+        let endpoint = Incarnation::new(&format!("i-{number}"), number % 3);
+        if number.is_multiple_of(4) {
+            self.found_ended(now.cluster, &endpoint);
+        } else {
+            // Few requests, each of which ends several endpoints and is served now and then.
+            let fingerprint = number % 5;
+            self.endpoint_ended(now.cluster, fingerprint, &[(endpoint, Progress::Reading)]);
+            if number % 5 == 1 {
+                self.served(now.cluster + Duration::from_millis(20), fingerprint);
+            }
+        }
+        self.take_news()
+    }
+
+    fn learn(&mut self, now: Now, told: &[Finding]) -> Vec<Finding> {
+        self.merge(now.cluster, told)
+    }
+
+    fn all(&self, _now: Now) -> Vec<Finding> {
+        self.all()
+    }
+
+    fn forget(&mut self, _now: Now) {
+        // It forgets with what it learns.
+    }
+}
+
+impl Told for Registry {
+    type Piece = Report;
+
+    fn new() -> Self {
+        Self::default()
+    }
+
+    fn find(&mut self, now: Now, number: u64) -> Vec<Report> {
+        let standings = [Standing::Ready, Standing::Draining, Standing::Gone];
+        let report = Report {
+            instance: format!("i-{}", number % 10),
+            born: number / 20,
+            sequence: number,
+            standing: standings[number as usize % 3],
+            ends_in_ms: number.is_multiple_of(2).then_some(5_000),
+            age_ms: 0,
+            details: None,
+        };
+        self.learn(now, &[report])
+    }
+
+    fn learn(&mut self, now: Now, told: &[Report]) -> Vec<Report> {
+        let mut news = Vec::new();
+        for report in told {
+            if self.merge(now.steady, report) == Change::News {
+                news.extend(self.report(now.steady, &report.instance));
+            }
+        }
+        news
+    }
+
+    fn all(&self, now: Now) -> Vec<Report> {
+        self.reports(now.steady)
+    }
+
+    fn forget(&mut self, now: Now) {
+        self.expire(now.steady);
+    }
+}
+
+impl Told for NamedLimits {
+    type Piece = NamedLimit;
+
+    fn new() -> Self {
+        Self::default()
+    }
+
+    fn find(&mut self, now: Now, number: u64) -> Vec<NamedLimit> {
+        let endpoint = format!("i-{}", number % 10);
+        let rate = (number % 3 > 0).then(|| "1.5".parse().expect("a rate"));
+        self.answered(now.cluster, &endpoint, number / 20, rate);
+        self.take_news()
+    }
+
+    fn learn(&mut self, now: Now, told: &[NamedLimit]) -> Vec<NamedLimit> {
+        let news = self.merge(now.cluster, told);
+        self.pass_on(&news);
+        // Half of the endpoints are there.
+        NamedLimits::forget(self, now.cluster, |name, _| name < "i-5");
+        self.take_news()
+    }
+
+    fn all(&self, _now: Now) -> Vec<NamedLimit> {
+        self.all()
+    }
+
+    fn forget(&mut self, now: Now) {
+        NamedLimits::forget(self, now.cluster, |name, _| name < "i-5");
+    }
+}
+
+/// What happens at a box.
+#[derive(Debug)]
+enum Event<P> {
+    Finds(u64),
+    Hears(Vec<P>),
+    /// It connects to a box and tells it all that it holds.
+    Connects(usize),
+    Forgets,
+    /// It loses all that it knows.
+    StartsAnew,
+}
+
+/// An event at a time and place, in the order of time.
+struct Due<P> {
+    at: Duration,
+    number: u64,
+    place: usize,
+    event: Event<P>,
+}
+
+impl<P> PartialEq for Due<P> {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl<P> Eq for Due<P> {}
+
+impl<P> PartialOrd for Due<P> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<P> Ord for Due<P> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+struct Fleet<T: Told> {
+    rng: Pcg64Mcg,
+    started: Instant,
+    boxes: Vec<T>,
+    ahead: Vec<Duration>,
+    due: BinaryHeap<Reverse<Due<T::Piece>>>,
+    events: u64,
+    /// Pieces that boxes sent, and the most that follow from what was found and told again.
+    sent: usize,
+    sent_most: usize,
+}
+
+impl<T: Told> Fleet<T> {
+    fn new(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let count = CONTROL_BOXES + ENTRY_BOXES;
+        let ahead = (0..count).map(|_| rng.random_range(Duration::ZERO..AHEAD_MOST)).collect();
+        Self {
+            rng,
+            started: Instant::now(),
+            boxes: (0..count).map(|_| T::new()).collect(),
+            ahead,
+            due: BinaryHeap::new(),
+            events: 0,
+            sent: 0,
+            sent_most: 0,
+        }
+    }
+
+    fn plan(&mut self, at: Duration, place: usize, event: Event<T::Piece>) {
+        self.events += 1;
+        self.due.push(Reverse(Due { at, number: self.events, place, event }));
+    }
+
+    fn plan_all(&mut self) {
+        let boxes = CONTROL_BOXES + ENTRY_BOXES;
+        for number in 0..FOUND as u64 {
+            let at = self.rng.random_range(Duration::ZERO..FOUND_WITHIN);
+            let place = CONTROL_BOXES + self.rng.random_range(0..ENTRY_BOXES);
+            self.plan(at, place, Event::Finds(number));
+        }
+        for number in 0..CONNECTIONS {
+            let at = self.rng.random_range(Duration::ZERO..LASTS);
+            let place = self.rng.random_range(0..boxes);
+            let to = self.rng.random_range(0..CONTROL_BOXES);
+            self.plan(at, place, Event::Connects(to));
+            if number.is_multiple_of(10) {
+                self.plan(at, to, Event::StartsAnew);
+            }
+        }
+        for place in 0..boxes {
+            let mut at = self.rng.random_range(Duration::ZERO..FORGETS_EVERY);
+            while at < LASTS {
+                self.plan(at, place, Event::Forgets);
+                at += FORGETS_EVERY;
+            }
+        }
+    }
+
+    /// Sends to other boxes, each of which hears it at its time.
+    fn send(&mut self, at: Duration, to: Vec<usize>, pieces: &[T::Piece]) {
+        if pieces.is_empty() {
+            return;
+        }
+        for place in to {
+            self.sent += pieces.len();
+            let within = self.rng.random_range(Duration::ZERO..TOLD_WITHIN);
+            self.plan(at + within, place, Event::Hears(pieces.to_vec()));
+        }
+    }
+
+    /// Sends what nobody passed on before: each control box may pass each piece on once, to all others.
+    fn send_first(&mut self, at: Duration, to: Vec<usize>, pieces: &[T::Piece]) {
+        let passed_on = CONTROL_BOXES * (CONTROL_BOXES + ENTRY_BOXES - 1);
+        self.sent_most += pieces.len() * (to.len() + passed_on);
+        self.send(at, to, pieces);
+    }
+
+    fn happens(&mut self, due: Due<T::Piece>) {
+        let Due { at, place, event, .. } = due;
+        let now = Now { cluster: START + at + self.ahead[place], steady: self.started + at };
+        match event {
+            Event::Finds(number) => {
+                let found = self.boxes[place].find(now, number);
+                self.send_first(at, (0..CONTROL_BOXES).collect(), &found);
+            }
+            Event::Hears(pieces) => {
+                let news = self.boxes[place].learn(now, &pieces);
+                if place < CONTROL_BOXES {
+                    let others = (0..self.boxes.len()).filter(|other| *other != place).collect();
+                    self.send(at, others, &news);
+                }
+            }
+            Event::Connects(to) => {
+                let all = self.boxes[place].all(now);
+                self.send_first(at, vec![to], &all);
+            }
+            Event::Forgets => self.boxes[place].forget(now),
+            Event::StartsAnew => self.boxes[place] = T::new(),
+        }
+    }
+
+    /// Plays all and holds the bound at each step.
+    fn play(seed: u64) {
+        let mut fleet = Self::new(seed);
+        fleet.plan_all();
+        while let Some(Reverse(due)) = fleet.due.pop() {
+            let at = due.at;
+            fleet.happens(due);
+            let Self { sent, sent_most, .. } = fleet;
+            assert!(
+                fleet.sent <= fleet.sent_most,
+                "seed {seed}: at {at:?} {sent} pieces were sent, {sent_most} follow from what was told"
+            );
+        }
+    }
+}
+
+/// Guards against findings that are forgotten, told again and passed on between control boxes without end.
+#[test]
+fn finding_on_an_ended_endpoint_is_passed_on_once_whatever_its_age() {
+    (1..=4).for_each(Fleet::<Quarantine>::play);
+}
+
+/// Guards against reports of endpoints that nobody hears of any more and that come back again and again.
+#[test]
+fn report_of_an_endpoint_is_passed_on_once_whatever_its_age() {
+    (1..=4).for_each(Fleet::<Registry>::play);
+}
+
+/// Guards against limits of endpoints that are gone and that come back again and again.
+#[test]
+fn limit_that_an_endpoint_named_is_passed_on_once_whatever_its_age() {
+    (1..=4).for_each(Fleet::<NamedLimits>::play);
+}
