--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -9,10 +9,6 @@
 use vaneway_agreement::Event;
 use vaneway_agreement::NodeId;
 use vaneway_limit::BoxNumber;
-use vaneway_limit::NamedLimit;
-use vaneway_quarantine::Finding;
-use vaneway_registry::Change;
-use vaneway_registry::Report;
 
 use crate::core::cluster::wire::BUSY_MOST;
 use crate::core::cluster::wire::BetweenControl;
@@ -25,6 +21,7 @@
 use crate::core::cluster::wire::Wanted;
 use crate::core::configuration::Version;
 use crate::core::control::group;
+use crate::core::control::news;
 use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
@@ -80,6 +77,14 @@
     }
 }
 
+/// Sends a message to the entry boxes that this box tells of loads.
+pub(super) fn send_to_those_told_of_loads(control: &Control, message: &ToEntry) {
+    let message = Encoded::new(message);
+    for entry in control.entries.borrow().values().filter(|entry| entry.wanted.get().loads) {
+        entry.outgoing.send_encoded(&message);
+    }
+}
+
 /// Offers a version of the configuration to the entry boxes that ask for it themselves, and sends it to the others.
 pub(super) fn spread_configuration(control: &Control, version: Version) {
     let offer = Encoded::new(&ToEntry::ConfigurationAgreed { version });
@@ -112,70 +117,6 @@
     }
 }
 
-/// Takes reports of endpoints in and spreads what is news; `direct` if an endpoint told this box.
-pub fn learn_endpoints(control: &Control, reports: &[Report], direct: bool) {
-    let now = clock::now();
-    let mut news = Vec::new();
-    for report in reports {
-        let born_before = control.registry.borrow().born(&report.instance);
-        let change = control.registry.borrow_mut().merge(now, report);
-        if born_before > 0 && control.registry.borrow().born(&report.instance) > born_before {
-            // It holds nothing of what the incarnation before kept.
-            control.parts.borrow_mut().forget_endpoint(&report.instance);
-        }
-        match change {
-            Change::News => news.extend(control.registry.borrow().report(now, &report.instance)),
-            Change::Refreshed if direct => {
-                for peer in control.peers.borrow().values() {
-                    peer.refreshed.borrow_mut().insert(report.instance.clone());
-                }
-            }
-            Change::Refreshed | Change::Nothing => {}
-        }
-    }
-    if news.is_empty() {
-        return;
-    }
-    for report in &news {
-        Line::new("endpoint")
-            .with("replica", &report.instance)
-            .with("born", report.born)
-            .with("standing", report.standing.name())
-            .with("sequence", report.sequence)
-            .with("reclaimable", report.details.as_ref().is_some_and(|d| d.reclaimable))
-            .with(
-                "ends_in_ms",
-                report.ends_in_ms.map_or_else(|| "unknown".to_owned(), |ms| ms.to_string()),
-            )
-            .with("direct", direct)
-            .info();
-    }
-    send_to_entries(control, &ToEntry::Registry(news.clone()));
-    peers::send_to_all(control, BetweenControl::Registry(news));
-}
-
-/// Takes in under which requests endpoints ended, and passes on what is news: to the entry boxes that this box tells
-/// of others, and to the other control boxes, which may hear other entry boxes.
-fn learn_findings(control: &Control, findings: &[Finding]) {
-    let news = control.quarantine.borrow_mut().merge(control.time(), findings);
-    if news.is_empty() {
-        return;
-    }
-    let message = Encoded::new(&ToEntry::Findings(news.clone()));
-    for entry in control.entries.borrow().values().filter(|entry| entry.wanted.get().loads) {
-        entry.outgoing.send_encoded(&message);
-    }
-    peers::send_to_all(control, BetweenControl::Findings(news));
-}
-
-/// Takes in which limits endpoints named, and has what is news told to the entry boxes that this box tells of others, and
-/// to the other control boxes.
-fn learn_limits(control: &Control, told: &[NamedLimit]) {
-    let mut limits = control.limits.borrow_mut();
-    let news = limits.merge(control.time(), told);
-    limits.pass_on(&news);
-}
-
 /// Accepts connections until dropped.
 pub async fn accept(control: Rc<Control>, listener: SocketListener) {
     loop {
@@ -242,7 +183,7 @@
             outgoing.send(&ToEntry::Pong { sent_us, time_us });
         }
         ToControl::Entry(FromEntry::Leaving(reports)) => {
-            learn_endpoints(control, &reports, false);
+            news::learn_endpoints(control, &reports, false);
         }
         ToControl::Entry(FromEntry::Use(report)) => {
             if let Sender::Entry { start, .. } = sender {
@@ -258,8 +199,8 @@
         ToControl::Entry(FromEntry::Parts(parts)) => {
             control.parts.borrow_mut().learn(clock::now(), &parts);
         }
-        ToControl::Entry(FromEntry::Findings(findings)) => learn_findings(control, &findings),
-        ToControl::Entry(FromEntry::Limits(told)) => learn_limits(control, &told),
+        ToControl::Entry(FromEntry::Findings(findings)) => news::learn_findings(control, &findings),
+        ToControl::Entry(FromEntry::Limits(told)) => news::learn_limits(control, &told),
         ToControl::Entry(FromEntry::OfferConfigurations) => {
             if let Some(entry) = entry_of(control, sender) {
                 offer_configurations(control, &entry);
@@ -368,8 +309,8 @@
             }
         }
         BetweenControl::Join { node: joining } => group::learn_joining(control, node, joining),
-        BetweenControl::Limits(told) => learn_limits(control, &told),
-        BetweenControl::Findings(findings) => learn_findings(control, &findings),
-        BetweenControl::Registry(reports) => learn_endpoints(control, &reports, false),
+        BetweenControl::Limits(told) => news::learn_limits(control, &told),
+        BetweenControl::Findings(findings) => news::learn_findings(control, &findings),
+        BetweenControl::Registry(reports) => news::learn_endpoints(control, &reports, false),
     }
 }
--- a/crates/vaneway-server/src/core/control/memory.rs
+++ b/crates/vaneway-server/src/core/control/memory.rs
@@ -76,10 +76,11 @@
     }
 }
 
-/// Logs what waits while it is much, until dropped.
+/// Logs what waits and what was passed on while it is much, until dropped.
 pub async fn watch(control: Rc<Control>) {
     loop {
         control.timers.sleep(WATCH_EVERY).await;
+        control.passed_on.look();
         let waiting = Waiting::of(&control);
         if waiting.sum() < LOGGED_FROM {
             continue;
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -9,6 +9,7 @@
 //! - [`membership`]: who should take part in it, without I/O;
 //! - [`links`]: connections that entry boxes and other control boxes open to it;
 //! - [`peers`]: connections that it opens to other control boxes;
+//! - [`news`]: what it passes on of what it hears of endpoints;
 //! - [`telling`]: what entry boxes are told of each other over them;
 //! - [`duties`]: what the leader does towards the cloud;
 //! - [`capacity`]: orders of replicas;
@@ -27,6 +28,7 @@
 pub mod machine;
 pub mod membership;
 pub mod memory;
+pub mod news;
 pub mod operations;
 pub mod own;
 pub mod peers;
--- /dev/null
+++ b/crates/vaneway-server/src/core/control/news.rs
@@ -0,0 +1,132 @@
+//! What a control box hears of endpoints, of requests that end them and of limits that they name, and passes on.
+//!
+//! Data flow: endpoints register here, entry boxes and other control boxes tell what they heard. What is news here goes to
+//! the entry boxes and to the other control boxes. [`PassedOn`] counts it, since each piece becomes a message to every
+//! box.
+
+use std::cell::Cell;
+
+use vaneway_limit::NamedLimit;
+use vaneway_quarantine::Finding;
+use vaneway_registry::Change;
+use vaneway_registry::Report;
+
+use crate::core::cluster::wire::BetweenControl;
+use crate::core::cluster::wire::ToEntry;
+use crate::core::control::links;
+use crate::core::control::peers;
+use crate::core::control::state::Control;
+use crate::util::clock;
+use crate::util::logline::Line;
+
+/// A kind of news.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// Where endpoints stand.
+    Registrations,
+    /// Under which requests endpoints ended.
+    Findings,
+    /// Limits that endpoints named.
+    Limits,
+}
+
+/// Pieces of news passed on between two looks from which on their number is logged: more than a crash of a third of a large
+/// fleet makes.
+const LOGGED_FROM: usize = 1_000;
+
+/// Pieces of news that this box passed on, by kind, since it was last looked at.
+#[derive(Debug, Default)]
+pub struct PassedOn {
+    registrations: Cell<usize>,
+    findings: Cell<usize>,
+    limits: Cell<usize>,
+}
+
+impl PassedOn {
+    fn count(&self, kind: Kind, pieces: usize) {
+        let counter = match kind {
+            Kind::Registrations => &self.registrations,
+            Kind::Findings => &self.findings,
+            Kind::Limits => &self.limits,
+        };
+        counter.update(|count| count + pieces);
+    }
+
+    /// Logs what was passed on since the last look, if it is much.
+    pub(super) fn look(&self) {
+        let (registrations, findings, limits) =
+            (self.registrations.take(), self.findings.take(), self.limits.take());
+        if registrations + findings + limits < LOGGED_FROM {
+            return;
+        }
+        Line::new("news_passed_on")
+            .with("registrations", registrations)
+            .with("findings", findings)
+            .with("limits", limits)
+            .warn();
+    }
+}
+
+/// Takes reports of endpoints in and spreads what is news; `direct` if an endpoint told this box.
+pub fn learn_endpoints(control: &Control, reports: &[Report], direct: bool) {
+    let now = clock::now();
+    let mut news = Vec::new();
+    for report in reports {
+        let born_before = control.registry.borrow().born(&report.instance);
+        let change = control.registry.borrow_mut().merge(now, report);
+        if born_before > 0 && control.registry.borrow().born(&report.instance) > born_before {
+            // It holds nothing of what the incarnation before kept.
+            control.parts.borrow_mut().forget_endpoint(&report.instance);
+        }
+        match change {
+            Change::News => news.extend(control.registry.borrow().report(now, &report.instance)),
+            Change::Refreshed if direct => {
+                for peer in control.peers.borrow().values() {
+                    peer.refreshed.borrow_mut().insert(report.instance.clone());
+                }
+            }
+            Change::Refreshed | Change::Nothing => {}
+        }
+    }
+    if news.is_empty() {
+        return;
+    }
+    for report in &news {
+        Line::new("endpoint")
+            .with("replica", &report.instance)
+            .with("born", report.born)
+            .with("standing", report.standing.name())
+            .with("sequence", report.sequence)
+            .with("reclaimable", report.details.as_ref().is_some_and(|d| d.reclaimable))
+            .with(
+                "ends_in_ms",
+                report.ends_in_ms.map_or_else(|| "unknown".to_owned(), |ms| ms.to_string()),
+            )
+            .with("direct", direct)
+            .info();
+    }
+    control.passed_on.count(Kind::Registrations, news.len());
+    links::send_to_entries(control, &ToEntry::Registry(news.clone()));
+    peers::send_to_all(control, BetweenControl::Registry(news));
+}
+
+/// Takes in under which requests endpoints ended, and passes on what is news: to the entry boxes that this box tells
+/// of others, and to the other control boxes, which may hear other entry boxes.
+pub(super) fn learn_findings(control: &Control, findings: &[Finding]) {
+    let news = control.quarantine.borrow_mut().merge(control.time(), findings);
+    if news.is_empty() {
+        return;
+    }
+    control.passed_on.count(Kind::Findings, news.len());
+    links::send_to_those_told_of_loads(control, &ToEntry::Findings(news.clone()));
+    peers::send_to_all(control, BetweenControl::Findings(news));
+}
+
+/// Takes in which limits endpoints named, and has what is news told to the entry boxes that this box tells of others, and
+/// to the other control boxes.
+pub(super) fn learn_limits(control: &Control, told: &[NamedLimit]) {
+    let mut limits = control.limits.borrow_mut();
+    let news = limits.merge(control.time(), told);
+    control.passed_on.count(Kind::Limits, news.len());
+    limits.pass_on(&news);
+}
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -22,6 +22,7 @@
 use crate::core::cluster::wire::SNAPSHOT;
 use crate::core::cluster::wire::ToControl;
 use crate::core::control::links;
+use crate::core::control::news;
 use crate::core::control::state::Control;
 use crate::util::clock;
 use crate::util::frames;
@@ -146,7 +147,7 @@
     let on_frame = async |frame: &[u8]| {
         match frames::decode::<BetweenControl>(frame) {
             Some(BetweenControl::Registry(reports)) => {
-                links::learn_endpoints(control, &reports, false);
+                news::learn_endpoints(control, &reports, false);
             }
             // The answer to a ping; the time in it comes on the peer's own connection too.
             Some(_) => {}
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -25,6 +25,7 @@
 use crate::core::control::links;
 use crate::core::control::machine::Machine;
 use crate::core::control::memory;
+use crate::core::control::news::PassedOn;
 use crate::core::control::own::OwnControl;
 use crate::core::control::peers;
 use crate::core::control::protocol::CloudProtocol;
@@ -137,6 +138,7 @@
         parts: RefCell::default(),
         quarantine: RefCell::default(),
         limits: RefCell::default(),
+        passed_on: PassedOn::default(),
         clock: RefCell::default(),
         connections: Connections::reset_on_close(),
         unreadable: Cell::new(0),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -31,6 +31,7 @@
 use crate::core::control::clock::Clock;
 use crate::core::control::links::EntryLink;
 use crate::core::control::machine::Machine;
+use crate::core::control::news::PassedOn;
 use crate::core::control::peers::PeerLink;
 use crate::core::control::protocol::Holder;
 use crate::core::control::store::Write;
@@ -135,6 +136,8 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Limits that endpoints named, as entry boxes told.
     pub(crate) limits: RefCell<NamedLimits>,
+    /// How much news was passed on.
+    pub(crate) passed_on: PassedOn,
     /// The cluster's time.
     pub clock: RefCell<Clock>,
     /// Connections to the cloud.
