--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -20,7 +20,8 @@
 //! two unrelated crashes. A request that is answered whole and with success is cleared.
 //!
 //! Findings are merged by the cluster's time, so they may be lost, repeated and reordered: the worst verdict counts
-//! until a later clearance.
+//! until a later clearance. What is merged is told on, so a finding is news once at a box: one that would be forgotten at
+//! once is not learned.
 
 mod incarnation;
 
@@ -141,6 +142,28 @@
     },
 }
 
+impl Case {
+    /// Whether it counts still.
+    fn counts(&self, now: Time) -> bool {
+        now < self.at + self.verdict.kept()
+    }
+}
+
+impl Finding {
+    /// Whether it counts still.
+    fn counts(&self, now: Time) -> bool {
+        match self {
+            Self::EndpointEnded { at, .. } => end_counts(now, *at),
+            Self::Case { case, .. } => case.counts(now),
+        }
+    }
+}
+
+/// Whether an endpoint's end counts still that was seen at `at`.
+fn end_counts(now: Time, at: Time) -> bool {
+    now < at + SUSPICION_KEPT
+}
+
 /// What one box knows of requests that may end endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -208,7 +231,8 @@
     /// Learns what others found, and returns what of it was news here.
     pub fn merge(&mut self, now: Time, findings: &[Finding]) -> Vec<Finding> {
         self.forget(now);
-        let news = findings.iter().filter(|finding| match finding {
+        let counting = findings.iter().filter(|finding| finding.counts(now));
+        let news = counting.filter(|finding| match finding {
             Finding::EndpointEnded { endpoint, at } => self.note_end(endpoint, *at),
             Finding::Case { fingerprint, case } => self.add(*fingerprint, case),
         });
@@ -286,8 +310,8 @@
     }
 
     fn forget(&mut self, now: Time) {
-        self.cases.retain(|_, case| now < case.at + case.verdict.kept());
-        self.ended.retain(|_, at| now < *at + SUSPICION_KEPT);
+        self.cases.retain(|_, case| case.counts(now));
+        self.ended.retain(|_, at| end_counts(now, *at));
     }
 
     /// Keeps the number of cases bounded. Those that are not condemned give way first.
