--- a/tests/testsuite/news_between_boxes.rs
+++ b/tests/testsuite/news_between_boxes.rs
@@ -19,6 +19,7 @@
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Quarantine;
+use vaneway_quarantine::Verdict;
 use vaneway_registry::Change;
 use vaneway_registry::Registry;
 use vaneway_registry::Report;
@@ -50,6 +51,9 @@
 const FOUND: usize = 40;
 const CONNECTIONS: usize = 600;
 
+/// Cases that a box holds at most.
+const CASES_MOST: u64 = 4_096;
+
 /// A box's time: the cluster's as it knows it, and its steady clock.
 #[derive(Debug, Clone, Copy)]
 struct Now {
@@ -346,6 +350,43 @@
     (1..=4).for_each(Fleet::<Quarantine>::play);
 }
 
+/// Guards against two boxes that tell each other an end and a clearance of the same moment and each take the other's word.
+#[test]
+fn boxes_that_hold_an_end_and_a_clearance_of_the_same_moment_agree_at_once() {
+    let (now, fingerprint) = (START, 1);
+    let mut holds_end = Quarantine::default();
+    let endpoint = Incarnation::new("i-1", 1);
+    holds_end.endpoint_ended(now, fingerprint, &[(endpoint, Progress::Reading)]);
+    let mut holds_clearance = holds_end.clone();
+    holds_clearance.served(now, fingerprint);
+
+    let (told, cleared) = (holds_end.all(), holds_clearance.all());
+    let by_clearance = holds_end.merge(now, &cleared);
+    let by_end = holds_clearance.merge(now, &told);
+    assert_eq!(by_clearance.len() + by_end.len(), 1, "{by_clearance:?} {by_end:?}");
+    assert_eq!(holds_end.verdict(fingerprint), holds_clearance.verdict(fingerprint));
+    assert_eq!(holds_end.verdict(fingerprint), Some(Verdict::Suspected));
+}
+
+/// Guards against cases that give way to later ones as soon as they are learned and are passed on all the same.
+#[test]
+fn case_that_finds_no_room_is_no_news() {
+    let case = |fingerprint: u64| {
+        let mut quarantine = Quarantine::default();
+        let endpoint = Incarnation::new(&format!("i-{fingerprint}"), 1);
+        let ended = START + Duration::from_micros(fingerprint);
+        quarantine.endpoint_ended(ended, fingerprint, &[(endpoint, Progress::Reading)]);
+        quarantine.all().pop().expect("the request's case")
+    };
+    let now = START + Duration::from_secs(1);
+    let mut full = Quarantine::default();
+    let cases: Vec<Finding> = (2..=CASES_MOST + 1).map(case).collect();
+    assert_eq!(full.merge(now, &cases).len(), cases.len());
+    assert_eq!(full.merge(now, &[case(1)]), Vec::new());
+    assert_eq!(full.merge(now, &[case(CASES_MOST + 2)]).len(), 1);
+    assert_eq!(full.cases().len() as u64, CASES_MOST);
+}
+
 /// Guards against reports of endpoints that nobody hears of any more and that come back again and again.
 #[test]
 fn report_of_an_endpoint_is_passed_on_once_whatever_its_age() {
