--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -222,7 +222,9 @@
         if case.verdict == Verdict::Cleared {
             return false;
         }
-        let cleared = Case { ends: BTreeMap::new(), verdict: Verdict::Cleared, at: now };
+        // Later than what it clears, also where the clock of whoever told that is ahead.
+        let at = now.max(case.at + Duration::from_micros(1));
+        let cleared = Case { ends: BTreeMap::new(), verdict: Verdict::Cleared, at };
         self.add(fingerprint, &cleared);
         self.tell(fingerprint);
         true
@@ -272,7 +274,7 @@
         }
     }
 
-    /// Adds what is known of a request; true if it changes what was known.
+    /// Adds what is known of a request; true if it changes what is known.
     fn add(&mut self, fingerprint: Fingerprint, told: &Case) -> bool {
         let before = self.cases.get(&fingerprint);
         let merged = merged(before, told);
@@ -282,7 +284,8 @@
         let merged = Case { verdict: self.judge(&merged), ..merged };
         self.cases.insert(fingerprint, merged);
         self.drop_oldest();
-        true
+        // It may have been the one to give way.
+        self.cases.contains_key(&fingerprint)
     }
 
     fn judge(&self, case: &Case) -> Verdict {
@@ -329,7 +332,9 @@
 /// What is known of a request by two sources.
 fn merged(before: Option<&Case>, told: &Case) -> Case {
     let Some(before) = before else { return told.clone() };
-    let (older, newer) = if told.at < before.at { (told, before) } else { (before, told) };
+    // Of two verdicts of the same moment the worse one counts as the later, whichever came first.
+    let order = |case: &Case| (case.at, case.verdict);
+    let (older, newer) = if order(told) < order(before) { (told, before) } else { (before, told) };
     if newer.verdict == Verdict::Cleared || older.verdict == Verdict::Cleared {
         return newer.clone();
     }
