--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod throttle;
 pub mod weight_store;
 pub mod wire_endpoint;
+pub mod wire_entry;
 
 pub use caller::Caller;
 pub use closed_port::ClosedPort;
@@ -44,3 +45,4 @@
 pub use throttle::Throttle;
 pub use weight_store::WeightStore;
 pub use wire_endpoint::WireEndpoint;
+pub use wire_entry::WireEntry;
--- /dev/null
+++ b/tests/testsuite/findings.rs
@@ -0,0 +1,129 @@
+//! What control boxes pass on of endpoints that ended and of requests under which they did.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use vaneway_quarantine::Case;
+use vaneway_quarantine::Finding;
+use vaneway_quarantine::Incarnation;
+use vaneway_quarantine::Progress;
+use vaneway_quarantine::Time;
+use vaneway_quarantine::Verdict;
+use vaneway_server::core::cluster::wire::FromEntry;
+use vaneway_server::core::cluster::wire::ToEntry;
+use vaneway_server::core::cluster::wire::Wanted;
+use vaneway_test_support::ControlGroup;
+use vaneway_test_support::WireEntry;
+use vaneway_test_support::control_group::empty_configuration;
+
+/// Control boxes.
+const BOXES: u8 = 3;
+
+/// Age from which on the end of an endpoint and a suspicion count no more.
+const OUTDATED: Duration = Duration::from_secs(61);
+
+/// Pings that each control box has answered before the finding that ends the count is told.
+const PINGS: usize = 20;
+
+/// Messages after which nothing more is counted.
+const COUNTED_MOST: usize = 1_000;
+
+/// Guards against control boxes that send the end of an endpoint to each other without end once it is too old to be kept.
+#[test]
+fn end_that_counts_no_more_is_passed_on_once_at_most() {
+    passes_on_once_at_most(|at| Finding::EndpointEnded { endpoint: ended("old"), at });
+}
+
+/// Guards against control boxes that send a suspicion to each other without end once it is too old to be kept.
+#[test]
+fn suspicion_that_counts_no_more_is_passed_on_once_at_most() {
+    passes_on_once_at_most(|at| {
+        let ends = BTreeMap::from([(ended("old"), Progress::Reading)]);
+        let case = Case { ends, verdict: Verdict::Suspected, at };
+        Finding::Case { fingerprint: 1, case }
+    });
+}
+
+/// Tells one of several control boxes a finding of a time long past, and counts what the entry boxes at all of them are told.
+fn passes_on_once_at_most(finding: fn(Time) -> Finding) {
+    let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), BOXES);
+    group.configure(&empty_configuration(1));
+    wait_until_all_are_connected(&group);
+    let mut entries: Vec<WireEntry> =
+        group.running().into_iter().map(|i| entry_that_wants_news(&group, i)).collect();
+
+    let old = finding(time(&mut entries[0]).saturating_sub(OUTDATED));
+    entries[0].send(FromEntry::Findings(vec![old.clone()]));
+    let mut counts = [0; BOXES as usize];
+    for (entry, count) in entries.iter_mut().zip(&mut counts) {
+        for _ in 0..PINGS {
+            let number = entry.send_ping();
+            let is_answer = |told: &ToEntry| match told {
+                ToEntry::Pong { sent_us, .. } => *sent_us == number,
+                _ => false,
+            };
+            count_until(entry, &old, is_answer, count);
+        }
+    }
+    assert_at_most_one(&counts);
+    assert_eq!(group.configuration()["version"], 1);
+
+    let last = Finding::EndpointEnded { endpoint: ended("last"), at: time(&mut entries[0]) };
+    entries[0].send(FromEntry::Findings(vec![last.clone()]));
+    for (entry, count) in entries.iter_mut().zip(&mut counts) {
+        count_until(entry, &old, |told| has(told, &last), count);
+    }
+    assert_at_most_one(&counts);
+}
+
+fn assert_at_most_one(counts: &[usize]) {
+    let passed_on_once = counts.iter().all(|count| *count <= 1);
+    assert!(passed_on_once, "messages with the same finding, by control box: {counts:?}");
+}
+
+/// Counts the messages with a finding that an entry box is told, until one that is the last to be looked at.
+fn count_until(
+    entry: &mut WireEntry,
+    finding: &Finding,
+    is_last: impl Fn(&ToEntry) -> bool,
+    count: &mut usize,
+) {
+    while *count < COUNTED_MOST {
+        let told = entry.next_told();
+        *count += usize::from(has(&told, finding));
+        if is_last(&told) {
+            return;
+        }
+    }
+}
+
+fn has(told: &ToEntry, finding: &Finding) -> bool {
+    matches!(told, ToEntry::Findings(findings) if findings.contains(finding))
+}
+
+fn ended(name: &str) -> Incarnation {
+    Incarnation::new(name, 1)
+}
+
+fn wait_until_all_are_connected(group: &ControlGroup) {
+    for i in group.running() {
+        for other in group.running().into_iter().filter(|other| *other != i) {
+            let address = format!("address={}", group.cluster_address(other));
+            group.process(i).wait_for_log(&["event=peer_connected", &address]);
+        }
+    }
+}
+
+/// An entry box that a control box tells of all others from now on.
+fn entry_that_wants_news(group: &ControlGroup, i: usize) -> WireEntry {
+    let mut entry = WireEntry::connect(group.cluster_address(i), &format!("entry-{i}"));
+    entry.send(FromEntry::Tell(Wanted { quotas: false, loads: true }));
+    entry.ping();
+    entry
+}
+
+/// The cluster's time, once the control box knows it.
+fn time(entry: &mut WireEntry) -> Time {
+    std::iter::repeat_with(|| entry.ping()).flatten().next().expect("pings go on")
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod endpoint_rest;
 mod engine_speeds;
 mod event_streams;
+mod findings;
 mod limits_fleet;
 mod logs;
 mod marks;
