--- a/crates/vaneway-agreement/src/node.rs
+++ b/crates/vaneway-agreement/src/node.rs
@@ -73,6 +73,13 @@
     installed: Option<Instant>,
 }
 
+impl Progress {
+    /// Whether it lacks a snapshot, which stands for the entries up to `base` and was sent so lately that it may still arrive.
+    fn awaits_snapshot(&self, now: Instant, base: Index) -> bool {
+        self.next <= base && self.installed.is_some_and(|at| now < at + INSTALL_AGAIN)
+    }
+}
+
 /// A message that waits until something is durable.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Held {
@@ -375,23 +382,28 @@
             Progress { next: last.max(1), matched: 0, heard: None, since: now, installed: None };
         let base = self.log.base_index();
         let progress = self.progress.entry(to).or_insert(fresh);
-        if progress.next <= base {
-            let due = progress.installed.is_none_or(|at| now >= at + INSTALL_AGAIN);
-            if let Some(snapshot) = self.snapshot.clone().filter(|_| due) {
-                progress.installed = Some(now);
-                let install = Install { term: self.term, snapshot, round: self.round };
-                out.push(Action::Send { to, message: Message::Install(install) });
-                return;
-            }
-            // A heartbeat only, until the snapshot has arrived.
-            progress.next = base + 1;
+        let lacks_snapshot = progress.next <= base;
+        if lacks_snapshot
+            && !progress.awaits_snapshot(now, base)
+            && let Some(snapshot) = self.snapshot.clone()
+        {
+            progress.installed = Some(now);
+            let install = Install { term: self.term, snapshot, round: self.round };
+            out.push(Action::Send { to, message: Message::Install(install) });
+            return;
         }
-        let prev_index = progress.next - 1;
+        let next = progress.next.max(base + 1);
+        // A heartbeat only, until the snapshot has arrived.
+        let entries = if lacks_snapshot {
+            Vec::new()
+        } else {
+            self.log.from(next, ENTRIES_MOST, ENTRY_BYTES_MOST).to_vec()
+        };
         let message = Message::Append(Append {
             term: self.term,
-            prev_index,
-            prev_term: self.log.term_at(prev_index).unwrap_or_default(),
-            entries: self.log.from(progress.next, ENTRIES_MOST, ENTRY_BYTES_MOST).to_vec(),
+            prev_index: next - 1,
+            prev_term: self.log.term_at(next - 1).unwrap_or_default(),
+            entries,
             commit: self.commit,
             round: self.round,
         });
@@ -643,7 +655,7 @@
             return;
         }
         let sent = self.rounds.iter().find(|(number, _)| *number == round).map(|(_, at)| *at);
-        let last = self.log.last_index();
+        let (base, last) = (self.log.base_index(), self.log.last_index());
         let Some(progress) = self.progress.get_mut(&from) else { return };
         if let Some(sent) = sent {
             progress.heard = progress.heard.max(Some(sent));
@@ -659,7 +671,8 @@
                 progress.next = back.max(progress.matched + 1);
             }
         }
-        if progress.next <= last {
+        // Whoever waits for a snapshot would refuse whatever else it is sent, at once and again.
+        if progress.next <= last && !progress.awaits_snapshot(now, base) {
             self.send_entries(now, from, out);
         }
         self.advance_commit(now, out);
--- /dev/null
+++ b/tests/testsuite/agreement_snapshots.rs
@@ -0,0 +1,97 @@
+//! What the agreement's nodes send while one of them lacks a snapshot, without I/O.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use vaneway_agreement::Action;
+use vaneway_agreement::Config;
+use vaneway_agreement::Durable;
+use vaneway_agreement::Event;
+use vaneway_agreement::MemberChange;
+use vaneway_agreement::Members;
+use vaneway_agreement::Message;
+use vaneway_agreement::Node;
+use vaneway_agreement::NodeId;
+use vaneway_agreement::Role;
+
+/// A node of the agreement and what it asks for, with a disk that is done at once.
+fn step(node: &mut Node, now: Instant, event: Event) -> Vec<(NodeId, Message)> {
+    let mut sent = Vec::new();
+    let mut events = VecDeque::from([event]);
+    while let Some(event) = events.pop_front() {
+        let mut out = Vec::new();
+        node.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send { to, message } => sent.push((to, message)),
+                Action::Persist(persist) => {
+                    events.push_back(Event::Persisted { number: persist.number });
+                }
+                _ => {}
+            }
+        }
+    }
+    sent
+}
+
+fn node(id: NodeId, members: Members, now: Instant) -> Node {
+    let config = Config {
+        id,
+        heartbeat: Duration::from_millis(100),
+        election: Duration::from_millis(500),
+        drift_per_mille: 10,
+        seed: id,
+    };
+    Node::start(config, Durable::empty(members), now)
+}
+
+/// Guards against a node that lacks a snapshot, which was lost on the way, and is sent the same entries as fast as it can refuse
+/// them: it gets signs of life until the snapshot is sent again.
+#[test]
+fn node_that_lacks_a_snapshot_is_not_sent_entries_without_end() {
+    const WAY: Duration = Duration::from_millis(1);
+    let mut now = Instant::now();
+    let mut leader = node(1, Members::of([1]), now);
+    let mut learner = node(2, Members::default(), now);
+    now += Duration::from_secs(2);
+    step(&mut leader, now, Event::Tick);
+    assert_eq!(leader.role(), Role::Leader);
+    let propose = |leader: &mut Node, now, count| {
+        for ticket in 0..count {
+            step(leader, now, Event::Propose { ticket, command: vec![0; 10_000] });
+        }
+    };
+    propose(&mut leader, now, 20);
+    let index = leader.committed();
+    step(&mut leader, now, Event::Compact { index, data: vec![0; 1_000] });
+    propose(&mut leader, now, 20);
+    step(&mut leader, now, Event::Change { ticket: 99, change: MemberChange::AddLearner(2) });
+
+    let mut on_the_way = VecDeque::<(Instant, NodeId, NodeId, Message)>::new();
+    let (mut appends, mut bytes) = (0, 0);
+    let end = now + Duration::from_millis(950);
+    while now < end {
+        now += WAY;
+        let mut sent = Vec::new();
+        if now >= leader.next_deadline() {
+            sent.extend(step(&mut leader, now, Event::Tick).into_iter().map(|s| (1, s)));
+        }
+        while let Some((_, from, to, message)) = on_the_way.pop_front_if(|(at, ..)| *at <= now) {
+            let receiver = if to == 1 { &mut leader } else { &mut learner };
+            let answers = step(receiver, now, Event::Message { from, message });
+            sent.extend(answers.into_iter().map(|s| (to, s)));
+        }
+        for (from, (to, message)) in sent {
+            if let Message::Append(append) = &message {
+                appends += 1;
+                bytes += append.entries.iter().map(|e| e.payload.command_bytes()).sum::<usize>();
+            }
+            // The snapshot is lost with its connection.
+            if !matches!(message, Message::Install(_)) {
+                on_the_way.push_back((now + WAY, from, to, message));
+            }
+        }
+    }
+    assert!(appends <= 30, "{appends} messages with {bytes} bytes of commands in 950 ms");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 //! conditions, never on time, and assert nothing about time.
 
 mod agreement;
+mod agreement_snapshots;
 mod capacity;
 mod capacity_plan;
 mod claims;
