--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -246,8 +246,8 @@
         std::mem::take(&mut self.news)
     }
 
-    /// All that is known, for a box that knows nothing.
-    pub fn all(&self) -> Vec<Finding> {
+    /// All that counts, for a box that knows nothing.
+    pub fn all(&self, now: Time) -> Vec<Finding> {
         let ended = self
             .ended
             .iter()
@@ -256,7 +256,7 @@
             fingerprint: *fingerprint,
             case: case.clone(),
         });
-        ended.chain(cases).collect()
+        ended.chain(cases).filter(|finding| finding.counts(now)).collect()
     }
 
     /// Notes when an endpoint ended; true if that is news.
--- a/crates/vaneway-registry/src/lib.rs
+++ b/crates/vaneway-registry/src/lib.rs
@@ -10,7 +10,7 @@
 //! earliest announced end wins. An endpoint that starts again under its id is another incarnation, told apart by
 //! when it was born: it knows nothing of the one before, no mark of that one hurts it, and what that one
 //! said late changes nothing. Ids that are gone are remembered for long enough that a late heartbeat can't
-//! revive them.
+//! revive them. A report of something that is remembered no longer is no news, so that what boxes tell each other ends.
 //!
 //! Times travel as ages and remaining times, since the boxes' clocks may differ.
 
@@ -137,6 +137,10 @@
         {
             return known.merge(report, heard, ends_at);
         }
+        if now.saturating_duration_since(heard) >= kept(report.standing) {
+            // It would be forgotten at once, and be news again the next time.
+            return Change::Nothing;
+        }
         let known = Known {
             born: report.born,
             sequence: report.sequence,
@@ -186,10 +190,16 @@
 
     /// Forgets what can matter no more.
     pub fn expire(&mut self, now: Instant) {
-        self.known.retain(|_, known| {
-            let kept = if known.standing == Standing::Gone { GONE_KEPT } else { SILENT_KEPT };
-            now.saturating_duration_since(known.heard) < kept
-        });
+        self.known
+            .retain(|_, known| now.saturating_duration_since(known.heard) < kept(known.standing));
+    }
+}
+
+/// How long an endpoint is remembered of which nothing is heard.
+fn kept(standing: Standing) -> Duration {
+    match standing {
+        Standing::Ready | Standing::Draining => SILENT_KEPT,
+        Standing::Gone => GONE_KEPT,
     }
 }
 
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -233,7 +233,7 @@
     /// Tells a control box all findings and limits. As news they are told once, so one that could not be told then would
     /// never hear of them.
     fn tell_all_that_is_told_once(&self, link: &ControlLink) {
-        let findings = self.entry.quarantine.borrow().all();
+        let findings = self.entry.quarantine.borrow().all(self.entry.cluster_time());
         if !findings.is_empty() {
             link.send(FromEntry::Findings(findings));
         }
