--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -22,6 +22,7 @@
 use crate::core::configuration::Version;
 use crate::core::control::group;
 use crate::core::control::news;
+use crate::core::control::news::Source;
 use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
@@ -183,7 +184,7 @@
             outgoing.send(&ToEntry::Pong { sent_us, time_us });
         }
         ToControl::Entry(FromEntry::Leaving(reports)) => {
-            news::learn_endpoints(control, &reports, false);
+            news::learn_endpoints(control, &reports, Source::Entry);
         }
         ToControl::Entry(FromEntry::Use(report)) => {
             if let Sender::Entry { start, .. } = sender {
@@ -199,8 +200,12 @@
         ToControl::Entry(FromEntry::Parts(parts)) => {
             control.parts.borrow_mut().learn(clock::now(), &parts);
         }
-        ToControl::Entry(FromEntry::Findings(findings)) => news::learn_findings(control, &findings),
-        ToControl::Entry(FromEntry::Limits(told)) => news::learn_limits(control, &told),
+        ToControl::Entry(FromEntry::Findings(findings)) => {
+            news::learn_findings(control, &findings, Source::Entry);
+        }
+        ToControl::Entry(FromEntry::Limits(told)) => {
+            news::learn_limits(control, &told, Source::Entry)
+        }
         ToControl::Entry(FromEntry::OfferConfigurations) => {
             if let Some(entry) = entry_of(control, sender) {
                 offer_configurations(control, &entry);
@@ -279,11 +284,8 @@
     if let BetweenControl::Hello { node } = message {
         *sender = Sender::Control { node };
         // What the peer missed while there was no connection.
-        let reports = control.registry.borrow().reports(clock::now());
-        outgoing.send(&BetweenControl::Registry(reports));
-        let limits = control.limits.borrow().all();
-        if !limits.is_empty() {
-            outgoing.send(&BetweenControl::Limits(limits));
+        for message in news::all_for_control(control) {
+            outgoing.send(&message);
         }
         return;
     }
@@ -309,8 +311,6 @@
             }
         }
         BetweenControl::Join { node: joining } => group::learn_joining(control, node, joining),
-        BetweenControl::Limits(told) => news::learn_limits(control, &told),
-        BetweenControl::Findings(findings) => news::learn_findings(control, &findings),
-        BetweenControl::Registry(reports) => news::learn_endpoints(control, &reports, false),
+        message => news::learn_from_control(control, message),
     }
 }
--- a/crates/vaneway-server/src/core/control/news.rs
+++ b/crates/vaneway-server/src/core/control/news.rs
@@ -1,8 +1,9 @@
 //! What a control box hears of endpoints, of requests that end them and of limits that they name, and passes on.
 //!
 //! Data flow: endpoints register here, entry boxes and other control boxes tell what they heard. What is news here goes to
-//! the entry boxes and to the other control boxes. [`PassedOn`] counts it, since each piece becomes a message to every
-//! box.
+//! the entry boxes, and to the other control boxes unless one of these told it ([`Source`]): so what one of n control boxes
+//! hears makes n messages between them, however they merge it. Whoever missed it is told all over the next connection.
+//! [`PassedOn`] counts what goes out, since each piece becomes a message to every box.
 
 use std::cell::Cell;
 
@@ -19,6 +20,17 @@
 use crate::util::clock;
 use crate::util::logline::Line;
 
+/// Who told something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The endpoint itself.
+    Endpoint,
+    /// An entry box.
+    Entry,
+    /// Another control box, which has told all the others itself.
+    Control,
+}
+
 /// A kind of news.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -67,8 +79,39 @@
     }
 }
 
-/// Takes reports of endpoints in and spreads what is news; `direct` if an endpoint told this box.
-pub fn learn_endpoints(control: &Control, reports: &[Report], direct: bool) {
+/// All that another control box has to hear that may have missed some of it.
+pub(super) fn all_for_control(control: &Control) -> Vec<BetweenControl> {
+    let now = control.time();
+    let reports = control.registry.borrow().reports(clock::now());
+    let findings = control.quarantine.borrow().all(now);
+    let limits = control.limits.borrow().all();
+    let mut all = vec![BetweenControl::Registry(reports)];
+    if !findings.is_empty() {
+        all.push(BetweenControl::Findings(findings));
+    }
+    if !limits.is_empty() {
+        all.push(BetweenControl::Limits(limits));
+    }
+    all
+}
+
+/// Takes in what another control box tells; what is no news is left alone.
+pub(super) fn learn_from_control(control: &Control, message: BetweenControl) {
+    match message {
+        BetweenControl::Registry(reports) => learn_endpoints(control, &reports, Source::Control),
+        BetweenControl::Findings(findings) => learn_findings(control, &findings, Source::Control),
+        BetweenControl::Limits(told) => learn_limits(control, &told, Source::Control),
+        // The answer to a ping has nothing that the ping on the other connection doesn't have.
+        BetweenControl::Hello { .. }
+        | BetweenControl::Ping { .. }
+        | BetweenControl::Agreement { .. }
+        | BetweenControl::Join { .. } => {}
+    }
+}
+
+/// Takes reports of endpoints in and passes on what is news.
+pub fn learn_endpoints(control: &Control, reports: &[Report], source: Source) {
+    let direct = source == Source::Endpoint;
     let now = clock::now();
     let mut news = Vec::new();
     for report in reports {
@@ -107,26 +150,34 @@
     }
     control.passed_on.count(Kind::Registrations, news.len());
     links::send_to_entries(control, &ToEntry::Registry(news.clone()));
-    peers::send_to_all(control, BetweenControl::Registry(news));
+    if source != Source::Control {
+        peers::send_to_all(control, BetweenControl::Registry(news));
+    }
 }
 
 /// Takes in under which requests endpoints ended, and passes on what is news: to the entry boxes that this box tells
 /// of others, and to the other control boxes, which may hear other entry boxes.
-pub(super) fn learn_findings(control: &Control, findings: &[Finding]) {
+pub(super) fn learn_findings(control: &Control, findings: &[Finding], source: Source) {
     let news = control.quarantine.borrow_mut().merge(control.time(), findings);
     if news.is_empty() {
         return;
     }
     control.passed_on.count(Kind::Findings, news.len());
     links::send_to_those_told_of_loads(control, &ToEntry::Findings(news.clone()));
-    peers::send_to_all(control, BetweenControl::Findings(news));
+    if source != Source::Control {
+        peers::send_to_all(control, BetweenControl::Findings(news));
+    }
 }
 
 /// Takes in which limits endpoints named, and has what is news told to the entry boxes that this box tells of others, and
 /// to the other control boxes.
-pub(super) fn learn_limits(control: &Control, told: &[NamedLimit]) {
+pub(super) fn learn_limits(control: &Control, told: &[NamedLimit], source: Source) {
     let mut limits = control.limits.borrow_mut();
     let news = limits.merge(control.time(), told);
     control.passed_on.count(Kind::Limits, news.len());
     limits.pass_on(&news);
+    if source != Source::Control {
+        let endpoints = news.into_iter().map(|news| news.endpoint);
+        control.limits_for_peers.borrow_mut().extend(endpoints);
+    }
 }
--- a/crates/vaneway-server/src/core/control/operations.rs
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -12,6 +12,7 @@
 use crate::core::control::machine::Command;
 use crate::core::control::machine::Held;
 use crate::core::control::news;
+use crate::core::control::news::Source;
 use crate::core::control::state::Control;
 use crate::core::control::state::Proposed;
 use crate::util::clock;
@@ -109,5 +110,5 @@
 
 /// Takes in what an endpoint says of itself.
 pub fn endpoint_reported(control: &Control, report: &Report) {
-    news::learn_endpoints(control, std::slice::from_ref(report), true);
+    news::learn_endpoints(control, std::slice::from_ref(report), Source::Endpoint);
 }
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -139,20 +139,14 @@
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
     send(ping(control));
-    send(BetweenControl::Registry(control.registry.borrow().reports(clock::now())));
+    news::all_for_control(control).into_iter().for_each(send);
     if let Some(peer) = control.peers.borrow().get(&address) {
         *peer.outgoing.borrow_mut() = Some(outgoing.clone());
     }
     Line::new("peer_connected").with("address", address).info();
-    let on_frame = async |frame: &[u8]| {
-        match frames::decode::<BetweenControl>(frame) {
-            Some(BetweenControl::Registry(reports)) => {
-                news::learn_endpoints(control, &reports, false);
-            }
-            // The answer to a ping; the time in it comes on the peer's own connection too.
-            Some(_) => {}
-            None => control.unreadable.update(|count| count + 1),
-        }
+    let on_frame = async |frame: &[u8]| match frames::decode::<BetweenControl>(frame) {
+        Some(message) => news::learn_from_control(control, message),
+        None => control.unreadable.update(|count| count + 1),
     };
     let silence = Silence { system: SILENCE_MOST, process: SILENCE_MOST };
     let why = frames::drive(&control.timers, &stream, &outgoing, silence, on_frame).await;
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -138,6 +138,7 @@
         parts: RefCell::default(),
         quarantine: RefCell::default(),
         limits: RefCell::default(),
+        limits_for_peers: RefCell::default(),
         passed_on: PassedOn::default(),
         clock: RefCell::default(),
         connections: Connections::reset_on_close(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -21,6 +22,7 @@
 use vaneway_agreement::Ticket;
 use vaneway_limit::NamedLimits;
 use vaneway_quarantine::Quarantine;
+use vaneway_registry::InstanceId;
 use vaneway_registry::Registry;
 use vaneway_registry::Report;
 
@@ -136,6 +138,8 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Limits that endpoints named, as entry boxes told.
     pub(crate) limits: RefCell<NamedLimits>,
+    /// Endpoints whose limits entry boxes told this box and the other control boxes have to hear.
+    pub(crate) limits_for_peers: RefCell<BTreeSet<InstanceId>>,
     /// How much news was passed on.
     pub(crate) passed_on: PassedOn,
     /// The cluster's time.
--- a/crates/vaneway-server/src/core/control/telling.rs
+++ b/crates/vaneway-server/src/core/control/telling.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use vaneway_limit::BoxNumber;
+use vaneway_limit::NamedLimit;
 use vaneway_quota::Sharers;
 use vaneway_quota::Slot;
 
@@ -170,7 +171,12 @@
     if news.is_empty() {
         return;
     }
-    peers::send_to_all(control, BetweenControl::Limits(news.clone()));
+    let heard_here = control.limits_for_peers.take();
+    let for_peers = news.iter().filter(|news| heard_here.contains(&news.endpoint));
+    let for_peers: Vec<NamedLimit> = for_peers.cloned().collect();
+    if !for_peers.is_empty() {
+        peers::send_to_all(control, BetweenControl::Limits(for_peers));
+    }
     send_to_those_that_want_loads(control, &ToEntry::Limits(news)).await;
 }
 
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod standin;
 pub mod throttle;
 pub mod weight_store;
+pub mod wire_control;
 pub mod wire_endpoint;
 pub mod wire_entry;
 
@@ -44,5 +45,6 @@
 pub use slow_readers::SlowReaders;
 pub use throttle::Throttle;
 pub use weight_store::WeightStore;
+pub use wire_control::WireControl;
 pub use wire_endpoint::WireEndpoint;
 pub use wire_entry::WireEntry;
--- a/tests/testsuite/findings.rs
+++ b/tests/testsuite/findings.rs
@@ -10,10 +10,12 @@
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Time;
 use vaneway_quarantine::Verdict;
+use vaneway_server::core::cluster::wire::BetweenControl;
 use vaneway_server::core::cluster::wire::FromEntry;
 use vaneway_server::core::cluster::wire::ToEntry;
 use vaneway_server::core::cluster::wire::Wanted;
 use vaneway_test_support::ControlGroup;
+use vaneway_test_support::WireControl;
 use vaneway_test_support::WireEntry;
 use vaneway_test_support::control_group::empty_configuration;
 
@@ -45,6 +47,34 @@
     });
 }
 
+/// Guards against news that each control box sends on to all others, whoever told it: what one control box tells goes to entry
+/// boxes alone.
+#[test]
+fn what_a_control_box_tells_is_not_passed_on_to_the_other_control_boxes() {
+    let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), BOXES);
+    group.configure(&empty_configuration(1));
+    wait_until_all_are_connected(&group);
+    let mut entries: Vec<WireEntry> =
+        group.running().into_iter().map(|i| entry_that_wants_news(&group, i)).collect();
+    let at = time(&mut entries[0]);
+    let told = Finding::EndpointEnded { endpoint: ended("told"), at };
+
+    let peer = WireControl::connect(group.cluster_address(0));
+    peer.send(BetweenControl::Findings(vec![told.clone()]));
+    let mut at_first = 0;
+    count_until(&mut entries[0], &told, |message| has(message, &told), &mut at_first);
+    assert_eq!(at_first, 1);
+
+    // What the first box passes on of an entry box comes after all that it passed on before.
+    let last = Finding::EndpointEnded { endpoint: ended("last"), at };
+    entries[0].send(FromEntry::Findings(vec![last.clone()]));
+    for entry in &mut entries[1..] {
+        let mut count = 0;
+        count_until(entry, &told, |message| has(message, &last), &mut count);
+        assert_eq!(count, 0);
+    }
+}
+
 /// Tells one of several control boxes a finding of a time long past, and counts what the entry boxes at all of them are told.
 fn passes_on_once_at_most(finding: fn(Time) -> Finding) {
     let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), BOXES);
