--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -204,7 +204,7 @@
             news::learn_findings(control, &findings, Source::Entry);
         }
         ToControl::Entry(FromEntry::Limits(told)) => {
-            news::learn_limits(control, &told, Source::Entry)
+            news::learn_limits(control, &told, Source::Entry);
         }
         ToControl::Entry(FromEntry::OfferConfigurations) => {
             if let Some(entry) = entry_of(control, sender) {
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -36,6 +36,7 @@
 use crate::core::control::state::FIRST_INCARNATION;
 use crate::core::control::state::node_id;
 use crate::core::control::store;
+use crate::core::control::store::Write;
 use crate::core::control::telling;
 use crate::core::endpoints::upstream::Connections;
 use crate::core::settings::ControlSettings;
@@ -103,7 +104,6 @@
         drift_per_mille: group::DRIFT_PER_MILLE,
         seed: boot ^ node,
     };
-    let now = clock::now();
     let mut machine = match &stored.durable.snapshot {
         Some(snapshot) => Machine::decode(&snapshot.data).wrap_err("the snapshot can't be read")?,
         None => Machine::default(),
@@ -111,41 +111,8 @@
     group::apply_committed(&mut machine, &stored.durable.entries, stored.committed);
     // Bounded in bytes where it is filled: nothing is added while the disk is far behind.
     let (persist, queue) = mpsc::unbounded();
-    let control = Rc::new(Control {
-        node: RefCell::new(Node::start(config, stored.durable, now)),
-        timers: timers.clone(),
-        turns: Turns::spawn(),
-        started: now,
-        persist,
-        unwritten: Cell::new(0),
-        machine: RefCell::new(machine),
-        changes: RefCell::default(),
-        tickets: RefCell::default(),
-        pending: RefCell::default(),
-        next_ticket: Cell::new(0),
-        registry: RefCell::default(),
-        held: Rc::default(),
-        entries: RefCell::default(),
-        entries_seen: RefCell::default(),
-        entries_told: Cell::new(0),
-        next_link: Cell::new(0),
-        peers: RefCell::default(),
-        joining: RefCell::default(),
-        led_at: Cell::new(now),
-        leads_since: Cell::new(None),
-        remembered: RefCell::default(),
-        use_ledger: RefCell::default(),
-        parts: RefCell::default(),
-        quarantine: RefCell::default(),
-        limits: RefCell::default(),
-        limits_for_peers: RefCell::default(),
-        passed_on: PassedOn::default(),
-        clock: RefCell::default(),
-        connections: Connections::reset_on_close(),
-        unreadable: Cell::new(0),
-        stopping: Cell::new(false),
-        settings,
-    });
+    let agreement = Node::start(config, stored.durable, clock::now());
+    let control = Rc::new(state(settings, timers.clone(), persist, agreement, machine));
     let Remembered { endpoints, entries } = remembered::load(&control);
     control.remembered.replace(endpoints);
     control.entries_told.set(entries);
@@ -193,6 +160,52 @@
     Ok(RunningControl { control, servers, background })
 }
 
+/// The state of a box that has just started, with what its disk says of the agreement.
+fn state(
+    settings: ControlSettings,
+    timers: Timers,
+    persist: mpsc::UnboundedSender<Write>,
+    node: Node,
+    machine: Machine,
+) -> Control {
+    let now = clock::now();
+    Control {
+        node: RefCell::new(node),
+        timers,
+        turns: Turns::spawn(),
+        started: now,
+        persist,
+        unwritten: Cell::new(0),
+        machine: RefCell::new(machine),
+        changes: RefCell::default(),
+        tickets: RefCell::default(),
+        pending: RefCell::default(),
+        next_ticket: Cell::new(0),
+        registry: RefCell::default(),
+        held: Rc::default(),
+        entries: RefCell::default(),
+        entries_seen: RefCell::default(),
+        entries_told: Cell::new(0),
+        next_link: Cell::new(0),
+        peers: RefCell::default(),
+        joining: RefCell::default(),
+        led_at: Cell::new(now),
+        leads_since: Cell::new(None),
+        remembered: RefCell::default(),
+        use_ledger: RefCell::default(),
+        parts: RefCell::default(),
+        quarantine: RefCell::default(),
+        limits: RefCell::default(),
+        limits_for_peers: RefCell::default(),
+        passed_on: PassedOn::default(),
+        clock: RefCell::default(),
+        connections: Connections::reset_on_close(),
+        unreadable: Cell::new(0),
+        stopping: Cell::new(false),
+        settings,
+    }
+}
+
 /// Who a box with an empty disk is: one of the first group, or a newcomer that joins.
 fn identity(settings: &ControlSettings, boot: u64) -> (NodeId, Members) {
     let own = ipv4(settings.cluster_listen);
