--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -79,7 +79,8 @@
     }
 }
 
-fn next_network() -> [u8; 3] {
+/// First three bytes of addresses that no other group of this process has.
+pub(crate) fn next_network() -> [u8; 3] {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id() as u16);
     // Away from the addresses that other tests use.
--- a/tests/testsuite/engine_speeds.rs
+++ b/tests/testsuite/engine_speeds.rs
@@ -199,6 +199,13 @@
     assert_eq!(rates(0.0).of_all(0, 7, last), None, "nothing is known of the demand");
 }
 
+/// A leader that had lost all entry boxes for so long that it counted none ordered no replicas.
+#[test]
+fn work_is_unknown_while_no_box_is_heard_and_none_is_known() {
+    let last = Some(Rates { runs: 70.0, prompt: 14_000.0, unread: 7_000.0 });
+    assert_eq!(Rates::default().of_all(0, 0, last), None);
+}
+
 /// Of 295 entry boxes each saw three runs a second, so that none had an estimate for six seconds, and the fleet
 /// went by a guess until then.
 #[test]
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bolero::TypeGenerator;
+use serde_json::json;
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
 use vaneway_route::PART_KEPT;
@@ -17,7 +18,10 @@
 use vaneway_server::core::kept_parts::PartLedger;
 use vaneway_server::core::loads::LoadLedger;
 use vaneway_server::core::loads::Loads;
+use vaneway_test_support::NamingControlBox;
+use vaneway_test_support::Process;
 use vaneway_test_support::control_group::ControlGroup;
+use vaneway_test_support::naming_control_box;
 
 use crate::property;
 
@@ -122,6 +126,38 @@
     }
 }
 
+/// An entry box in a folder of its own that knows one control box.
+fn entry_that_knows(folder: &Path, seed: SocketAddr) -> Process {
+    let settings = json!({
+        "name": "entry-1",
+        "availability_zone": "a",
+        "availability_zones": ["a", "b"],
+        "listen": "127.0.0.1:0",
+        "operators": { "listen": "127.0.0.1:0" },
+        "control": { "seeds": [seed], "port": seed.port() },
+        "stop": { "accept_ms": 200, "finish_ms": 5_000 },
+    });
+    Process::spawn(Path::new(env!("CARGO_BIN_EXE_vaneway")), folder, &settings)
+}
+
+/// Reports that an entry box makes in half a second, long after it was told which control boxes there are.
+const REPORTS: usize = 5;
+
+/// A control box that has just been let in reads the agreement's log from its beginning, and named the control boxes that
+/// there were then, itself not among them. All entry boxes left it, for it and every later leader to know nothing of
+/// their requests.
+#[test]
+fn entry_box_stays_with_a_control_box_that_does_not_know_yet_that_it_takes_part() {
+    let folder = tempfile::tempdir().unwrap();
+    let listeners: [_; 2] = naming_control_box::bind();
+    let [old, newcomer] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
+    let [of_old, of_newcomer] = listeners;
+    let _old = NamingControlBox::spawn(of_old, vec![old, newcomer]);
+    let behind = NamingControlBox::spawn(of_newcomer, vec![old]);
+    let _entry = entry_that_knows(folder.path(), old);
+    behind.wait_for_reports(REPORTS);
+}
+
 /// Something that a control box hears, or the loss of an entry box.
 #[derive(Debug, TypeGenerator)]
 struct Step {
