--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -1,11 +1,12 @@
 //! How an entry box follows the control boxes.
 //!
 //! Data flow: one connection to each control box that is known: the seeds of the settings at
-//! first, then whoever the control boxes name. Any of them may name the newest configuration and endpoints;
-//! one that is cut off or behind takes nothing away. A configuration is asked for at one ([`configuration_source`]). What
+//! first, then whoever the control boxes name ([`named_control_boxes`]). Any of them may name the newest configuration and
+//! endpoints; one that is cut off or behind takes nothing away. A configuration is asked for at one ([`configuration_source`]). What
 //! requests used is told to all; what the others used is heard from two ([`tellers`]).
 //!
 //! [`configuration_source`]: crate::core::cluster::configuration_source
+//! [`named_control_boxes`]: crate::core::cluster::named_control_boxes
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -26,6 +27,7 @@
 
 use crate::core::cluster::configuration_source::ConfigurationSource;
 use crate::core::cluster::control_link::ControlLink;
+use crate::core::cluster::named_control_boxes::NamedControlBoxes;
 use crate::core::cluster::reconnect::keep_connected;
 use crate::core::cluster::tellers;
 use crate::core::cluster::tellers::Teller;
@@ -74,6 +76,8 @@
     whole_wanted: Cell<bool>,
     /// What the connections hold.
     held: Rc<HeldBytes>,
+    /// Control boxes that are named.
+    named: RefCell<NamedControlBoxes>,
     /// Control boxes to which a connection is kept.
     kept: RefCell<BTreeSet<SocketAddr>>,
     /// Connections that are open.
@@ -98,7 +102,6 @@
 /// Follows the control boxes until dropped.
 pub async fn follow(entry: Rc<Entry>) {
     let Some(settings) = entry.settings.follow.clone() else { return };
-    let seeds = settings.seeds.clone();
     let source = ConfigurationSource::new(hash::of(&entry.settings.name));
     let follower = Rc::new(Follower {
         entry,
@@ -106,6 +109,7 @@
         whole_wanted: Cell::new(false),
         settings,
         held: Rc::default(),
+        named: RefCell::default(),
         kept: RefCell::default(),
         open: RefCell::default(),
         told: RefCell::default(),
@@ -113,7 +117,7 @@
         said_done: Cell::new(false),
         clock_from: Cell::new(None),
     });
-    follower.keep(&seeds);
+    follower.keep(BTreeSet::new());
     let mut pinged = clock::now();
     let mut round: u64 = 0;
     let mut use_told = clock::now();
@@ -151,10 +155,13 @@
 
 impl Follower {
     /// Keeps a connection to each of these control boxes and to the seeds, and to no others.
-    fn keep(self: &Rc<Self>, addresses: &[SocketAddr]) {
-        let wanted: BTreeSet<SocketAddr> =
-            addresses.iter().chain(&self.settings.seeds).copied().collect();
+    fn keep(self: &Rc<Self>, mut wanted: BTreeSet<SocketAddr>) {
+        wanted.extend(&self.settings.seeds);
         let before = self.kept.replace(wanted.clone());
+        if before == wanted {
+            return;
+        }
+        Line::new("control_boxes").with("kept", wanted.len()).with("before", before.len()).info();
         for address in wanted.difference(&before) {
             let follower = Rc::clone(self);
             let address = *address;
@@ -284,11 +291,7 @@
                 let left = Duration::from_millis(left_ms);
                 registered::remember(&self.entry, &endpoints, left);
             }
-            ToEntry::ControlBoxes(addresses) => {
-                if !addresses.is_empty() {
-                    self.keep(&addresses);
-                }
-            }
+            ToEntry::ControlBoxes(named) => self.learn_control_boxes(from, &named),
             ToEntry::Loads { whole, loads } => {
                 work_at_endpoints::learn_loads(&self.entry, whole, &loads, &self.told.borrow());
             }
@@ -304,6 +307,17 @@
         }
     }
 
+    /// Learns which control boxes one of them names; none if that one doesn't know.
+    fn learn_control_boxes(self: &Rc<Self>, from: SocketAddr, named: &[SocketAddr]) {
+        if named.is_empty() {
+            return;
+        }
+        let is_open = |address: &SocketAddr| self.open.borrow().contains_key(address);
+        self.named.borrow_mut().learn(from, named, is_open);
+        let all = self.named.borrow().all();
+        self.keep(all);
+    }
+
     /// Learns which of the entry boxes this box is. Control boxes may differ in that for a while, so it goes by one of
     /// them.
     fn learn_box_number(&self, from: SocketAddr, number: BoxNumber) {
--- a/crates/vaneway-server/src/core/cluster/mod.rs
+++ b/crates/vaneway-server/src/core/cluster/mod.rs
@@ -4,6 +4,7 @@
 //! - [`wire`]: the messages between entry and control boxes;
 //! - [`reconnect`]: connections to other boxes that are opened again whenever they break;
 //! - [`follow`]: how an entry box follows the control boxes, over `control_link`;
+//! - [`named_control_boxes`]: which control boxes it follows;
 //! - [`configuration_source`]: which of them it asks for a configuration;
 //! - [`tellers`]: which of them tell it what the others use;
 //! - [`work_at_endpoints`]: what it tells and learns of the work at endpoints.
@@ -13,6 +14,7 @@
 pub mod datagram;
 pub mod follow;
 pub mod marks;
+pub mod named_control_boxes;
 pub mod reconnect;
 pub mod tellers;
 pub mod wire;
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -11,6 +11,7 @@
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
 use vaneway_route::PART_KEPT;
+use vaneway_server::core::cluster::named_control_boxes::NamedControlBoxes;
 use vaneway_server::core::cluster::tellers::TELLERS;
 use vaneway_server::core::cluster::tellers::Teller;
 use vaneway_server::core::cluster::tellers::choose;
@@ -158,6 +159,24 @@
     behind.wait_for_reports(REPORTS);
 }
 
+#[test]
+fn control_box_is_left_once_no_connected_one_names_it() {
+    let [a, b, c] = [1, 2, 3].map(address);
+    let mut named = NamedControlBoxes::default();
+    let all = |named: &NamedControlBoxes| named.all().into_iter().collect::<Vec<_>>();
+    named.learn(a, &[a, b], |_| true);
+    named.learn(b, &[a], |_| true);
+    assert_eq!(all(&named), [a, b], "one that is behind takes nothing away");
+    named.learn(a, &[a, c], |_| true);
+    assert_eq!(all(&named), [a, c]);
+    named.learn(c, &[b, c], |other| *other == c);
+    assert_eq!(
+        all(&named),
+        [b, c],
+        "what one named that was lost counts until another one names some"
+    );
+}
+
 /// Something that a control box hears, or the loss of an entry box.
 #[derive(Debug, TypeGenerator)]
 struct Step {
