--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -19,7 +19,8 @@
 //! 2. Replicas are taken away only while what is left is enough without those that only start.
 //! 3. The demand counts at its highest of late, so that a lull does not empty the fleet; for
 //!    on-demand replicas, which are dear, a shorter time back.
-//! 4. While no demand is known, the fleet that ran at first keeps its size.
+//! 4. While no demand is known, the fleet keeps the size that the last known one asked for, or that it had at
+//!    first; a demand that is known only in part ([`Planner::learn_least`]) makes it larger, never smaller.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -146,8 +147,10 @@
     policy: Policy,
     /// The highest demands of late, the latest last; each is higher than all behind it.
     demands: Vec<(Instant, f64)>,
-    /// Demand while none is known.
+    /// Demand until one is known.
     assumed: f64,
+    /// Whether a demand was ever known in full.
+    knew_demand: bool,
     /// Reclaimable replicas that ran before any order was given.
     reclaimable_at_first: Option<u32>,
     sent: BTreeMap<(ZoneName, Kind), Sent>,
@@ -187,6 +190,7 @@
             policy,
             demands: Vec::new(),
             assumed: 0.0,
+            knew_demand: false,
             reclaimable_at_first: None,
             sent: BTreeMap::new(),
             distrusted: BTreeMap::new(),
@@ -200,6 +204,13 @@
         self.learn_demand(now, input);
     }
 
+    /// Learns that the demand, which is not known in full, is at least so high. The input then names none.
+    pub fn learn_least(&mut self, now: Instant, demand: f64) {
+        if self.demands.first().is_none_or(|(_, highest)| demand > *highest) {
+            self.demands = vec![(now, demand)];
+        }
+    }
+
     /// What to order now.
     pub fn plan(&mut self, now: Instant, input: &Input) -> Vec<Order> {
         self.learn_demand(now, input);
@@ -258,18 +269,21 @@
         }
     }
 
-    /// The highest demand since `kept` before now. While none is known, the fleet that ran at first is
-    /// taken to be what the load needs.
+    /// The highest demand since `kept` before now. While none is known, what was known last stays; until one is,
+    /// the fleet that ran at first is taken to be what the load needs.
     fn highest_demand(&self, now: Instant, input: &Input, kept: Duration) -> f64 {
+        let last = self.demands.last().map(|(at, _)| *at);
+        let now = last.filter(|_| input.demand.is_none()).unwrap_or(now);
         let known = self.demands.iter().find(|(at, _)| now < *at + kept);
         let known = known.map_or(0.0, |(_, highest)| *highest);
-        if input.demand.is_none() { known.max(self.assumed) } else { known }
+        if input.demand.is_some() || self.knew_demand { known } else { known.max(self.assumed) }
     }
 
     /// Takes in the demand of now.
     fn learn_demand(&mut self, now: Instant, input: &Input) {
         self.learn_first_fleet(input);
         let Some(demand) = input.demand else { return };
+        self.knew_demand = true;
         let kept = self.policy.demand_kept;
         self.demands.retain(|(at, higher)| now < *at + kept && *higher > demand);
         self.demands.push((now, demand));
--- a/crates/vaneway-engine/src/demand.rs
+++ b/crates/vaneway-engine/src/demand.rs
@@ -22,10 +22,13 @@
     /// told; none if that can't be said. Boxes that are cut off go on taking work, about as much as the
     /// others, and of boxes that died the others take it, so the sum is not taken to rise.
     pub fn of_all(self, heard: u32, known: u32, last: Option<Self>) -> Option<Self> {
+        if heard == 0 {
+            return None;
+        }
         if heard >= known {
             return Some(self);
         }
-        let last = last.filter(|_| heard > 0)?;
+        let last = last?;
         let factor = f64::from(known) / f64::from(heard);
         let rate = |told: f64, last: f64| told.max((told * factor).min(last));
         Some(Self {
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -15,7 +15,6 @@
 use vaneway_engine::Demand;
 use vaneway_engine::EngineSize;
 use vaneway_engine::Rates;
-use vaneway_quota::Sharers;
 use vaneway_registry::Standing;
 
 use crate::core::configuration::CapacitySpec;
@@ -25,6 +24,7 @@
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
 use crate::core::control::telling;
+use crate::core::hearing::News;
 use crate::core::settings::CloudSettings;
 use crate::util::clock;
 use crate::util::logline::Line;
@@ -39,6 +39,13 @@
 /// rates are measured over, since a box that has just become the leader has not heard all of it.
 const SETTLED_AFTER: Duration = Duration::from_secs(5);
 
+/// The demand for a service, and what it was seen by.
+#[derive(Debug, Clone, Copy)]
+struct SeenDemand {
+    demand: Demand,
+    news: News,
+}
+
 /// The planners of the services for which replicas may be ordered.
 #[derive(Debug, Default)]
 pub struct Orders {
@@ -66,6 +73,7 @@
             let Some(spec) = &service.capacity else { continue };
             let (input, seen) = self.input(control, service, spec);
             let planner = self.planner(control, service);
+            learn_least(planner, seen);
             for order in planner.plan(clock::now(), &input) {
                 if !duties::holds_duty(control) {
                     return;
@@ -78,7 +86,7 @@
                     .with("count", order.count)
                     .with("limited", format!("{:.2}", input.limited))
                     .with("answer", format!("{answer:?}"));
-                with_demand(line, seen).info();
+                with_demand(line, seen, control).info();
                 planner.answered(clock::now(), &order, answer);
             }
         }
@@ -96,8 +104,10 @@
         }
         for service in &held.configuration.services {
             let Some(spec) = &service.capacity else { continue };
-            let (input, _) = self.input(control, service, spec);
-            self.planner(control, service).watch(clock::now(), &input);
+            let (input, seen) = self.input(control, service, spec);
+            let planner = self.planner(control, service);
+            learn_least(planner, seen);
+            planner.watch(clock::now(), &input);
         }
     }
 
@@ -106,26 +116,32 @@
         planner.or_insert_with(|| Planner::new(control.settings.capacity))
     }
 
-    /// What the planner of a service goes by, with the demand in full.
+    /// What the planner of a service goes by, with the demand if all of it was seen, and as much of it as was seen.
     fn input(
         &mut self,
         control: &Control,
         service: &ServiceSpec,
         spec: &CapacitySpec,
-    ) -> (Input, Option<Demand>) {
+    ) -> (Input, Option<SeenDemand>) {
         let mut input = input(control, &service.name, spec);
-        let demand = self.demand(control, service, input.running.values().sum());
-        input.demand = demand.map(|demand| demand.replicas());
-        if let Some(demand) = input.demand.filter(|demand| *demand > 0.0) {
+        let seen = self.demand(control, service, input.running.values().sum());
+        let replicas = seen.map(|seen| seen.demand.replicas());
+        input.demand = replicas.filter(|_| seen.is_some_and(|seen| seen.news.is_whole()));
+        if let Some(demand) = replicas.filter(|demand| *demand > 0.0) {
             let runs = self.rates.get(&service.name).map_or(0.0, |rates| rates.runs);
             input.limited = limited(control, &service.name, runs / demand);
         }
-        (input, demand)
+        (input, seen)
     }
 
     /// The demand for a service; none while too little was seen of its engines, or not for long, or while
     /// no entry box is heard.
-    fn demand(&mut self, control: &Control, service: &ServiceSpec, running: u32) -> Option<Demand> {
+    fn demand(
+        &mut self,
+        control: &Control,
+        service: &ServiceSpec,
+        running: u32,
+    ) -> Option<SeenDemand> {
         let engine = service.engine.as_ref()?;
         let ledger = control.use_ledger.borrow();
         let told = ledger.rates(control.now(), &service.name);
@@ -138,27 +154,49 @@
             return None;
         }
         let size = EngineSize { places: engine.slots, memory: engine.memory_tokens };
-        let Sharers { heard, known } = telling::sharers(control);
+        let news = ledger.news_of_work(control.now(), telling::sharers(control).known);
+        let News { heard, known, .. } = news;
         let last = self.rates.get(&service.name).copied();
         let rates = told.of_all(heard, known, last)?;
         if heard >= known {
             self.rates.insert(service.name.clone(), told);
         }
-        (clock::elapsed(since) >= SETTLED_AFTER).then(|| speeds.demand(rates, size, running))
+        let settled = clock::elapsed(since) >= SETTLED_AFTER;
+        settled.then(|| SeenDemand { demand: speeds.demand(rates, size, running), news })
+    }
+}
+
+/// Tells the planner of a service of a demand that was not seen in full: it may order more by that, not less.
+fn learn_least(planner: &mut Planner, seen: Option<SeenDemand>) {
+    if let Some(SeenDemand { demand, .. }) = seen.filter(|seen| !seen.news.is_whole()) {
+        planner.learn_least(clock::now(), demand.replicas());
     }
 }
 
-/// Adds the demand in replicas, and what keeps them busy.
-fn with_demand(line: Line, demand: Option<Demand>) -> Line {
-    let Some(demand) = demand else { return line.with("demand", "unknown") };
+/// Adds the demand in replicas, what keeps them busy, and whose news that goes by.
+fn with_demand(line: Line, seen: Option<SeenDemand>, control: &Control) -> Line {
+    let Some(SeenDemand { demand, news }) = seen else {
+        let known = telling::sharers(control).known;
+        let news = control.use_ledger.borrow().news_of_work(control.now(), known);
+        return with_news(line.with("demand", "unknown"), news);
+    };
     let replicas = |count: f64| format!("{count:.2}");
-    line.with("demand", replicas(demand.replicas()))
+    with_news(line, news)
+        .with("demand", replicas(demand.replicas()))
         .with("binding", demand.binding())
         .with("reading", replicas(demand.reading))
         .with("generating", replicas(demand.generating))
         .with("memory", replicas(demand.memory))
 }
 
+/// Adds whose news a decision goes by.
+fn with_news(line: Line, news: News) -> Line {
+    line.with("heard", news.heard)
+        .with("throughout", news.throughout)
+        .with("known", news.known)
+        .with("news_ms_old", news.age.as_millis())
+}
+
 /// What runs of a service and what may be ordered; the demand is filled in later.
 fn input(control: &Control, service: &str, spec: &CapacitySpec) -> Input {
     let now = clock::now();
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -21,6 +21,7 @@
 use crate::core::control::machine::Command;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
+use crate::core::control::telling;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
 use crate::core::usage::UseLedger;
@@ -33,7 +34,7 @@
 /// Time after a window's end at which its counts are fixed: entry boxes have told them by then.
 const FIX_AFTER: Duration = Duration::from_millis(1_500);
 
-/// The same while an entry box has told nothing since the window's end, since it may be cut off for a
+/// The same while an entry box that may be there has told nothing since the window's end, since it may be cut off for a
 /// while: long enough for most cuts, and short enough that a report is in time even if the leader is lost
 /// then.
 const FIX_LATEST: Duration = Duration::from_secs(5);
@@ -94,6 +95,13 @@
     !reported && (window >= first || ledger.has_window(window))
 }
 
+/// Whether all that was used from `begin` to `end` is heard, where `known` entry boxes may be there: each has told something
+/// since. If none has, nothing is known of it.
+pub fn is_whole(ledger: &UseLedger, begin: Duration, end: Duration, known: u32) -> bool {
+    let (first, last) = (vaneway_quota::slot(begin), vaneway_quota::slot(end));
+    !ledger.misses_entries(first, last) && ledger.told_since(last) >= known.max(1)
+}
+
 /// Fixes the counts of windows that ended and have no report yet; `first` is the window in which this
 /// box began to look.
 async fn fix_reports(control: &Rc<Control>, first: Window, present: Window) {
@@ -105,13 +113,21 @@
         }
         let begin = Duration::from_millis(window * length.as_millis() as u64);
         let end = begin + length;
-        let (first_slot, last_slot) = (vaneway_quota::slot(begin), vaneway_quota::slot(end));
-        let misses = control.use_ledger.borrow().misses_entries(first_slot, last_slot);
-        let after = if misses { FIX_LATEST } else { FIX_AFTER };
-        if control.time() < end + after {
+        let known = telling::sharers(control).known;
+        let since_end = control.time().saturating_sub(end);
+        let is_whole = is_whole(&control.use_ledger.borrow(), begin, end, known);
+        if since_end < if is_whole { FIX_AFTER } else { FIX_LATEST } {
             continue;
         }
         let counts = control.use_ledger.borrow().counts(window);
+        Line::new("usage_fixed")
+            .with("window", window)
+            .with("requests", counts.values().sum::<u64>())
+            .with("whole", is_whole)
+            .with("heard", control.use_ledger.borrow().told_since(vaneway_quota::slot(end)))
+            .with("known", known)
+            .with("ended_ms_ago", since_end.as_millis())
+            .info();
         let command = Command::FixUsage { window, counts };
         group::propose(control, &command, clock::now() + FIX_WITHIN).await;
     }
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod endpoints;
 pub mod entry;
 pub mod entry_start;
+pub mod hearing;
 pub mod kept_parts;
 pub mod limits;
 pub mod loads;
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-server/src/core/usage.rs
@@ -23,6 +23,8 @@
 use crate::core::cluster_time::ClusterTime;
 use crate::core::cluster_time::Window;
 use crate::core::entry_start::EntryStart;
+use crate::core::hearing::Hearing;
+use crate::core::hearing::News;
 use crate::core::loads::LoadLedger;
 use crate::core::loads::Loads;
 use crate::core::quota_ledger::QuotaLedger;
@@ -144,8 +146,8 @@
     windows: BTreeMap<Window, BTreeMap<EntryStart, Counts>>,
     quotas: QuotaLedger,
     loads: LoadLedger,
-    /// When each entry box last told anything.
-    told: BTreeMap<EntryStart, Told>,
+    /// When each entry box told anything.
+    hearing: Hearing,
     /// The slot in which starts were last forgotten.
     forgot_in: Slot,
     /// What each entry box last told of the engines of each service.
@@ -154,32 +156,15 @@
     arrived: BTreeMap<Slot, BTreeMap<String, Totals>>,
 }
 
-/// When an entry box last told anything.
-#[derive(Debug, Clone, Copy)]
-struct Told {
-    /// When the report came.
-    slot: Slot,
-    /// When it was made, if the entry box knew the cluster's time.
-    at: Option<Duration>,
-}
-
 /// Windows that a control box remembers.
 const LEDGER_WINDOWS: usize = 16;
 
-/// Age of a report up to which an entry box counts as heard: two tellings and the way. Who isn't heard keeps
-/// its part of each quota, so that none of the others takes it.
-const HEARD_WITHIN: Duration = Duration::from_millis(250);
-
 /// Slots over which the demand is measured: a few seconds.
 const DEMAND_SLOTS: u64 = 8;
 
 /// Slots of work that are remembered.
 const DEMAND_SLOTS_KEPT: usize = 16;
 
-/// Slots of silence after which a start of an entry box is forgotten: half a minute, longer than a
-/// window may still be reported, and than a box that was cut off may come back with.
-const STARTS_KEPT: u64 = 60;
-
 impl UseLedger {
     /// Takes a report in; `now` is the cluster's time, beyond which nothing can have been used.
     pub fn merge(&mut self, now: ClusterNow, entry: &EntryStart, report: &UseReport) {
@@ -197,7 +182,7 @@
             self.windows.pop_first();
         }
         self.quotas.merge(now, entry, &report.quotas);
-        self.told.insert(entry.clone(), Told { slot: now.slot, at: report.at });
+        self.hearing.learn(now, entry, report.at);
         self.forget_starts(now);
         if let Some(loads) = &report.loads {
             self.loads.replace(entry, loads);
@@ -211,27 +196,26 @@
         if std::mem::replace(&mut self.forgot_in, now.slot) == now.slot {
             return;
         }
-        let Self { told, work, quotas, .. } = self;
-        told.retain(|_, told| told.slot + STARTS_KEPT >= now.slot);
-        work.retain(|entry, _| told.contains_key(entry));
-        quotas.forget(|entry| told.contains_key(entry));
+        let Self { hearing, work, quotas, .. } = self;
+        hearing.forget(now.slot);
+        work.retain(|entry, _| hearing.has(entry));
+        quotas.forget(|entry| hearing.has(entry));
     }
 
     /// Learns that a start of an entry box has told all that it ever will.
     pub fn end_start(&mut self, entry: &EntryStart) {
-        self.told.remove(entry);
+        self.hearing.end(entry);
     }
 
     /// When the last report of an entry box was made that is recent at `now`; none if there is none, or if
     /// the box's idea of the cluster's time is another.
     pub fn heard_at(&self, now: Duration, entry: &EntryStart) -> Option<Duration> {
-        let at = self.told.get(entry)?.at?;
-        (now.abs_diff(at) <= HEARD_WITHIN).then_some(at)
+        self.hearing.made_at(now, entry)
     }
 
     /// Starts of entry boxes that are remembered.
     pub fn starts(&self) -> usize {
-        self.told.len()
+        self.hearing.starts()
     }
 
     fn merge_work(&mut self, now: ClusterNow, entry: &EntryStart, work: &[(String, EngineUse)]) {
@@ -243,6 +227,8 @@
             let slot = self.arrived.entry(now.slot).or_default();
             *slot.entry(service.clone()).or_default() += seen.totals.since(before.totals);
         }
+        // After a step back, slots that the time has not reached would take the place of those of now.
+        drop(self.arrived.split_off(&(now.slot + 1)));
         while self.arrived.len() > DEMAND_SLOTS_KEPT {
             self.arrived.pop_first();
         }
@@ -277,7 +263,17 @@
     /// Whether an entry box told something in a window, from the slot `begin` on, and nothing since its
     /// end: it may have more to tell of it.
     pub fn misses_entries(&self, begin: Slot, end: Slot) -> bool {
-        self.told.values().any(|told| (begin..=end).contains(&told.slot))
+        self.hearing.misses(begin, end)
+    }
+
+    /// Entry boxes that told something after the slot `end`, and so all that they had used until then.
+    pub fn told_since(&self, end: Slot) -> u32 {
+        self.hearing.told_since(end)
+    }
+
+    /// What the rates of work rest on, where `known` entry boxes may be there.
+    pub fn news_of_work(&self, now: ClusterNow, known: u32) -> News {
+        self.hearing.news(now, DEMAND_SLOTS, known)
     }
 
     /// Whether any entry box told of requests in a window.
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -246,6 +246,25 @@
     assert!(reclaimable <= 2 * before, "{reclaimable} of {before}");
 }
 
+/// A leader whose entry boxes were gone took their silence for a demand of zero, and ordered one replica in each
+/// availability zone where two dozen ran.
+#[test]
+fn demand_that_is_unknown_or_known_in_part_takes_no_replica_away() {
+    let mut cloud = Cloud::new();
+    cloud.input.demand = Some(5.0);
+    cloud.pass(Duration::from_secs(12));
+    let before = cloud.running();
+    cloud.input.demand = None;
+    cloud.pass(2 * POLICY.demand_kept);
+    assert_eq!(cloud.running(), before);
+    cloud.planner.learn_least(cloud.now, 0.5);
+    cloud.pass(2 * POLICY.demand_kept);
+    assert_eq!(cloud.running(), before);
+    cloud.planner.learn_least(cloud.now, 7.0);
+    cloud.pass(Duration::from_secs(12));
+    assert!(cloud.running() > before, "{:?}", cloud.input.running);
+}
+
 #[test]
 fn burst_that_is_over_holds_no_on_demand_replicas() {
     let mut cloud = Cloud::new();
--- a/tests/testsuite/decisions_of_control.rs
+++ b/tests/testsuite/decisions_of_control.rs
@@ -14,6 +14,7 @@
 use vaneway_server::core::configuration::Configuration;
 use vaneway_server::core::control::clock::Clock;
 use vaneway_server::core::control::duties::is_due;
+use vaneway_server::core::control::duties::is_whole;
 use vaneway_server::core::control::machine::Command;
 use vaneway_server::core::control::machine::Effect;
 use vaneway_server::core::control::machine::Held;
@@ -175,6 +176,70 @@
     assert!(!done.misses_entries(begin, end));
 }
 
+/// A leader that had lost all entry boxes before a window began reported no requests in it.
+#[test]
+fn window_is_heard_whole_only_once_all_entry_boxes_that_may_be_there_told_something_since() {
+    let at = cluster_now;
+    let (one, two) = (("one".to_owned(), 1), ("two".to_owned(), 1));
+    let report = vaneway_server::core::usage::UseReport::default();
+    let mut ledger = UseLedger::default();
+    let whole = |ledger: &UseLedger, known| is_whole(ledger, at(100).time, at(105).time, known);
+    ledger.merge(at(99), &one, &report);
+    ledger.merge(at(99), &two, &report);
+    assert!(!whole(&ledger, 2), "both fell silent before the window");
+    assert!(!whole(&ledger, 0), "nobody is known, and nothing of the window");
+    ledger.merge(at(106), &one, &report);
+    assert!(!whole(&ledger, 2));
+    assert!(whole(&ledger, 1), "nobody else can be there");
+    ledger.merge(at(106), &two, &report);
+    assert!(whole(&ledger, 2));
+    // One that stopped as planned and said so has nothing more to tell.
+    ledger.end_start(&two);
+    assert!(whole(&ledger, 2));
+}
+
+/// What the demand goes by must have been heard over all of the time that it is measured over.
+#[test]
+fn work_is_heard_whole_only_from_all_boxes_that_may_be_there_and_without_a_break() {
+    let at = cluster_now;
+    let entries = ["one", "two"].map(|name| (name.to_owned(), 1));
+    let report = vaneway_server::core::usage::UseReport::default();
+    let hear = |ledger: &mut UseLedger, seconds: std::ops::Range<u64>, count: usize| {
+        for second in seconds {
+            let heard = entries.iter().take(count);
+            heard.for_each(|entry| ledger.merge(at(second), entry, &report));
+        }
+    };
+    let mut ledger = UseLedger::default();
+    assert!(
+        !ledger.news_of_work(at(99), 0).is_whole(),
+        "nobody is known, and nothing of the demand"
+    );
+    hear(&mut ledger, 100..103, 2);
+    let news = ledger.news_of_work(at(102), 2);
+    assert_eq!((news.heard, news.throughout, news.is_whole()), (2, 0, false), "not for long");
+    hear(&mut ledger, 103..110, 2);
+    let news = ledger.news_of_work(at(109), 2);
+    assert_eq!((news.heard, news.throughout, news.is_whole()), (2, 2, true));
+    assert!(!ledger.news_of_work(at(109), 3).is_whole(), "one that may be there is not heard");
+    // It is connected and tells nothing.
+    hear(&mut ledger, 110..115, 1);
+    let news = ledger.news_of_work(at(114), 2);
+    assert_eq!((news.heard, news.throughout, news.is_whole()), (1, 1, false));
+    hear(&mut ledger, 115..116, 2);
+    assert!(
+        ledger.news_of_work(at(115), 2).is_whole(),
+        "what it had not told came with its next report"
+    );
+    // What was counted before the time stepped doesn't stand where it belongs.
+    for stepped in [130, 110] {
+        hear(&mut ledger, stepped..stepped + 2, 2);
+        assert!(!ledger.news_of_work(at(stepped + 1), 2).is_whole());
+        hear(&mut ledger, stepped + 2..stepped + 8, 2);
+        assert!(ledger.news_of_work(at(stepped + 7), 2).is_whole());
+    }
+}
+
 /// Found on scale-1 of kbd-vaneway, seed 292799700553: all control boxes were without power at the end of a
 /// window, and none reported it afterwards.
 #[test]
