--- a/tests/testsuite/control_memory.rs
+++ b/tests/testsuite/control_memory.rs
@@ -1,6 +1,7 @@
 //! Memory of control boxes while entry boxes take slowly what they are told.
 
 use std::path::Path;
+use std::rc::Rc;
 
 use vaneway_agreement::Append;
 use vaneway_agreement::Entry;
@@ -11,6 +12,9 @@
 use vaneway_agreement::Payload;
 use vaneway_agreement::Snapshot;
 use vaneway_server::core::control::memory::without_writes;
+use vaneway_server::util::frames::Encoded;
+use vaneway_server::util::outgoing::HeldBytes;
+use vaneway_server::util::outgoing::Outgoing;
 use vaneway_test_support::ControlGroup;
 use vaneway_test_support::SlowReaders;
 use vaneway_test_support::configurations::with_routes;
@@ -47,6 +51,26 @@
     storm(BoxVersion::Earlier);
 }
 
+/// Entry boxes of a large fleet.
+const ENTRY_BOXES: usize = 295;
+
+/// Guards against queues that each have a bound and are larger than a control box's memory in sum.
+#[test]
+fn what_waits_for_all_entry_boxes_fits_into_memory() {
+    let held = Rc::new(HeldBytes::default());
+    let queues: Vec<Outgoing> = (0..ENTRY_BOXES).map(|_| Outgoing::new(&held)).collect();
+    let message = Encoded::new(&vec![0_u8; 15 << 10]);
+    'all: for _ in 0..270 {
+        for queue in &queues {
+            queue.send_encoded(&message);
+            if held.waiting() as u64 > MEMORY_MOST {
+                break 'all;
+            }
+        }
+    }
+    assert!(held.waiting() as u64 <= MEMORY_MOST, "{} bytes wait", held.waiting());
+}
+
 fn storm(of: BoxVersion) {
     let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 1);
     group.leader();
--- a/tests/testsuite/news_between_boxes.rs
+++ b/tests/testsuite/news_between_boxes.rs
@@ -6,6 +6,7 @@
 //! does, so that the bound is that of the merges alone.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::fmt::Debug;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 use vaneway_limit::NamedLimit;
 use vaneway_limit::NamedLimits;
+use vaneway_quarantine::Case;
 use vaneway_quarantine::Finding;
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
@@ -410,6 +412,34 @@
     assert_eq!(full.cases().len() as u64, CASES_MOST);
 }
 
+/// Guards against a clearance that is forgotten before the condemnation that it ended, which a box that was cut off still holds.
+#[test]
+fn request_that_an_operator_released_is_not_condemned_again_by_a_box_that_was_cut_off() {
+    let ends = BTreeMap::from([(Incarnation::new("i-1", 1), Progress::Reading)]);
+    let condemned = Case { ends, verdict: Verdict::Condemned, at: START };
+    let condemned = Finding::Case { fingerprint: 1, case: condemned };
+    let (mut cut_off, mut others) = (Quarantine::default(), Quarantine::default());
+    cut_off.merge(START, std::slice::from_ref(&condemned));
+    others.merge(START, &[condemned]);
+    assert!(others.served(START + Duration::from_secs(10), 1), "it is released");
+    let now = START + Duration::from_secs(71);
+    let news = others.merge(now, &cut_off.all(now));
+    assert_eq!(news, [], "it was released 61 s ago");
+}
+
+/// Guards against a limit that has ended and is in force again once its end is forgotten, by the word of a box that was cut off.
+#[test]
+fn limit_that_ended_is_not_named_again_by_a_box_that_was_cut_off() {
+    let (mut cut_off, mut others) = (NamedLimits::default(), NamedLimits::default());
+    cut_off.answered(START, "i-1", 1, Some("0".parse().expect("a rate")));
+    others.merge(START, &cut_off.all());
+    others.answered(START + Duration::from_secs(1), "i-1", 1, None).expect("it has ended");
+    let now = START + Duration::from_secs(62);
+    NamedLimits::forget(&mut others, now, |_, _| true);
+    let news = others.merge(now, &cut_off.all());
+    assert_eq!(news, [], "it ended 61 s ago");
+}
+
 /// Guards against reports of endpoints that nobody hears of any more and that come back again and again.
 #[test]
 fn report_of_an_endpoint_is_passed_on_once_whatever_its_age() {
