--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -161,7 +161,10 @@
         if before == wanted {
             return;
         }
-        Line::new("control_boxes").with("kept", wanted.len()).with("before", before.len()).info();
+        if !before.is_empty() {
+            let (kept, before) = (wanted.len(), before.len());
+            Line::new("control_boxes").with("kept", kept).with("before", before).info();
+        }
         for address in wanted.difference(&before) {
             let follower = Rc::clone(self);
             let address = *address;
