--- a/crates/vaneway-server/src/ops/run.rs
+++ b/crates/vaneway-server/src/ops/run.rs
@@ -21,6 +21,7 @@
 use crate::core::settings::ControlSettings;
 use crate::core::settings::ProcessSettings;
 use crate::core::settings::Settings;
+use crate::util::logline;
 use crate::util::logline::Line;
 use crate::util::signals::Signal;
 
@@ -105,6 +106,7 @@
 ) -> eyre::Result<()> {
     let entry = running::spawn_with(settings, callers).await?;
     let state = Rc::clone(entry.entry());
+    compio::runtime::spawn(logline::pass_on_waiting(state.timers.clone())).detach();
     signals.wait_for_stop(move || state.dump()).await?;
     match entry.stop().await {
         0 => Ok(()),
@@ -120,6 +122,7 @@
 ) -> eyre::Result<()> {
     let control = control::running::spawn(settings, protocol, cloud).await?;
     let state = Rc::clone(control.control());
+    compio::runtime::spawn(logline::pass_on_waiting(state.timers.clone())).detach();
     signals.wait_for_stop(move || state.dump()).await?;
     control.stop().await;
     Ok(())
--- a/crates/vaneway-server/src/util/log_output.rs
+++ b/crates/vaneway-server/src/util/log_output.rs
@@ -112,7 +112,7 @@
 
 impl<S: Sink> Output<S> {
     /// An output with nothing in it.
-    pub fn new(sink: S) -> Self {
+    pub const fn new(sink: S) -> Self {
         Self { sink, waiting: VecDeque::new(), dropped: 0 }
     }
 
--- a/crates/vaneway-server/src/util/logline.rs
+++ b/crates/vaneway-server/src/util/logline.rs
@@ -5,7 +5,12 @@
 
 use std::cell::RefCell;
 use std::fmt::Write as _;
-use std::io::Write as _;
+use std::io;
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
 
 use env_logger::Env;
 use env_logger::Target;
@@ -15,15 +20,48 @@
 use crate::util::log_output::Budgets;
 use crate::util::log_output::Output;
 use crate::util::log_output::Stdout;
+use crate::util::timers::Timers;
 
 /// Environment variable that sets the log level, for example `VANEWAY_LOG=debug`.
 pub const LEVEL_VARIABLE: &str = "VANEWAY_LOG";
 
+/// Time between two looks whether the reader takes what waits for it.
+const PASS_ON_EVERY: Duration = Duration::from_millis(100);
+
+/// What all lines go through.
+static OUTPUT: Mutex<Output<Stdout>> = Mutex::new(Output::new(Stdout));
+
+fn output() -> MutexGuard<'static, Output<Stdout>> {
+    OUTPUT.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The logger's way to [`OUTPUT`].
+struct ToOutput;
+
+impl Write for ToOutput {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        output().write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        output().flush()
+    }
+}
+
+/// Passes on lines that wait for their reader also while no others are logged, until dropped.
+pub async fn pass_on_waiting(timers: Timers) {
+    loop {
+        timers.sleep(PASS_ON_EVERY).await;
+        // Where standard output is gone there is nowhere to say so.
+        let _passed_on = output().flush();
+    }
+}
+
 /// Sends log lines to standard output, from level `info` up unless the environment says otherwise.
 pub fn init() {
     let env = Env::new().filter_or(LEVEL_VARIABLE, "info,compio=warn,hyper=warn,cyper=warn");
     let mut builder = env_logger::Builder::from_env(env);
-    builder.target(Target::Pipe(Box::new(Output::new(Stdout))));
+    builder.target(Target::Pipe(Box::new(ToOutput)));
     builder.format(|out, record| {
         let since = clock::since_epoch();
         let level = record.level().as_str().to_ascii_lowercase();
--- a/tests/testsuite/logs.rs
+++ b/tests/testsuite/logs.rs
@@ -5,6 +5,8 @@
 use std::io::BufReader;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::Path;
 use std::process::Command;
 use std::process::Stdio;
@@ -141,3 +143,45 @@
     let refused = lines.filter(|line| line.contains("event=request_refused")).count();
     assert!((1..150).contains(&refused), "the pipe was full long before the last: {refused}");
 }
+
+/// Guards against a line that waits for its reader until the process logs another one, which may be never.
+#[test]
+fn line_that_waited_for_its_reader_arrives_though_none_follows() {
+    let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listen = free.local_addr().expect("the port is bound");
+    drop(free);
+    let folder = tempfile::tempdir().expect("a folder");
+    let settings = json!({
+        "name": "entry-1",
+        "availability_zone": "a",
+        "availability_zones": ["a"],
+        "listen": listen,
+        "operators": { "listen": "127.0.0.1:0" },
+        "control": { "seeds": ["127.0.0.1:9"], "port": 9 },
+    });
+    let file = folder.path().join("entry-1.json");
+    std::fs::write(&file, settings.to_string()).expect("the settings can be written");
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    rustix::pipe::fcntl_setpipe_size(&reader, SMALL_PIPE).expect("the pipe can be made smaller");
+    let mut child = Command::new(Path::new(env!("CARGO_BIN_EXE_vaneway")))
+        .args(["run", "--adapter", "platform"])
+        .arg(&file)
+        .stdout(writer)
+        .spawn()
+        .expect("the process starts");
+    // Once it answers, its first line fills the pipe, and the one on its start waits.
+    let end = Instant::now() + ANSWERED_WITHIN;
+    while TcpStream::connect(listen).is_err() && Instant::now() < end {
+        std::thread::yield_now();
+    }
+    assert_eq!(statuses_of(listen, 1), [503]);
+    let (tx, rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut lines = BufReader::new(reader).lines().map_while(Result::ok);
+        tx.send(lines.any(|line| line.contains("event=started")))
+    });
+    let arrived = rx.recv_timeout(ANSWERED_WITHIN);
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    assert_eq!(arrived, Ok(true));
+}
