--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -242,13 +242,24 @@
         state: &str,
         seq: u64,
     ) -> (String, String) {
-        let body = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"a","version":"v1","slots":8,"state":"{state}","cold_left_ms":0,"seq":{seq}}}"#
-        );
-        (format!("/instances/{}/heartbeat", self.instance), body)
+        self::heartbeat(&self.instance, address, service, state, seq)
     }
 }
 
+/// Path and body of the heartbeat of an endpoint.
+pub(crate) fn heartbeat(
+    instance: &str,
+    address: SocketAddr,
+    service: &str,
+    state: &str,
+    seq: u64,
+) -> (String, String) {
+    let body = format!(
+        r#"{{"service":"{service}","address":"{address}","zone":"a","version":"v1","slots":8,"state":"{state}","cold_left_ms":0,"seq":{seq}}}"#
+    );
+    (format!("/instances/{instance}/heartbeat"), body)
+}
+
 /// A request that is running, until dropped.
 #[derive(Debug)]
 struct Run(Arc<Mutex<State>>);
