--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -7,6 +7,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::Stream;
 use futures_util::stream::unfold;
@@ -22,6 +23,7 @@
 use crate::core::calls::call_limits::CallLimits;
 use crate::core::calls::events::EventSplitter;
 use crate::core::calls::events::RawEvent;
+use crate::core::calls::events::is_event_stream;
 use crate::core::endpoints::link::ConnectionBody;
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::endpoints::protocol::Dispatch;
@@ -129,6 +131,8 @@
 enum Stage<E> {
     Sending(Box<CallAttempt<E>>),
     Reading(Box<EventStreamReader>),
+    /// All events have arrived.
+    Complete(Box<EventStreamReader>),
     Over,
 }
 
@@ -154,6 +158,7 @@
                 // Boxed, so that its memory is freed before the response is read.
                 Stage::Sending(sending) => Some(Box::pin(sending.send()).await),
                 Stage::Reading(reader) => Some(next_event(reader).await),
+                Stage::Complete(reader) => Some((complete(*reader), Stage::Over)),
                 Stage::Over => None,
             }
         })
@@ -209,7 +214,7 @@
         let item = match kind {
             ResponseKind::Answer => {
                 let streamed = matches!(request.form, AnswerForm::EventStream { .. });
-                if streamed && head.status.is_success() {
+                if streamed && head.status.is_success() && is_event_stream(&head.headers) {
                     let reader = EventStreamReader {
                         endpoint,
                         addr: spec.address,
@@ -356,30 +361,41 @@
         let timers = reader.entry.timers.clone();
         match timers.timeout_at(until, reader.body.data()).await {
             Some(Some(Ok(data))) => reader.splitter.push(&data),
-            Some(None) => return end_of_stream(reader),
+            Some(None) => match std::mem::take(&mut reader.splitter).into_remainder() {
+                Some(remainder) => return end_of_stream(reader, remainder),
+                None => break "the stream ended inside an event".to_owned(),
+            },
             Some(Some(Err(error))) => break error.to_string(),
             None => break "the endpoint sent nothing for too long".to_owned(),
         }
     };
+    (broken_off(reader, cause).await, Stage::Over)
+}
+
+/// The end of an event stream that is not complete.
+async fn broken_off(mut reader: Box<EventStreamReader>, cause: String) -> CallItem {
     let outcome = reader.attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
     let progress =
         if reader.occupancy.is_responding() { Progress::Answering } else { Progress::Reading };
     let EventStreamReader { entry, request, endpoint, .. } = &*reader;
-    let item = CallItem::broken(entry, request, *endpoint, progress, outcome, cause).await;
-    (item, Stage::Over)
+    CallItem::broken(entry, request, *endpoint, progress, outcome, cause).await
 }
 
-fn end_of_stream<E>(mut reader: Box<EventStreamReader>) -> (CallItem, Stage<E>) {
-    let remainder = std::mem::take(&mut reader.splitter).into_remainder();
-    if !remainder.is_empty() {
-        let event = RawEvent { number: None, bytes: remainder };
-        return (CallItem::Event(event), Stage::Reading(reader));
+/// The end of a complete event stream, of which `remainder` follows its last event.
+fn end_of_stream<E>(reader: Box<EventStreamReader>, remainder: Bytes) -> (CallItem, Stage<E>) {
+    if remainder.is_empty() {
+        return (complete(*reader), Stage::Over);
     }
-    let EventStreamReader { entry, addr, body, mut attempt, mut occupancy, .. } = *reader;
+    let event = RawEvent { number: None, bytes: remainder };
+    (CallItem::Event(event), Stage::Complete(reader))
+}
+
+fn complete(reader: EventStreamReader) -> CallItem {
+    let EventStreamReader { entry, addr, body, mut attempt, mut occupancy, .. } = reader;
     occupancy.mark_complete();
     let outcome = attempt.handle(AttemptEvent::End).unwrap_or(Outcome::Done);
     entry.connections.release(addr, body);
-    (CallItem::ended(outcome, ""), Stage::Over)
+    CallItem::ended(outcome, "")
 }
 
 /// Reads a complete response if it fits into the limit; otherwise forwards its rest as it arrives.
--- a/crates/vaneway-server/src/core/calls/events.rs
+++ b/crates/vaneway-server/src/core/calls/events.rs
@@ -7,6 +7,19 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use hyper::HeaderMap;
+use hyper::header::CONTENT_TYPE;
+
+/// The media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Whether a response is an event stream, as far as its headers show: one without a `Content-Type` is
+/// taken for what its request asked for.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(content_type) = headers.get(CONTENT_TYPE) else { return true };
+    let media_type = content_type.to_str().unwrap_or_default().split(';').next();
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
 
 /// One event as it was received.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,9 +52,10 @@
         Some(RawEvent { number: event_number(&bytes), bytes })
     }
 
-    /// The bytes that remain when the body has ended.
-    pub fn into_remainder(self) -> Bytes {
-        self.buffer.freeze()
+    /// The bytes after the last event when the body has ended; none if it ended inside an event.
+    pub fn into_remainder(self) -> Option<Bytes> {
+        let ended_inside_event = is_inside_event(&self.buffer);
+        (!ended_inside_event).then(|| self.buffer.freeze())
     }
 
     /// Offset of the end of the first event, which is after an empty line.
@@ -60,6 +74,19 @@
     }
 }
 
+/// Whether bytes end inside an event that begins in them. Lines may end with a carriage return, a
+/// newline or both, and comments belong to no event.
+fn is_inside_event(bytes: &[u8]) -> bool {
+    let mut rest = bytes;
+    let mut is_inside = false;
+    while let Some(length) = rest.iter().position(|byte| matches!(byte, b'\r' | b'\n')) {
+        let (line, end) = rest.split_at(length);
+        is_inside = !line.is_empty() && (is_inside || !line.starts_with(b":"));
+        rest = end.strip_prefix(b"\r\n").unwrap_or(&end[1..]);
+    }
+    is_inside || !rest.is_empty()
+}
+
 fn event_number(event: &[u8]) -> Option<u32> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -211,14 +211,15 @@
     }
 }
 
-/// Guards against a complete stream that counts as broken off for the empty lines after its last
-/// event, or for lines that end with a carriage return, and against bytes that are left out of it.
+/// Guards against a complete stream that counts as broken off for the lines after its last event,
+/// which are no event, or for lines that end with a carriage return, and against bytes that are left out of it.
 #[test]
 fn stream_is_complete_after_an_empty_line_of_any_form() {
     let setup = Setup::start();
     let bodies = [
         format!("{}\n", events(0)),
         format!("{}\r\n\n", events(0)),
+        format!("{}: the end\n", events(0)),
         events(0).replace('\n', "\r\n"),
         events(0).replace('\n', "\r"),
     ];
@@ -288,6 +289,18 @@
     }
 }
 
+/// Guards against an answer that is no event stream and is passed on up to an empty line in it, so
+/// that no other endpoint can answer once it breaks off.
+#[test]
+fn answer_to_a_stream_request_that_is_no_event_stream_is_retried_when_it_breaks_off() {
+    let setup = Setup::start();
+    let broken_off = Answer::buffered(Framing::CutLength, NO_STREAM, End::Close);
+    let whole = Answer::buffered(Framing::Length, NO_STREAM, End::Close);
+    let response = setup.send("again", "/stream/x", &[broken_off, whole]);
+    let seen = (response.status, response.complete, text(&response));
+    assert_eq!(seen, (200, true, NO_STREAM.to_owned()));
+}
+
 /// Guards against a broken-off answer that is no event stream and is passed on as complete.
 #[test]
 fn unframed_answer_to_a_stream_request_whose_endpoint_crashed_is_broken_off() {
