--- a/crates/vaneway-server/src/core/cluster_time.rs
+++ b/crates/vaneway-ledger/src/cluster_time.rs
@@ -9,7 +9,7 @@
 pub type Window = u64;
 
 /// Number of windows or slots by which another box's time may be ahead.
-pub(super) const MAX_AHEAD: u64 = 1;
+pub(crate) const MAX_AHEAD: u64 = 1;
 
 /// Cluster time: the time of day that the control boxes agree on, relative to this box's monotonic
 /// clock, which no step of the time of day changes.
--- a/crates/vaneway-server/src/core/loads.rs
+++ b/crates/vaneway-ledger/src/load_ledger.rs
@@ -14,7 +14,7 @@
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
 
-use crate::core::entry_incarnation::EntryIncarnation;
+use crate::entry_incarnation::EntryIncarnation;
 
 /// Load at some endpoints.
 pub type Loads = Vec<(InstanceId, Load)>;
--- a/crates/vaneway-server/src/core/quota_ledger.rs
+++ b/crates/vaneway-ledger/src/quota_ledger.rs
@@ -14,11 +14,11 @@
 use vaneway_quota::RETAINED_SLOTS;
 use vaneway_quota::Slot;
 
-use crate::core::cluster_time::ClusterNow;
-use crate::core::cluster_time::MAX_AHEAD;
-use crate::core::entry_incarnation::EntryIncarnation;
-use crate::core::quota_usage::OthersQuotaUsage;
-use crate::core::quota_usage::OwnQuotaUsage;
+use crate::cluster_time::ClusterNow;
+use crate::cluster_time::MAX_AHEAD;
+use crate::entry_incarnation::EntryIncarnation;
+use crate::quota_usage::OthersQuotaUsage;
+use crate::quota_usage::OwnQuotaUsage;
 
 /// Number of quota slots that a control box retains.
 const RETAINED_LEDGER_SLOTS: usize = RETAINED_SLOTS as usize + 4;
@@ -73,7 +73,7 @@
 
 impl QuotaLedger {
     /// Merges the usage that an entry box reported.
-    pub(super) fn merge(
+    pub(crate) fn merge(
         &mut self,
         now: ClusterNow,
         entry: &EntryIncarnation,
@@ -118,7 +118,7 @@
 
     /// Removes the incarnations of entry boxes for which `is_tracked` does not hold, once the sums
     /// contain nothing of their usage: until then, a repeated report would be added a second time.
-    pub(super) fn expire(&mut self, is_tracked: impl Fn(&EntryIncarnation) -> bool) {
+    pub(crate) fn expire(&mut self, is_tracked: impl Fn(&EntryIncarnation) -> bool) {
         let first = self.totals.first_key_value().map_or(0, |(slot, _)| *slot);
         self.by_incarnation.retain(|entry, reported| {
             is_tracked(entry) || reported.admitted.range(first..).next().is_some()
--- a/crates/vaneway-server/src/core/report_tracker.rs
+++ b/crates/vaneway-ledger/src/report_tracker.rs
@@ -12,8 +12,8 @@
 
 use vaneway_quota::Slot;
 
-use crate::core::cluster_time::ClusterNow;
-use crate::core::entry_incarnation::EntryIncarnation;
+use crate::cluster_time::ClusterNow;
+use crate::entry_incarnation::EntryIncarnation;
 
 /// Age up to which the last report of an entry box lets it count among those that share quotas: two
 /// report intervals and the network delay. An entry box whose report is older keeps its share of
--- a/crates/vaneway-server/src/core/usage.rs
+++ b/crates/vaneway-ledger/src/usage_ledger.rs
@@ -18,17 +18,17 @@
 use vaneway_engine::Totals;
 use vaneway_quota::Slot;
 
-use crate::core::cluster_time::ClusterNow;
-use crate::core::cluster_time::ClusterTime;
-use crate::core::cluster_time::MAX_AHEAD;
-use crate::core::cluster_time::Window;
-use crate::core::entry_incarnation::EntryIncarnation;
-use crate::core::loads::LoadLedger;
-use crate::core::loads::Loads;
-use crate::core::quota_ledger::QuotaLedger;
-use crate::core::quota_usage::OwnQuotaUsage;
-use crate::core::report_tracker::ReportCoverage;
-use crate::core::report_tracker::ReportTracker;
+use crate::cluster_time::ClusterNow;
+use crate::cluster_time::ClusterTime;
+use crate::cluster_time::MAX_AHEAD;
+use crate::cluster_time::Window;
+use crate::entry_incarnation::EntryIncarnation;
+use crate::load_ledger::LoadLedger;
+use crate::load_ledger::Loads;
+use crate::quota_ledger::QuotaLedger;
+use crate::quota_usage::OwnQuotaUsage;
+use crate::report_tracker::ReportCoverage;
+use crate::report_tracker::ReportTracker;
 
 /// Number of requests by organisation.
 pub type Counts = BTreeMap<String, u64>;
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -14,6 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vaneway_agreement::NodeId;
+use vaneway_ledger::Loads;
+use vaneway_ledger::OthersQuotaUsage;
+use vaneway_ledger::UsageReport;
 use vaneway_limit::BoxNumber;
 use vaneway_limit::EndpointLimit;
 use vaneway_quarantine::QuarantineRecord;
@@ -23,9 +26,6 @@
 use crate::core::configuration::Configuration;
 use crate::core::configuration::Version;
 use crate::core::configuration_change::ConfigurationChange;
-use crate::core::loads::Loads;
-use crate::core::quota_usage::OthersQuotaUsage;
-use crate::core::usage::UsageReport;
 use crate::util::send_queue::Topic;
 
 /// Time between two usage reports, and between two usage updates. The age of the usage that an
--- a/crates/vaneway-server/src/core/cluster/work_at_endpoints.rs
+++ b/crates/vaneway-server/src/core/cluster/work_at_endpoints.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use vaneway_ledger::Loads;
 use vaneway_registry::InstanceId;
 use vaneway_route::Load;
 use vaneway_route::PartId;
 
 use crate::core::cached_parts::CachedParts;
 use crate::core::entry::Entry;
-use crate::core::loads::Loads;
 use crate::util::clock;
 
 /// This box's load at each registered endpoint where it has any.
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -14,6 +14,7 @@
 use vaneway_engine::Demand;
 use vaneway_engine::EngineSize;
 use vaneway_engine::Rates;
+use vaneway_ledger::ReportCoverage;
 use vaneway_registry::Lifecycle;
 
 use crate::core::configuration::CapacitySpec;
@@ -23,7 +24,6 @@
 use crate::core::control::entry_updates;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
-use crate::core::report_tracker::ReportCoverage;
 use crate::core::settings::CloudSettings;
 use crate::util::clock;
 use crate::util::logline::Line;
--- a/crates/vaneway-server/src/core/control/clock.rs
+++ b/crates/vaneway-server/src/core/control/clock.rs
@@ -13,8 +13,7 @@
 use std::time::Instant;
 
 use vaneway_agreement::NodeId;
-
-use crate::core::cluster_time::ClusterTime;
+use vaneway_ledger::ClusterTime;
 
 /// Maximum age of another box's time of day.
 const MAX_PEER_TIME_AGE: Duration = Duration::from_secs(5);
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -13,8 +13,9 @@
 use hyper::StatusCode;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
+use vaneway_ledger::UsageLedger;
+use vaneway_ledger::Window;
 
-use crate::core::cluster_time::Window;
 use crate::core::control::capacity::Orders;
 use crate::core::control::entry_updates;
 use crate::core::control::group;
@@ -23,7 +24,6 @@
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
-use crate::core::usage::UsageLedger;
 use crate::util::clock;
 use crate::util::logline::Line;
 
--- a/crates/vaneway-server/src/core/control/entry_updates.rs
+++ b/crates/vaneway-server/src/core/control/entry_updates.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use vaneway_ledger::EntryIncarnation;
 use vaneway_limit::BoxNumber;
 use vaneway_limit::EndpointLimit;
 use vaneway_quota::Sharers;
@@ -28,7 +29,6 @@
 use crate::core::control::neighbours;
 use crate::core::control::peers;
 use crate::core::control::state::Control;
-use crate::core::entry_incarnation::EntryIncarnation;
 use crate::core::limits;
 use crate::util::clock;
 use crate::util::frames::EncodedFrame;
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -9,6 +9,7 @@
 
 use vaneway_agreement::Event;
 use vaneway_agreement::NodeId;
+use vaneway_ledger::EntryIncarnation;
 use vaneway_limit::BoxNumber;
 
 use crate::core::cluster::wire::BetweenControl;
@@ -29,7 +30,6 @@
 use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
-use crate::core::entry_incarnation::EntryIncarnation;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::EncodedFrame;
--- a/crates/vaneway-server/src/core/control/machine.rs
+++ b/crates/vaneway-server/src/core/control/machine.rs
@@ -8,10 +8,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use vaneway_ledger::Counts;
+use vaneway_ledger::Window;
 
-use crate::core::cluster_time::Window;
 use crate::core::configuration::Configuration;
-use crate::core::usage::Counts;
 
 /// Number of usage reports that are kept: more than a new leader has to send again.
 const RETAINED_REPORTS: usize = 32;
--- a/crates/vaneway-server/src/core/control/native.rs
+++ b/crates/vaneway-server/src/core/control/native.rs
@@ -23,10 +23,11 @@
 use serde_json::json;
 use vaneway_capacity::Kind;
 use vaneway_capacity::Order;
+use vaneway_ledger::Counts;
+use vaneway_ledger::Window;
 use vaneway_registry::Report;
 
 use crate::core::callers::answer::json_response;
-use crate::core::cluster_time::Window;
 use crate::core::configuration::Configuration;
 use crate::core::control::machine::ConfigurationDocument;
 use crate::core::control::operations;
@@ -37,7 +38,6 @@
 use crate::core::control::protocol::read_body;
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
-use crate::core::usage::Counts;
 use crate::util::body::ResponseBody;
 
 /// Path of the configuration.
--- a/crates/vaneway-server/src/core/control/protocol.rs
+++ b/crates/vaneway-server/src/core/control/protocol.rs
@@ -13,11 +13,11 @@
 pub use vaneway_capacity::Answer;
 pub use vaneway_capacity::Kind;
 pub use vaneway_capacity::Order;
+use vaneway_ledger::Counts;
+use vaneway_ledger::Window;
 
-use crate::core::cluster_time::Window;
 use crate::core::control::state::Control;
 use crate::core::endpoints::link::EndpointRequest;
-use crate::core::usage::Counts;
 use crate::util::body::ResponseBody;
 
 /// Maximum body size of a call in bytes: larger than the largest configuration that operators send.
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -14,6 +14,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use vaneway_ledger::LocalUsage;
 use vaneway_limit::BoxNumber;
 use vaneway_limit::EndpointLimits;
 use vaneway_limit::Sender;
@@ -49,7 +50,6 @@
 use crate::core::route_table::RouteTable;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
-use crate::core::usage::LocalUsage;
 use crate::util::clock;
 use crate::util::hash;
 use crate::util::logline::Line;
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -12,6 +12,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use vaneway_ledger::OthersQuotaUsage;
+use vaneway_ledger::OwnQuotaUsage;
 use vaneway_quota::FleetUsage;
 use vaneway_quota::Limit;
 use vaneway_quota::Quota;
@@ -21,8 +23,6 @@
 
 use crate::core::configuration::OrganisationSpec;
 use crate::core::configuration::Version;
-use crate::core::quota_usage::OthersQuotaUsage;
-use crate::core::quota_usage::OwnQuotaUsage;
 use crate::core::settings::QuotaAllowance;
 use crate::util::hash;
 use crate::util::logline::Line;
--- a/tests/testsuite/quota_fleet.rs
+++ b/tests/testsuite/quota_fleet.rs
@@ -8,8 +8,8 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use vaneway_ledger::UsageLedger;
 use vaneway_server::core::quotas::Quotas;
-use vaneway_server::core::usage::UsageLedger;
 
 use crate::simulated_fleet::ALLOWANCE;
 use crate::simulated_fleet::Limit;
--- a/tests/testsuite/simulated_fleet.rs
+++ b/tests/testsuite/simulated_fleet.rs
@@ -11,20 +11,20 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use vaneway_ledger::ClusterNow;
+use vaneway_ledger::EntryIncarnation;
+use vaneway_ledger::OthersQuotaUsage;
+use vaneway_ledger::UsageLedger;
+use vaneway_ledger::UsageReport;
 use vaneway_quota::Sharers;
 use vaneway_quota::Slot;
 use vaneway_server::core::cluster::wire::SLOTS_PER_REPORT;
-use vaneway_server::core::cluster_time::ClusterNow;
 use vaneway_server::core::configuration::CallerLimits;
 use vaneway_server::core::configuration::Configuration;
 use vaneway_server::core::configuration::OrganisationSpec;
 use vaneway_server::core::configuration::QuotaUnit;
-use vaneway_server::core::entry_incarnation::EntryIncarnation;
-use vaneway_server::core::quota_usage::OthersQuotaUsage;
 use vaneway_server::core::quotas::Quotas;
 use vaneway_server::core::settings::QuotaAllowance;
-use vaneway_server::core::usage::UsageLedger;
-use vaneway_server::core::usage::UsageReport;
 
 /// Allowance of operators beyond a quota.
 pub(crate) const ALLOWANCE: QuotaAllowance =
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -8,6 +8,9 @@
 
 use bolero::TypeGenerator;
 use serde_json::json;
+use vaneway_ledger::EntryIncarnation;
+use vaneway_ledger::LoadLedger;
+use vaneway_ledger::Loads;
 use vaneway_registry::InstanceId;
 use vaneway_route::CACHED_PART_MAX_AGE;
 use vaneway_route::Load;
@@ -16,9 +19,6 @@
 use vaneway_server::core::cluster::publishers::MAX_PUBLISHERS;
 use vaneway_server::core::cluster::publishers::Publisher;
 use vaneway_server::core::cluster::publishers::choose;
-use vaneway_server::core::entry_incarnation::EntryIncarnation;
-use vaneway_server::core::loads::LoadLedger;
-use vaneway_server::core::loads::Loads;
 use vaneway_test_support::AdvertisingControlBox;
 use vaneway_test_support::Process;
 use vaneway_test_support::control_group::ControlGroup;
