--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -20,8 +20,13 @@
 use vaneway_route::EndpointId;
 use vaneway_route::UNRESPONSIVE_THRESHOLD;
 
+use crate::core::calls::answer_end;
+use crate::core::calls::answer_end::BrokenOff;
+use crate::core::calls::answer_end::Received;
+use crate::core::calls::answer_end::Sender;
 use crate::core::calls::call_limits::CallLimits;
 use crate::core::calls::events::EventSplitter;
+use crate::core::calls::events::LAST_EVENT_ID;
 use crate::core::calls::events::RawEvent;
 use crate::core::calls::events::is_event_stream;
 use crate::core::endpoints::link::ConnectionBody;
@@ -95,6 +100,20 @@
         Self::Ended { outcome, cause: cause.into(), observation: EndpointObservation::Nothing }
     }
 
+    /// The end of an attempt that got no response.
+    async fn unanswered(
+        entry: &Entry,
+        request: &CallRequest,
+        endpoint: EndpointId,
+        error: SendError,
+    ) -> Self {
+        let SendError { outcome, cause, is_down } = error;
+        if is_down {
+            return Self::Ended { outcome, cause, observation: EndpointObservation::Down };
+        }
+        Self::broken(entry, request, endpoint, Progress::Reading, outcome, cause).await
+    }
+
     /// The end of an attempt whose connection broke.
     async fn broken(
         entry: &Entry,
@@ -140,7 +159,9 @@
 struct EventStreamReader {
     entry: Rc<Entry>,
     request: Rc<CallRequest>,
-    endpoint: EndpointId,
+    sender: Sender,
+    /// Whether the stream goes on after an event that the caller has.
+    resumed: bool,
     addr: std::net::SocketAddr,
     body: ConnectionBody,
     attempt: vaneway_relay::Attempt,
@@ -167,6 +188,7 @@
     async fn send(self: Box<Self>) -> (CallItem, Stage<E>) {
         let Self { entry, protocol, request, limits, endpoint, occupancy, after } = *self;
         let spec = entry.pool.borrow().get(endpoint).spec.clone();
+        let sender = Sender { endpoint, born: quarantine::born(&entry, endpoint) };
         let time_left = limits.deadline.saturating_duration_since(clock::now());
         let is_neighbour = spec.is_neighbour();
         let req = if is_neighbour {
@@ -181,16 +203,9 @@
         let sent = unless_unresponsive(&entry, endpoint, request.repeatable, sent).await;
         let StartedResponse { response, attempt } = match sent {
             Some(Ok(started)) => started,
-            Some(Err(SendError { outcome, cause, is_down: true })) => {
+            Some(Err(error)) => {
                 return (
-                    CallItem::Ended { outcome, cause, observation: EndpointObservation::Down },
-                    Stage::Over,
-                );
-            }
-            Some(Err(SendError { outcome, cause, is_down: false })) => {
-                return (
-                    CallItem::broken(&entry, &request, endpoint, Progress::Reading, outcome, cause)
-                        .await,
+                    CallItem::unanswered(&entry, &request, endpoint, error).await,
                     Stage::Over,
                 );
             }
@@ -216,7 +231,8 @@
                 let streamed = matches!(request.form, AnswerForm::EventStream { .. });
                 if streamed && head.status.is_success() && is_event_stream(&head.headers) {
                     let reader = EventStreamReader {
-                        endpoint,
+                        sender,
+                        resumed: after.is_some() || request.headers.contains_key(LAST_EVENT_ID),
                         addr: spec.address,
                         splitter: EventSplitter::default(),
                         limits,
@@ -361,33 +377,39 @@
         let timers = reader.entry.timers.clone();
         match timers.timeout_at(until, reader.body.data()).await {
             Some(Some(Ok(data))) => reader.splitter.push(&data),
-            Some(None) => match std::mem::take(&mut reader.splitter).into_remainder() {
-                Some(remainder) => return end_of_stream(reader, remainder),
-                None => break "the stream ended inside an event".to_owned(),
+            Some(None) => match end_of_stream(&mut reader).await {
+                Ok(remainder) if remainder.is_empty() => return (complete(*reader), Stage::Over),
+                Ok(remainder) => {
+                    let event = RawEvent { number: None, bytes: remainder };
+                    return (CallItem::Event(event), Stage::Complete(reader));
+                }
+                Err(broken_off) => break broken_off.to_string(),
             },
             Some(Some(Err(error))) => break error.to_string(),
             None => break "the endpoint sent nothing for too long".to_owned(),
         }
     };
-    (broken_off(reader, cause).await, Stage::Over)
-}
-
-/// The end of an event stream that is not complete.
-async fn broken_off(mut reader: Box<EventStreamReader>, cause: String) -> CallItem {
     let outcome = reader.attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
     let progress =
         if reader.occupancy.is_responding() { Progress::Answering } else { Progress::Reading };
-    let EventStreamReader { entry, request, endpoint, .. } = &*reader;
-    CallItem::broken(entry, request, *endpoint, progress, outcome, cause).await
+    let EventStreamReader { entry, request, sender, .. } = &*reader;
+    let item = CallItem::broken(entry, request, sender.endpoint, progress, outcome, cause).await;
+    (item, Stage::Over)
 }
 
-/// The end of a complete event stream, of which `remainder` follows its last event.
-fn end_of_stream<E>(reader: Box<EventStreamReader>, remainder: Bytes) -> (CallItem, Stage<E>) {
-    if remainder.is_empty() {
-        return (complete(*reader), Stage::Over);
-    }
-    let event = RawEvent { number: None, bytes: remainder };
-    (CallItem::Event(event), Stage::Complete(reader))
+/// Returns the bytes after the last event of a stream whose bytes have ended.
+async fn end_of_stream(reader: &mut EventStreamReader) -> Result<Bytes, BrokenOff> {
+    let remainder = std::mem::take(&mut reader.splitter).into_remainder();
+    let has_event = reader.occupancy.is_responding()
+        || remainder.as_ref().is_some_and(|bytes| !bytes.trim_ascii().is_empty());
+    let received = match remainder {
+        None => Received::PartOfEvent,
+        Some(_) if !has_event && !reader.resumed => Received::NoEvent,
+        Some(_) => Received::All,
+    };
+    let framing = reader.body.framing();
+    answer_end::check(&reader.entry, reader.sender, framing, received).await?;
+    Ok(remainder.unwrap_or_default())
 }
 
 fn complete(reader: EventStreamReader) -> CallItem {
--- a/crates/vaneway-server/src/core/calls/events.rs
+++ b/crates/vaneway-server/src/core/calls/events.rs
@@ -9,10 +9,14 @@
 use bytes::BytesMut;
 use hyper::HeaderMap;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderName;
 
 /// The media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Request header with the id of the event after which a stream goes on.
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
 /// Whether a response is an event stream, as far as its headers show: one without a `Content-Type` is
 /// taken for what its request asked for.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/crates/vaneway-server/src/core/calls/mod.rs
+++ b/crates/vaneway-server/src/core/calls/mod.rs
@@ -1,5 +1,6 @@
 //! Open requests: handling of each from its admission to the last byte of its response.
 
+mod answer_end;
 mod attempt;
 pub mod call;
 pub mod call_events;
--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -29,6 +29,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 
+use crate::core::endpoints::framing::Framing;
 use crate::util::socket::SocketStream;
 
 /// A request as it is sent to an endpoint.
@@ -83,6 +84,7 @@
         mut self,
         req: EndpointRequest,
     ) -> Result<Response<ConnectionBody>, Box<TrySendError<EndpointRequest>>> {
+        let method = req.method().clone();
         let response = self.sender.try_send_request(req);
         futures_util::pin_mut!(response);
         let response = poll_fn(|cx| {
@@ -95,8 +97,9 @@
             response.as_mut().poll(cx)
         })
         .await;
-        let response = response.map_err(Box::new)?;
-        Ok(response.map(|body| ConnectionBody { connection: self, body }))
+        let (head, body) = response.map_err(Box::new)?.into_parts();
+        let framing = Framing::of(&method, &head);
+        Ok(Response::from_parts(head, ConnectionBody { connection: self, body, framing }))
     }
 }
 
@@ -105,9 +108,15 @@
 pub struct ConnectionBody {
     connection: Connection,
     body: Incoming,
+    framing: Framing,
 }
 
 impl ConnectionBody {
+    /// How the end of the body shows.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Polls for the next chunk of data; none at the end.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<hyper::Result<Bytes>>> {
         loop {
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -131,6 +131,21 @@
     }
 }
 
+/// Whether the incarnation of an endpoint that started at `born` is found to be running still. One
+/// whose address neither this box nor any other that it asks can reach is not.
+pub async fn is_running(entry: &Entry, endpoint: EndpointId, born: StartMillis) -> bool {
+    let address = entry.address(endpoint);
+    let is_reached = test_connection(entry, address).await.shows_listener()
+        || probe::ask(entry, address).await.is_some_and(ConnectionTest::shows_listener);
+    is_reached && !has_restarted(born, self::born(entry, endpoint))
+}
+
+/// Whether an endpoint that started at `known` is a later incarnation than one that started at
+/// `born`; 0 is an unknown time.
+fn has_restarted(born: StartMillis, known: StartMillis) -> bool {
+    born > 0 && known > born
+}
+
 /// Opens connections to an address, to find out whether a process listens there.
 pub async fn test_connection(entry: &Entry, address: SocketAddr) -> ConnectionTest {
     for _ in 0..PROBE_COUNT {
@@ -359,8 +374,7 @@
 
 fn merge_exit(entry: &Entry, incarnation: &Incarnation) {
     let born = entry.registry.borrow().born(incarnation.name());
-    let has_restarted = incarnation.born() > 0 && born > incarnation.born();
-    if has_restarted {
+    if has_restarted(incarnation.born(), born) {
         return;
     }
     let endpoint = entry.registered.borrow().get(incarnation.name()).copied();
--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -41,8 +41,11 @@
     Close,
     /// The connection is reset.
     Reset,
-    /// The endpoint's process ends, and the operating system closes its sockets in order.
+    /// The endpoint's process ends, and the operating system closes its sockets in order, that which
+    /// listens first.
     Crash,
+    /// The same, but the request's connection is closed some milliseconds before the other sockets.
+    SlowCrash,
 }
 
 /// A scripted response to one request.
@@ -267,6 +270,11 @@
     match answer.end {
         End::Close => end(&connection),
         End::Crash => shared.crash(),
+        End::SlowCrash => {
+            end(&connection);
+            std::thread::sleep(wire_endpoint::LISTENER_CLOSE_DELAY);
+            shared.crash();
+        }
         End::Reset => {
             std::thread::sleep(ARRIVAL_TIME);
             reset_on_close(shared, &connection);
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -118,7 +118,7 @@
 
 /// Time between the close of a connection and that of the listening socket when a process crashes:
 /// the operating system closes its sockets one after the other.
-const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(5);
+pub(crate) const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(5);
 
 /// A running endpoint. The response to a request with `x-token-usage` is a stream of ten numbered
 /// events; other requests are echoed.
