--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -247,7 +247,7 @@
                 let response = Response::from_parts(head, body);
                 let failed = response.status().is_server_error() && request.repeatable;
                 let started = StartedResponse { response, attempt };
-                let read = read_response(entry, &*protocol, &request, endpoint, started).await;
+                let read = read_response(entry, &*protocol, &request, sender, started).await;
                 match read {
                     CallItem::Response(response) if failed => CallItem::Failed(response),
                     item => item,
@@ -425,52 +425,61 @@
     entry: Rc<Entry>,
     protocol: &E,
     request: &CallRequest,
-    endpoint: EndpointId,
+    sender: Sender,
     started: StartedResponse,
 ) -> CallItem {
-    let addr = entry.address(endpoint);
+    let addr = entry.address(sender.endpoint);
     let StartedResponse { response, mut attempt } = started;
     let (mut head, mut body) = response.into_parts();
     let mut buffered = BytesMut::new();
-    match body.read_into(&mut buffered, entry.settings.limits.answer_bytes).await {
-        Ok(is_complete) => {
-            protocol.prepare_headers(&mut head.headers);
-            let body = if is_complete {
+    let limit = entry.settings.limits.answer_bytes;
+    let cause = match body.read_into(&mut buffered, limit).await {
+        Ok(true) => match check_end(&entry, sender, &body).await {
+            Ok(()) => {
+                protocol.prepare_headers(&mut head.headers);
                 entry.connections.release(addr, body);
-                ResponseBody::full(buffered.freeze())
-            } else {
-                forward_rest(entry, addr, &buffered, body)
-            };
-            CallItem::Response(Response::from_parts(head, body))
-        }
-        Err(error) => {
-            let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
-            let cause = error.to_string();
-            CallItem::broken(&entry, request, endpoint, Progress::Reading, outcome, cause).await
+                let body = ResponseBody::full(buffered.freeze());
+                return CallItem::Response(Response::from_parts(head, body));
+            }
+            Err(broken_off) => broken_off.to_string(),
+        },
+        Ok(false) => {
+            protocol.prepare_headers(&mut head.headers);
+            let body = forward_rest(entry, sender, &buffered, body);
+            return CallItem::Response(Response::from_parts(head, body));
         }
-    }
+        Err(error) => error.to_string(),
+    };
+    let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
+    CallItem::broken(&entry, request, sender.endpoint, Progress::Reading, outcome, cause).await
+}
+
+/// Checks that a body whose bytes have ended is complete.
+async fn check_end(entry: &Entry, sender: Sender, body: &ConnectionBody) -> Result<(), BrokenOff> {
+    answer_end::check(entry, sender, body.framing(), Received::All).await
 }
 
 /// Forwards the rest of a long response at the speed of the caller.
 fn forward_rest(
     entry: Rc<Entry>,
-    addr: std::net::SocketAddr,
+    sender: Sender,
     buffered: &[u8],
     mut body: ConnectionBody,
 ) -> ResponseBody {
     let (tx, rx) = outbox(entry.settings.limits.stream_bytes);
     tx.push(buffered);
     compio::runtime::spawn(async move {
-        if copy_body(&entry, &tx, &mut body).await {
+        let has_ended = copy_body(&entry, &tx, &mut body).await;
+        if has_ended && check_end(&entry, sender, &body).await.is_ok() {
             tx.finish();
-            entry.connections.release(addr, body);
+            entry.connections.release(entry.address(sender.endpoint), body);
         }
     })
     .detach();
     ResponseBody::Streamed(rx)
 }
 
-/// Copies a body into an outbox. Returns whether it arrived completely.
+/// Copies a body into an outbox. Returns whether its bytes arrived up to their end.
 async fn copy_body(entry: &Entry, tx: &Outbox, body: &mut ConnectionBody) -> bool {
     loop {
         let until = clock::now() + entry.settings.limits.caller_stall_timeout;
