--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -451,7 +451,8 @@
         Err(error) => error.to_string(),
     };
     let outcome = attempt.handle(AttemptEvent::Broken).unwrap_or(Outcome::Unknown);
-    CallItem::broken(&entry, request, sender.endpoint, Progress::Reading, outcome, cause).await
+    let progress = if buffered.is_empty() { Progress::Reading } else { Progress::Answering };
+    CallItem::broken(&entry, request, sender.endpoint, progress, outcome, cause).await
 }
 
 /// Checks that a body whose bytes have ended is complete.
