--- a/crates/vaneway-test-support/src/caller.rs
+++ b/crates/vaneway-test-support/src/caller.rs
@@ -121,7 +121,13 @@
         response.complete.then_some(response)
     }
 
-    async fn try_open(
+    /// Sends a request and returns once the head of the response has arrived; none if the entry box
+    /// can't be reached or closes the connection before.
+    ///
+    /// # Panics
+    ///
+    /// If the path or a header is not valid.
+    pub async fn try_open(
         &self,
         method: Method,
         path: &str,
@@ -205,6 +211,16 @@
         self.response.body_mut()
     }
 
+    /// The bytes of the body that were read by [`Self::events`].
+    pub fn received(&self) -> &[u8] {
+        &self.received
+    }
+
+    /// Whether the body is complete; none until it has ended.
+    pub fn is_complete(&self) -> Option<bool> {
+        self.complete
+    }
+
     /// Reads until `count` events of the stream have arrived since its start, or the stream ends.
     pub async fn events(&mut self, count: usize) {
         while self.complete.is_none() && self.event_count() < count {
--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -204,7 +204,8 @@
         self.start_with_settings(&settings)
     }
 
-    fn start_with_settings(&self, settings: &Value) -> Process {
+    /// Starts an entry box with settings based on [`Self::entry_settings`].
+    pub fn start_with_settings(&self, settings: &Value) -> Process {
         let folder = self.folder.path();
         match self.adapter {
             Some(adapter) => Process::spawn_adapted(&self.program, folder, settings, adapter),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -49,6 +49,7 @@
 mod simulated_fleet;
 mod simulated_shortage;
 mod soak;
+mod software_versions;
 mod standins;
 mod stop;
 mod streams;
