--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -20,6 +20,7 @@
 use socket2::SockRef;
 
 use crate::wire_endpoint;
+use crate::wire_endpoint::DEFAULT_VERSION;
 
 /// How the length of a response's body is conveyed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -213,7 +214,7 @@
     /// Path and body of a heartbeat.
     pub fn heartbeat(&self, service: &str, state: &str, seq: u64) -> (String, String) {
         let Shared { instance, .. } = &*self.shared;
-        wire_endpoint::heartbeat(instance, self.address, service, state, seq)
+        wire_endpoint::heartbeat(instance, self.address, service, state, seq, DEFAULT_VERSION)
     }
 }
 
