--- a/crates/vaneway-server/src/util/http_server.rs
+++ b/crates/vaneway-server/src/util/http_server.rs
@@ -27,8 +27,10 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -164,12 +166,13 @@
     }
 }
 
-/// Whether a connection has a request in progress, and when the first byte of the next request's
-/// head arrived.
+/// Whether a connection has a request in progress, when the first byte of the next request's head
+/// arrived, and how the connection must end.
 #[derive(Debug, Default)]
 pub struct Activity {
     busy: Cell<bool>,
     head_started_at: Cell<Option<Instant>>,
+    must_reset: Cell<bool>,
 }
 
 impl Activity {
@@ -180,6 +183,12 @@
         }
     }
 
+    /// Whether the connection must end with a reset, because an end in order would complete a
+    /// response that is not complete.
+    pub fn must_reset(&self) -> bool {
+        self.must_reset.get()
+    }
+
     fn begin_request(&self) {
         self.busy.set(true);
         self.head_started_at.set(None);
@@ -200,7 +209,19 @@
 #[derive(Debug)]
 struct ServedBody {
     body: ResponseBody,
-    _busy_guard: BusyGuard,
+    busy_guard: BusyGuard,
+}
+
+impl ServedBody {
+    /// The body of a response to a request with this version and method. Over HTTP/1.0 a streamed body
+    /// has no end other than that of its connection, so only a reset shows that it is truncated.
+    fn new(body: ResponseBody, version: Version, method: &Method, guard: BusyGuard) -> Self {
+        let ends_connection = version == Version::HTTP_10
+            && *method != Method::HEAD
+            && matches!(body, ResponseBody::Streamed(_));
+        guard.0.must_reset.set(ends_connection);
+        Self { body, busy_guard: guard }
+    }
 }
 
 impl Body for ServedBody {
@@ -211,7 +232,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        let frame = std::task::ready!(Pin::new(&mut this.body).poll_frame(cx));
+        if frame.is_none() {
+            this.busy_guard.0.must_reset.set(false);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -236,13 +262,14 @@
     let watched_activity = Rc::clone(&activity);
     // The future is boxed so that its memory is freed once the response has begun: hyper keeps the
     // memory for a handler's future for the lifetime of the connection.
-    let service = service_fn(move |req| {
+    let service = service_fn(move |req: Request<Incoming>| {
+        let (version, method) = (req.version(), req.method().clone());
         let guard = BusyGuard(Rc::clone(&activity));
         activity.begin_request();
         let handler = Rc::clone(&handler);
         Box::pin(async move {
             let response = handler.handle(req).await;
-            Ok::<_, Infallible>(response.map(|body| ServedBody { body, _busy_guard: guard }))
+            Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, version, &method, guard)))
         })
     });
     let connection = http1::Builder::new()
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -33,8 +33,10 @@
     /// Whether the last read found no data. The next one then waits for readiness before it makes a
     /// system call, since hyper polls for reads each time it writes.
     drained: bool,
-    /// Notified whenever bytes are received for hyper.
+    /// Notified whenever bytes are received for hyper. It also says how the connection must end.
     activity: Option<Rc<Activity>>,
+    /// Whether the connection will be reset when it is closed.
+    resets: bool,
 }
 
 /// When the operating system takes the peer of a connection to be gone.
@@ -168,7 +170,7 @@
     fn new(socket: Socket) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
-        Ok(Self { fd: PollFd::new(socket)?, drained: false, activity: None })
+        Ok(Self { fd: PollFd::new(socket)?, drained: false, activity: None, resets: false })
     }
 }
 
@@ -206,6 +208,17 @@
         self.fd.set_linger(Some(Duration::ZERO))
     }
 
+    /// Makes the connection end as its activity says, however it is closed: by this process or by the
+    /// operating system when the process ends.
+    fn prepare_end(&mut self) -> io::Result<()> {
+        let must_reset = self.activity.as_ref().is_some_and(|activity| activity.must_reset());
+        if self.resets != must_reset {
+            self.fd.set_linger(must_reset.then_some(Duration::ZERO))?;
+            self.resets = must_reset;
+        }
+        Ok(())
+    }
+
     /// Makes the connection fail if the peer's operating system has not replied for about
     /// `timeout`, even while nothing is being sent. Without it, a connection to a box that lost
     /// power or its network hangs for minutes.
@@ -271,18 +284,20 @@
 
 impl hyper::rt::Write for SocketStream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_end()?;
         self.fd.poll_write_with(cx, |socket| socket.send(buf))
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_end()?;
         self.fd.poll_write_with(cx, |socket| socket.send_vectored(bufs))
     }
 
@@ -294,7 +309,8 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.prepare_end()?;
         Poll::Ready(self.fd.shutdown(Shutdown::Write))
     }
 }
--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -46,6 +46,8 @@
     Crash,
     /// The same, but the request's connection is closed some milliseconds before the other sockets.
     SlowCrash,
+    /// Nothing: the connection stays open.
+    Open,
 }
 
 /// A scripted response to one request.
@@ -269,6 +271,8 @@
     answer.write_to(&mut connection, &shared.instance, &id);
     match answer.end {
         End::Close => end(&connection),
+        // The endpoint keeps a reference to the connection.
+        End::Open => {}
         End::Crash => shared.crash(),
         End::SlowCrash => {
             end(&connection);
