--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -410,23 +410,28 @@
     }
     let mut buffer = BytesMut::new();
     let read = body.read_into(&mut buffer, MAX_ERROR_BYTES);
-    if let Some(Ok(true)) = timers.timeout_at(clock::now() + stall_timeout, read).await {
+    let read = timers.timeout_at(clock::now() + stall_timeout, read).await;
+    // Engines frame their errors, so one that ends with its connection has broken off.
+    let is_complete = matches!(read, Some(Ok(true))) && body.framing().shows_end();
+    if is_complete {
         connections.release(addr, body);
     }
-    (engine_error(&mut attempt, head, buffer.freeze()), Stage::Over)
+    (engine_error(&mut attempt, head, is_complete.then(|| buffer.freeze())), Stage::Over)
 }
 
-/// Classifies an engine's error response by the engine protocol of docs/INTERFACES.md. Overload, a
-/// lost state and a stopping engine are refusals; an engine fault leaves the outcome unknown; any
-/// other error is the response to the request itself.
-fn engine_error(attempt: &mut Attempt, head: response::Parts, body: Bytes) -> AttemptItem {
+/// Classifies an engine's error response by the engine protocol of docs/INTERFACES.md; `body` is none
+/// unless it arrived completely. Overload, a lost state and a stopping engine are refusals; an engine
+/// fault leaves the outcome unknown; any other error is the response to the request itself.
+fn engine_error(attempt: &mut Attempt, head: response::Parts, body: Option<Bytes>) -> AttemptItem {
     let response::Parts { status, headers, .. } = head;
-    let cause = format!("engine responded with status {}", status.as_u16());
-    match status {
-        StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            AttemptItem::Refused { status, headers, cause }
-        }
-        _ if status.is_client_error() => AttemptItem::Rejected { status, body },
+    let part = if body.is_some() { "" } else { " and a part of its body" };
+    let cause = format!("engine responded with status {}{part}", status.as_u16());
+    match (status, body) {
+        (
+            StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE,
+            _,
+        ) => AttemptItem::Refused { status, headers, cause },
+        (_, Some(body)) if status.is_client_error() => AttemptItem::Rejected { status, body },
         _ => {
             let SendError { outcome, cause, .. } = ended(attempt, AttemptEvent::Broken, cause);
             AttemptItem::Ended { outcome, cause }
--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -17,6 +17,7 @@
 use vaneway_test_support::RawEndpoint;
 use vaneway_test_support::Replica;
 use vaneway_test_support::caller::ReceivedResponse;
+use vaneway_test_support::deployment::MODEL;
 use vaneway_test_support::raw_endpoint::Answer;
 use vaneway_test_support::raw_endpoint::End;
 use vaneway_test_support::raw_endpoint::Framing;
@@ -476,3 +477,35 @@
     }
     assert_eq!(endpoint.received().len(), 1);
 }
+
+/// Guards against an engine's error of which the caller gets a part as a complete answer.
+#[test]
+fn error_of_an_engine_that_breaks_off_is_not_passed_on() {
+    let error = r#"{"error":{"message":"the prompt is too long"}}"#;
+    let whole = Answer {
+        status: "400 Bad Request",
+        ..Answer::buffered(Framing::Length, error, End::Close)
+    };
+    let part = &error[..error.len() / 2];
+    let broken_off = [
+        Answer { framing: Framing::CutLength, body: part.to_owned(), ..whole.clone() },
+        Answer { framing: Framing::UntilClose, body: part.to_owned(), ..whole.clone() },
+        // Longer than an error may be.
+        Answer { body: "x".repeat(LONG_ANSWER_BYTES), ..whole.clone() },
+    ];
+    let send = |answer: Answer| {
+        let endpoint = RawEndpoint::spawn("e", &Script::new([answer]));
+        let deployment = deployment().engines(&[Replica::new("e", endpoint.address())]);
+        let entry = deployment.start();
+        block_on(deployment.caller(&entry).chat(MODEL, "a prompt", 4))
+    };
+    let response = send(whole);
+    assert_eq!((response.status, text(&response)), (400, error.to_owned()));
+    for answer in broken_off {
+        let framing = answer.framing;
+        let response = send(answer);
+        // The box's own error, whichever it is.
+        let seen = (response.status / 100, response.run.as_deref());
+        assert_eq!(seen, (5, Some("unknown")), "{framing:?}: {}", response.code());
+    }
+}
