--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -239,8 +239,12 @@
         None
     }
 
-    /// Returns a connection to the pool after its response has been read to the end.
+    /// Returns a connection to the pool after its response has been read to the end, unless that was
+    /// the end of the connection.
     pub fn release(&self, addr: SocketAddr, body: ConnectionBody) {
+        if !body.framing().shows_end() {
+            return;
+        }
         let connection = body.into_connection();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(addr).or_default();
--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -32,6 +32,7 @@
 use crate::platform_path::stream_headers;
 use crate::support::block_on;
 use crate::support::deployment;
+use crate::support::vanectl_json;
 
 /// Framings by which a body is whole wherever its events end.
 const FRAMINGS: [Framing; 3] = [Framing::Chunks, Framing::Length, Framing::UntilClose];
@@ -509,3 +510,14 @@
         assert_eq!(seen, (5, Some("unknown")), "{framing:?}: {}", response.code());
     }
 }
+
+/// Guards against ended connections that are kept as idle ones until their endpoint is used again.
+#[test]
+fn connection_that_ended_with_its_answer_is_not_kept() {
+    let setup = Setup::start();
+    for (path, body) in [("/safe/x", "the body".to_owned()), ("/fixed/x", events(0))] {
+        let answer = Answer::stream(Framing::UntilClose, body, End::Close);
+        assert_eq!(setup.send(path, path, &[answer]).status, 200);
+    }
+    assert_eq!(vanectl_json(&setup.entry, &["dump"])["idle_connections"], json!(0));
+}
