--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod neighbours;
 mod news_between_boxes;
 mod operators;
+mod origins;
 mod path;
 mod plain;
 mod platform_path;
