--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -270,6 +270,7 @@
         box_name: format!("box-{i}"),
         reclaimable: true,
         max_open: 64,
+        software: String::new(),
     }
 }
 
@@ -330,6 +331,7 @@
         let begun = Instant::now();
         for prefix in 0..rounds as u64 {
             let query = Query {
+                software: None,
                 service: 0,
                 home: "north",
                 avoid: &[],
--- a/crates/vaneway-registry/src/lib.rs
+++ b/crates/vaneway-registry/src/lib.rs
@@ -25,6 +25,9 @@
 /// Id of an endpoint, shared by its incarnations.
 pub type InstanceId = String;
 
+/// Version of the software that an endpoint runs, as the endpoint declares it.
+pub type SoftwareVersion = String;
+
 /// When an incarnation of an endpoint started, in milliseconds since the Unix epoch; 0 if not
 /// known.
 pub type StartMillis = u64;
@@ -73,6 +76,10 @@
     pub slots: u32,
     /// Whether the cloud may reclaim its box.
     pub reclaimable: bool,
+    /// Version of the software that it runs; empty if it declares none. Not the version of a
+    /// model's weights.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// One report about an endpoint, as sent by endpoints and between boxes.
--- a/crates/vaneway-relay/src/event.rs
+++ b/crates/vaneway-relay/src/event.rs
@@ -32,6 +32,8 @@
         /// When one may be available again, if known.
         until: Option<Instant>,
     },
+    /// Reply to [`Action::Choose`]: no endpoint is left that may run the rest of the stream.
+    NoneLeft,
     /// Reply to [`Action::Wake`]: the requested time was reached.
     Woken,
     /// Reply to [`Action::Transfer`]: the transfer has ended.
--- a/crates/vaneway-relay/src/failure.rs
+++ b/crates/vaneway-relay/src/failure.rs
@@ -31,6 +31,8 @@
 pub enum FailureKind {
     /// No endpoint of the service accepts requests.
     NoEndpoint,
+    /// No endpoint is left of the software version that began the stream.
+    SoftwareGone,
     /// Every endpoint of the service is full.
     Overloaded,
     /// The deadline passed.
@@ -49,6 +51,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no_endpoint",
+            Self::SoftwareGone => "software_gone",
             Self::Overloaded => "overloaded",
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::AttemptsExhausted => "attempts_exhausted",
--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -172,6 +172,10 @@
             }
             Event::Chosen { endpoint } => self.chosen(now, endpoint, out),
             Event::Unavailable { full, until } => self.unavailable(now, full, until, out),
+            Event::NoneLeft => {
+                self.failure = FailureKind::SoftwareGone;
+                self.step(now, RequestEvent::Hopeless, out);
+            }
             Event::Woken => self.woken(now, out),
             Event::Transferred { attempt, complete } => {
                 self.transferred(now, attempt, complete, out);
--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -95,6 +95,8 @@
     pub reclaimable: bool,
     /// Maximum requests that this entry box has open there at once.
     pub max_open: u32,
+    /// Version of the software that it runs; empty if it declares none.
+    pub software: String,
 }
 
 impl EndpointSpec {
@@ -133,6 +135,8 @@
     pub gone_at: Option<Instant>,
     /// End of its suspension after a failure; it gets no new work before.
     pub suspended_until: Option<Instant>,
+    /// End of the time for which its process counts as exited, since a box found that.
+    pub exited_until: Option<Instant>,
     /// End of its back-off: it asked this box to send nothing before.
     pub backoff_until: Option<Instant>,
     /// Consecutive failures, since its last response.
@@ -218,6 +222,7 @@
             retired: VecDeque::new(),
             gone_at: None,
             suspended_until: None,
+            exited_until: None,
             backoff_until: None,
             failures: 0,
             open: 0,
@@ -244,6 +249,11 @@
         state && self.available_from().is_none_or(|from| from <= now)
     }
 
+    /// Whether its process counts as exited, so that nothing that runs there can go on.
+    pub(crate) fn has_exited(&self, now: Instant) -> bool {
+        self.exited_until.is_some_and(|until| now < until)
+    }
+
     /// When both its suspension and its back-off are over; none if it has neither.
     pub(crate) fn available_from(&self) -> Option<Instant> {
         self.suspended_until.max(self.backoff_until)
@@ -305,6 +315,7 @@
     pub(crate) fn restore(&mut self) {
         self.failures = 0;
         self.suspended_until = None;
+        self.exited_until = None;
     }
 
     /// Resets the state that belonged to the previous instance.
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -38,6 +38,8 @@
     pub prefix: u64,
     /// Estimated cost of the request, if known.
     pub work: Option<&'a Work>,
+    /// The software version that must respond; any if none.
+    pub software: Option<&'a str>,
     /// Hash by which to choose the endpoint instead of by cost. Set if an endpoint crashed while it
     /// ran the request: it isolates the request from those that ran beside it, so that they don't
     /// run together at the next endpoint.
@@ -48,6 +50,14 @@
     pub sender: Sender,
 }
 
+impl Query<'_> {
+    /// Whether an endpoint is one that must respond, whatever its state.
+    fn fits(&self, endpoint: &Endpoint) -> bool {
+        let has_version = self.software.is_none_or(|software| endpoint.spec.software == software);
+        has_version && endpoint.spec.service == self.service
+    }
+}
+
 /// Decides whether an engine's queue is short enough for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueueLimit {
@@ -76,6 +86,9 @@
         /// When the first suspension or back-off ends, if that is known.
         until: Option<Instant>,
     },
+    /// No endpoint of the required software version is left: all that there were are leaving, gone
+    /// or have exited.
+    NoneLeft,
 }
 
 /// Consequence of an endpoint's state change for the work that runs there.
@@ -191,6 +204,7 @@
         let endpoint = &mut self.endpoints[id as usize];
         if endpoint.state == EndpointState::Suspect {
             endpoint.suspended_until = Some(now + EXIT_SUSPENSION);
+            endpoint.exited_until = endpoint.suspended_until;
         }
     }
 
@@ -309,7 +323,7 @@
         self.candidates.clear();
         for (id, endpoint) in self.endpoints.iter().enumerate() {
             let id = id as EndpointId;
-            let fits = endpoint.spec.service == query.service
+            let fits = query.fits(endpoint)
                 && endpoint.takes_work(now)
                 && endpoint.has_room()
                 && endpoint.has_place_for(query.sender)
@@ -375,13 +389,18 @@
 
     /// Determines the result of a query that no endpoint can serve at present.
     fn no_endpoint(&self, now: Instant, query: &Query<'_>) -> Choice {
-        let of_service = || self.endpoints.iter().filter(|e| e.spec.service == query.service);
-        let mut takes_work = of_service().filter(|endpoint| endpoint.takes_work(now)).peekable();
+        let fitting = self.endpoints.iter().filter(|endpoint| query.fits(endpoint));
+        let mut takes_work = fitting.filter(|endpoint| endpoint.takes_work(now)).peekable();
         if takes_work.peek().is_some() {
             let is_limited = takes_work.all(|endpoint| !endpoint.gate.is_open(query.sender));
             return if is_limited { Choice::Limited } else { Choice::Full };
         }
-        let first = self.first_available(query.service);
+        let usable = || self.usable(query.service).map(|id| self.get(id));
+        let usable = || usable().filter(|endpoint| query.fits(endpoint));
+        if query.software.is_some() && usable().all(|endpoint| endpoint.has_exited(now)) {
+            return Choice::NoneLeft;
+        }
+        let first = usable().min_by_key(|endpoint| endpoint.available_from());
         Choice::Unavailable { until: first.and_then(Endpoint::available_from) }
     }
 
--- a/crates/vaneway-server/src/core/callers/api_error.rs
+++ b/crates/vaneway-server/src/core/callers/api_error.rs
@@ -67,6 +67,10 @@
             FailureKind::NoEndpoint => {
                 (StatusCode::SERVICE_UNAVAILABLE, "no endpoint of the service accepts requests now")
             }
+            FailureKind::SoftwareGone => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no endpoint of the software version that began this stream accepts requests now",
+            ),
             FailureKind::Overloaded => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "every endpoint of the service is full or at its rate limit",
--- a/crates/vaneway-server/src/core/callers/native.rs
+++ b/crates/vaneway-server/src/core/callers/native.rs
@@ -240,6 +240,7 @@
         work: None,
         prefix: 0,
         resume_after: None,
+        software: None,
         is_forwarded: false,
     };
     let protocol = Rc::new(PlainEndpoints { not_run_header: settings.not_run_header.clone() });
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -158,6 +158,7 @@
         prefix: if route.affine { head.work.as_ref().map_or(0, prefix_hash) } else { 0 },
         work: head.work.clone(),
         resume_after: None,
+        software: None,
         is_forwarded: false,
     };
     quarantine::check(entry, &request)?;
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::http::response;
 use vaneway_quarantine::Progress;
+use vaneway_registry::SoftwareVersion;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
@@ -42,6 +43,7 @@
 use crate::core::limits::LimitObservation;
 use crate::core::neighbours::wire;
 use crate::core::neighbours::wire::AttemptResult;
+use crate::core::neighbours::wire::Resumption;
 use crate::core::occupancy::Occupancy;
 use crate::core::quarantine;
 use crate::core::quarantine::Placement;
@@ -145,6 +147,8 @@
     pub(super) endpoint: EndpointId,
     pub(super) occupancy: Occupancy,
     pub(super) after: Option<u32>,
+    /// The software version that began the stream, once an event of it was sent.
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 enum Stage<E> {
@@ -186,13 +190,14 @@
     }
 
     async fn send(self: Box<Self>) -> (CallItem, Stage<E>) {
-        let Self { entry, protocol, request, limits, endpoint, occupancy, after } = *self;
+        let Self { entry, protocol, request, limits, endpoint, occupancy, after, software } = *self;
         let spec = entry.pool.borrow().get(endpoint).spec.clone();
         let sender = Sender { endpoint, born: quarantine::born(&entry, endpoint) };
         let time_left = limits.deadline.saturating_duration_since(clock::now());
         let is_neighbour = spec.is_neighbour();
         let req = if is_neighbour {
-            wire::request(&entry, &request, &limits, &spec, after)
+            let resumption = Resumption { after, software: software.as_deref() };
+            wire::request(&entry, &request, &limits, &spec, resumption)
         } else {
             protocol.request(&request, Dispatch { endpoint: &spec, time_left, resume_after: after })
         };
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -21,11 +21,13 @@
 use futures_util::FutureExt as _;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
+use hyper::HeaderMap;
 use hyper::Response;
 use vaneway_chart::ChartName as _;
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
+use vaneway_registry::SoftwareVersion;
 use vaneway_registry::StartMillis;
 use vaneway_relay::Action;
 use vaneway_relay::AttemptId;
@@ -61,6 +63,7 @@
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::entry::Entry;
 use crate::core::neighbours;
+use crate::core::neighbours::wire;
 use crate::core::quarantine;
 use crate::core::quarantine::Placement;
 use crate::core::queue_limit;
@@ -111,6 +114,8 @@
         succeeded: false,
         born: 0,
         crashes: Vec::new(),
+        responding_software: SoftwareVersion::new(),
+        software: request.software.clone(),
         received_at: clock::now(),
         request,
         entry,
@@ -149,6 +154,10 @@
     born: StartMillis,
     /// Endpoints that crashed while running it.
     crashes: Vec<(Incarnation, Progress)>,
+    /// Software version of the endpoint whose response has begun.
+    responding_software: SoftwareVersion,
+    /// The software version that began the stream, once an event of it was sent.
+    software: Option<SoftwareVersion>,
     received_at: Instant,
 }
 
@@ -247,7 +256,11 @@
         match item {
             CallItem::Head(mut head) => {
                 self.entry.record_path_response(endpoint);
+                self.responding_software = self.software_of(endpoint, &mut head.headers);
                 self.protocol.prepare_headers(&mut head.headers);
+                if self.request.is_forwarded {
+                    wire::add_software(&mut head.headers, &self.responding_software);
+                }
                 self.succeeded = head.status.is_success();
                 self.reply.set_head(head);
                 Event::Head { attempt }
@@ -301,6 +314,17 @@
         }
     }
 
+    /// Software version of the endpoint whose response begins with `headers`, which a neighbour
+    /// states for the endpoint that it chose.
+    fn software_of(&self, endpoint: EndpointId, headers: &mut HeaderMap) -> SoftwareVersion {
+        let pool = self.entry.pool.borrow();
+        let spec = &pool.get(endpoint).spec;
+        if spec.is_neighbour() {
+            return wire::take_software(headers).unwrap_or_default();
+        }
+        spec.software.clone()
+    }
+
     /// The incarnation of the endpoint that the attempt runs at.
     fn incarnation(&self, endpoint: EndpointId) -> Incarnation {
         Incarnation::new(&self.entry.pool.borrow().get(endpoint).spec.name, self.born)
@@ -392,6 +416,7 @@
             limits: self.limits,
             endpoint,
             after,
+            software: self.software.clone(),
         };
         attempt.items()
     }
@@ -408,6 +433,7 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
+                self.software.get_or_insert_with(|| self.responding_software.clone());
                 let limit = self.entry.settings.limits.stream_bytes;
                 if self.relay.splice().sent_tokens() <= 1 {
                     let taken = clock::elapsed(self.received_at).as_secs_f64();
@@ -442,6 +468,7 @@
             avoid: self.relay.tried(),
             prefix: request.prefix,
             work: request.work.as_ref(),
+            software: self.software.as_deref(),
             isolation_hash,
             queue_limit: self.queue_limit(),
             ..Query::default()
@@ -449,11 +476,12 @@
     }
 
     /// The bound on an endpoint's queue that lets the first event arrive in time. It applies only
-    /// until the request is sent to an endpoint: one that has begun is continued in any case.
+    /// until the request is sent to an endpoint: one that has begun is continued in any case, also
+    /// if another box began it.
     fn queue_limit(&self) -> Option<QueueLimit> {
         let request = &self.request;
         let WaitPolicy::IfExpectedBy { deadline } = self.limits.wait_policy else { return None };
-        if request.work.is_none() || !self.relay.tried().is_empty() {
+        if request.work.is_none() || self.software.is_some() || !self.relay.tried().is_empty() {
             return None;
         }
         queue_limit::queue_limit(&self.entry, request.service, &request.service_name, deadline)
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -27,6 +27,7 @@
 use hyper::http::response;
 use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
+use vaneway_registry::SoftwareVersion;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::RunState;
 use vaneway_route::EndpointSpec;
@@ -93,6 +94,9 @@
     pub prefix: u64,
     /// Number of the event after which another box resumes the stream; none if it begins here.
     pub resume_after: Option<u32>,
+    /// The software version that began the stream, if the request continues one. No other may
+    /// respond: what two versions write does not fit together.
+    pub software: Option<SoftwareVersion>,
     /// Whether another entry box accepted it and forwards it through this one. That box counts it
     /// and decides on retries.
     pub is_forwarded: bool,
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -47,7 +47,9 @@
         }
         let known = entry.registry.borrow().get(&report.instance).cloned();
         if let Some(known) = known {
-            if born_before > 0 && known.born > born_before {
+            if known.born > born_before && born_before > 0
+                || runs_other_software(entry, &report.instance, &known)
+            {
                 abandon(entry, &report.instance);
             }
             apply_update(entry, &report.instance, &known);
@@ -55,6 +57,17 @@
     }
 }
 
+/// Whether an endpoint runs another software version than it did when it was added to the pool: it
+/// has restarted, also if it states no start time.
+fn runs_other_software(entry: &Entry, instance: &InstanceId, known: &EndpointRecord) -> bool {
+    let (Some(endpoint), Some(details)) =
+        (entry.registered.borrow().get(instance).copied(), &known.details)
+    else {
+        return false;
+    };
+    entry.pool.borrow().get(endpoint).spec.software != details.software
+}
+
 /// Removes an endpoint whose process has restarted: its running requests and its cache are lost.
 /// The new incarnation is added to the pool as another endpoint.
 fn abandon(entry: &Entry, instance: &InstanceId) {
@@ -121,6 +134,7 @@
         .with("standing", known.lifecycle.name())
         .with("sequence", known.sequence)
         .with("address", known.details.as_ref().map_or(String::new(), |d| d.address.to_string()))
+        .with("software", known.details.as_ref().map_or("", |d| &d.software))
         .info();
     if known.lifecycle > Lifecycle::Ready {
         let now = clock::now();
@@ -161,6 +175,7 @@
         box_name: instance.clone(),
         reclaimable: details.reclaimable,
         max_open: details.slots.saturating_mul(1 + MAX_QUEUED_PER_SLOT),
+        software: details.software.clone(),
     };
     let endpoint = entry.update_pool(|pool, _, _| pool.add(spec));
     entry.registered.borrow_mut().insert(instance.clone(), endpoint);
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -277,6 +277,7 @@
                 Event::Unavailable { full: true, until: None }
             }
             Choice::Unavailable { until } => Event::Unavailable { full: false, until },
+            Choice::NoneLeft => Event::NoneLeft,
         }
     }
 
--- a/crates/vaneway-server/src/core/neighbours/mod.rs
+++ b/crates/vaneway-server/src/core/neighbours/mod.rs
@@ -78,6 +78,7 @@
             box_name: neighbour.name.clone(),
             reclaimable: false,
             max_open: MAX_OPEN,
+            software: String::new(),
         };
         entry.update_pool(|pool, _, _| pool.add(spec))
     };
--- a/crates/vaneway-server/src/core/neighbours/wire.rs
+++ b/crates/vaneway-server/src/core/neighbours/wire.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vaneway_quarantine::QuarantineRecord;
+use vaneway_registry::SoftwareVersion;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::FailureKind;
 use vaneway_relay::RunState;
@@ -46,6 +47,9 @@
 /// Response header with the [`AttemptResult`].
 const RESULT_HEADER: HeaderName = HeaderName::from_static("x-vaneway-forwarded");
 
+/// Response header with the software version of the endpoint whose response it is.
+const SOFTWARE_HEADER: HeaderName = HeaderName::from_static("x-vaneway-software");
+
 /// What became of a neighbour's attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -126,6 +130,19 @@
     }
 }
 
+/// Adds the software version of the endpoint to the head of its response.
+pub fn add_software(headers: &mut HeaderMap, software: &str) {
+    if let Ok(value) = HeaderValue::from_str(software) {
+        headers.insert(SOFTWARE_HEADER, value);
+    }
+}
+
+/// Takes the software version of the endpoint from the head of a neighbour's response.
+pub fn take_software(headers: &mut HeaderMap) -> Option<SoftwareVersion> {
+    let value = headers.remove(SOFTWARE_HEADER)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
 /// Takes in what a neighbour has recorded against a call, from the body of its response.
 pub fn merge_case(entry: &Entry, body: BytesMut) {
     let mut body = body;
@@ -134,6 +151,15 @@
     }
 }
 
+/// Where an attempt at a stream goes on.
+#[derive(Debug, Clone, Copy)]
+pub struct Resumption<'a> {
+    /// Number of the last event that the caller has; none if the attempt begins the stream.
+    pub after: Option<u32>,
+    /// The software version that began the stream, once an event of it was sent.
+    pub software: Option<&'a str>,
+}
+
 /// A call as it is forwarded, without the body of the caller's request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ForwardedCall {
@@ -151,6 +177,7 @@
     prefix: u64,
     work: Option<Work>,
     resume_after: Option<u32>,
+    software: Option<SoftwareVersion>,
     /// What the accepting box has recorded against it.
     case: Option<QuarantineRecord>,
     /// Time until the call must be complete.
@@ -162,13 +189,13 @@
 }
 
 impl ForwardedCall {
-    /// The call to forward, resumed after event `resume_after`. A stream of tokens, whose state the
-    /// accepting box moves between engines, is not forwarded.
+    /// The call to forward. A stream of tokens, whose state the accepting box moves between
+    /// engines, is not forwarded.
     fn new(
         entry: &Entry,
         call: &CallRequest,
         limits: &CallLimits,
-        resume_after: Option<u32>,
+        resumption: Resumption<'_>,
     ) -> Self {
         let now = clock::now();
         let left = |at: Instant| at.saturating_duration_since(now);
@@ -188,7 +215,8 @@
             priority: call.priority,
             prefix: call.prefix,
             work: call.work.clone(),
-            resume_after,
+            resume_after: resumption.after,
+            software: resumption.software.map(str::to_owned),
             case: quarantine::case_of(entry, call),
             time_left: left(limits.deadline),
             objective_left: match limits.wait_policy {
@@ -232,6 +260,7 @@
             work: self.work,
             prefix: self.prefix,
             resume_after: self.resume_after,
+            software: self.software,
             is_forwarded: true,
         };
         Some((request, limits))
@@ -248,9 +277,9 @@
     call: &CallRequest,
     limits: &CallLimits,
     neighbour: &EndpointSpec,
-    resume_after: Option<u32>,
+    resumption: Resumption<'_>,
 ) -> EndpointRequest {
-    let head = EncodedFrame::new(&ForwardedCall::new(entry, call, limits, resume_after));
+    let head = EncodedFrame::new(&ForwardedCall::new(entry, call, limits, resumption));
     let mut body = BytesMut::with_capacity(head.frame().len() + call.body.len());
     body.extend_from_slice(head.frame());
     body.extend_from_slice(&call.body);
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -26,6 +26,7 @@
             availability_zone: "north".to_owned(),
             slots: 8,
             reclaimable: false,
+            software: "v1".to_owned(),
         }),
     }
 }
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -43,6 +43,7 @@
             box_name: format!("box-{i}"),
             reclaimable: false,
             max_open: 100,
+            software: String::new(),
         };
         let specs = zones.iter().enumerate().map(spec).collect();
         Self { pool: Pool::new(specs, Policy::ExpectedWork, seed), now: Instant::now() }
@@ -60,6 +61,7 @@
 
     fn choose(&mut self, home: &str) -> Choice {
         let query = Query {
+            software: None,
             service: SERVICE,
             home,
             avoid: &[],
@@ -152,6 +154,7 @@
     let mut fleet = Fleet::in_zones(&["a"; 40]);
     let work = work(300);
     let query = Query {
+        software: None,
         service: SERVICE,
         home: "a",
         avoid: &[],
@@ -215,6 +218,7 @@
         }
         let number = Some(BoxNumber { number: 0, of: 1 });
         let query = Query {
+            software: None,
             service: SERVICE,
             home: "a",
             avoid: &[],
--- a/tests/testsuite/simulated_crashes.rs
+++ b/tests/testsuite/simulated_crashes.rs
@@ -374,6 +374,7 @@
         let this = &self.submissions[submission];
         let work = work(this.request);
         let query = Query {
+            software: None,
             service: 0,
             home: "a",
             avoid: this.relay.tried(),
@@ -389,6 +390,7 @@
                 Event::Unavailable { full: true, until: None }
             }
             Choice::Unavailable { until } => Event::Unavailable { full: false, until },
+            Choice::NoneLeft => Event::NoneLeft,
         }
     }
 
--- a/tests/testsuite/simulated_shortage.rs
+++ b/tests/testsuite/simulated_shortage.rs
@@ -272,6 +272,7 @@
             unreported_tokens: self.inflow * EXCHANGE_INTERVAL.as_secs_f64(),
         });
         let query = Query {
+            software: None,
             service: 0,
             home: "a",
             avoid: &[],
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -62,6 +62,7 @@
         box_name: format!("engine-{i}"),
         reclaimable: false,
         max_open: 288,
+        software: String::new(),
     };
     (0..count).map(engine).collect()
 }
