--- a/crates/vaneway-server/src/core/callers/native.rs
+++ b/crates/vaneway-server/src/core/callers/native.rs
@@ -241,6 +241,7 @@
         prefix: 0,
         resume_after: None,
         software: None,
+        stream: None,
         is_forwarded: false,
     };
     let protocol = Rc::new(PlainEndpoints { not_run_header: settings.not_run_header.clone() });
--- a/crates/vaneway-server/src/core/callers/protocol.rs
+++ b/crates/vaneway-server/src/core/callers/protocol.rs
@@ -55,6 +55,15 @@
     pub timeout: Option<Duration>,
     /// The size of the work, if the request is for a model.
     pub work: Option<Work>,
+    /// The stream that the request takes up, if its caller has received a part of one.
+    pub takes_up: Option<TakenUpStream>,
+}
+
+/// A stream of which a caller has received a part, in the response to an earlier request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TakenUpStream {
+    /// Id of the request that brought its first event; none if the caller doesn't name it.
+    pub first_request: Option<String>,
 }
 
 /// A callers' protocol in which requests are routed by the deployment's configuration.
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -16,6 +16,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use vaneway_origins::Origin;
+use vaneway_origins::StreamKey;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::RunState;
 use vaneway_relay::WaitPolicy;
@@ -33,10 +35,13 @@
 use crate::core::configuration::RequestKind;
 use crate::core::configuration::Route;
 use crate::core::endpoints::protocol::CallRequest;
+use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
 use crate::core::neighbours::server;
 use crate::core::quarantine;
 use crate::core::route_table::RouteTable;
+use crate::core::stream_origins;
+use crate::core::stream_origins::KnownBy;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
 use crate::util::hash;
@@ -141,7 +146,11 @@
     let body = native::read_body(entry, body, body_bytes).await?;
     let name = organisation.map_or("", |organisation| organisation.name.as_str());
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let service = route.pick(hash::of(&head.id)).unwrap_or_default();
+    let origin = origin_of(entry, route, name, head).await?;
+    let service = match &origin {
+        Some(origin) => &*origin.service,
+        None => route.pick(hash::of(&head.id)).unwrap_or_default(),
+    };
     let request = CallRequest {
         id: head.id.clone(),
         service: entry.service_id(service),
@@ -158,7 +167,8 @@
         prefix: if route.affine { head.work.as_ref().map_or(0, prefix_hash) } else { 0 },
         work: head.work.clone(),
         resume_after: None,
-        software: None,
+        software: origin.as_ref().map(|origin| origin.software.clone()),
+        stream: stream_key(route, name, head),
         is_forwarded: false,
     };
     quarantine::check(entry, &request)?;
@@ -168,6 +178,51 @@
     Ok((request, call_limits(route, head.timeout, received), units))
 }
 
+/// The key of the stream to which the response belongs, if it may be resumed.
+fn stream_key(route: &Route, organisation: &str, head: &CallerHead) -> Option<StreamKey> {
+    if !matches!(route.kind, RequestKind::Stream { resumable: true }) {
+        return None;
+    }
+    let first_request = head.takes_up.as_ref().and_then(|stream| stream.first_request.as_ref());
+    Some(stream_origins::key_of(organisation, first_request.unwrap_or(&head.id)))
+}
+
+/// Where the stream began that the request takes up, if it takes up one that may be resumed.
+///
+/// # Errors
+///
+/// If that isn't known, or if the route no longer leads there: what two software versions or two
+/// services write does not fit together, so this box must not guess.
+async fn origin_of(
+    entry: &Entry,
+    route: &Route,
+    organisation: &str,
+    head: &CallerHead,
+) -> Result<Option<Origin>, ApiError> {
+    let Some(stream) = &head.takes_up else { return Ok(None) };
+    let Some(key) = stream_key(route, organisation, head) else { return Ok(None) };
+    let (origin, known_by) = if stream.first_request.is_some() {
+        stream_origins::find(entry, key).await
+    } else {
+        let service = route.pick(hash::of(&head.id)).unwrap_or_default();
+        (registered::sole_origin(entry, service), KnownBy::OwnBox)
+    };
+    let origin = origin.filter(|origin| route.leads_to(&origin.service));
+    Line::new("stream_taken_up")
+        .with("request", &head.id)
+        .with("first_request", stream.first_request.as_deref().unwrap_or_default())
+        .with("software", origin.as_ref().map_or("", |origin| &origin.software))
+        .with("known_by", origin.as_ref().map_or(KnownBy::Nobody, |_| known_by).name())
+        .info();
+    entry.metrics.taken_up.with_label_values(&[known_by.name()]).inc();
+    let unknown = || {
+        let message = "it isn't known which software version began this stream, so it can't be \
+                       resumed; begin it again, or retry later";
+        ApiError::temporarily_refused("stream_unknown", message)
+    };
+    origin.map(Some).ok_or_else(unknown)
+}
+
 fn organisation<'a>(
     table: &'a RouteTable,
     route: &Route,
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -24,6 +24,8 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use vaneway_chart::ChartName as _;
+use vaneway_origins::ORIGIN_RETENTION;
+use vaneway_origins::Origin;
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
@@ -116,6 +118,7 @@
         crashes: Vec::new(),
         responding_software: SoftwareVersion::new(),
         software: request.software.clone(),
+        origin_recorded_at: None,
         received_at: clock::now(),
         request,
         entry,
@@ -158,6 +161,8 @@
     responding_software: SoftwareVersion,
     /// The software version that began the stream, once an event of it was sent.
     software: Option<SoftwareVersion>,
+    /// When it was last recorded where the stream began.
+    origin_recorded_at: Option<Instant>,
     received_at: Instant,
 }
 
@@ -314,6 +319,20 @@
         }
     }
 
+    /// Records which software version began the stream, before the caller has its first event, and
+    /// again while it goes on, so that it isn't forgotten.
+    fn record_origin(&mut self) {
+        let software = self.software.get_or_insert_with(|| self.responding_software.clone());
+        let Some(stream) = self.request.stream else { return };
+        if self.origin_recorded_at.is_some_and(|at| clock::elapsed(at) < ORIGIN_RETENTION / 2) {
+            return;
+        }
+        self.origin_recorded_at = Some(clock::now());
+        let service = self.request.service_name.clone();
+        let origin = Origin { service, software: software.clone() };
+        self.entry.origins.record(stream, &origin);
+    }
+
     /// Software version of the endpoint whose response begins with `headers`, which a neighbour
     /// states for the endpoint that it chose.
     fn software_of(&self, endpoint: EndpointId, headers: &mut HeaderMap) -> SoftwareVersion {
@@ -433,7 +452,7 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
-                self.software.get_or_insert_with(|| self.responding_software.clone());
+                self.record_origin();
                 let limit = self.entry.settings.limits.stream_bytes;
                 if self.relay.splice().sent_tokens() <= 1 {
                     let taken = clock::elapsed(self.received_at).as_secs_f64();
--- a/crates/vaneway-server/src/core/cluster/control_link.rs
+++ b/crates/vaneway-server/src/core/cluster/control_link.rs
@@ -57,17 +57,19 @@
         self.outgoing.send(&ToControl::Entry(message));
     }
 
-    /// Sends a message, unless the control box lags behind in processing earlier ones.
-    pub(super) fn send_unless_behind(&self, message: &EncodedFrame) {
+    /// Sends a message, unless the control box lags behind in processing earlier ones. Returns
+    /// whether it was sent.
+    pub(super) fn send_unless_behind(&self, message: &EncodedFrame) -> bool {
         if !self.admitted.get() {
-            return;
+            return false;
         }
         if self.ping_sent_at.get().is_some_and(|at| clock::elapsed(at) > UNANSWERED_PING_THRESHOLD)
         {
             self.has_skipped.set(true);
-            return;
+            return false;
         }
         self.outgoing.send_encoded(message);
+        true
     }
 
     /// Sends a ping, whose answer shows that everything sent before it was processed, unless one is
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -124,6 +124,8 @@
         clock_sample: Cell::new(None),
     });
     follower.set_control_boxes(BTreeSet::new());
+    compio::runtime::spawn(send_origins(Rc::clone(&follower))).detach();
+    compio::runtime::spawn(send_lookups(Rc::clone(&follower))).detach();
     let mut pinged_at = clock::now();
     let mut round: u64 = 0;
     let mut usage_reported_at = clock::now();
@@ -159,6 +161,28 @@
     }
 }
 
+/// Reports to the control boxes where streams began, until dropped. Not with the other reports: this
+/// box may be lost before the next one.
+async fn send_origins(follower: Rc<Follower>) {
+    loop {
+        let origins = follower.entry.origins.next_updates().await;
+        follower.send_to_all(FromEntry::StreamOrigins(origins));
+    }
+}
+
+/// Sends the lookups of streams that callers take up, until dropped.
+async fn send_lookups(follower: Rc<Follower>) {
+    loop {
+        let stream = follower.entry.origins.next_lookup().await;
+        let message = FromEntry::FindStreamOrigin { stream };
+        let message = EncodedFrame::new(&ToControl::Entry(message));
+        let open = follower.open.borrow();
+        let sent = open.values().filter(|link| link.send_unless_behind(&message)).count();
+        drop(open);
+        follower.entry.origins.record_sent(stream, sent);
+    }
+}
+
 impl Follower {
     /// Keeps a connection to each of these control boxes and to the seeds, and closes all others.
     fn set_control_boxes(self: &Rc<Self>, mut wanted: BTreeSet<SocketAddr>) {
@@ -262,11 +286,16 @@
         if !limits.is_empty() {
             link.send(FromEntry::Limits(limits));
         }
+        let origins = self.entry.origins.all();
+        if !origins.is_empty() {
+            link.send(FromEntry::StreamOrigins(origins));
+        }
     }
 
     fn received(self: &Rc<Self>, from: SocketAddr, message: ToEntry) {
         if let Some(link) = self.open.borrow().get(&from) {
             link.last_message_at.set(clock::now());
+            self.entry.origins.record_contact();
         }
         match message {
             ToEntry::Hello { availability_zone } => {
@@ -318,6 +347,9 @@
             ToEntry::Limits(limits) => limits::merge(&self.entry, &limits),
             ToEntry::BoxNumber(number) => self.apply_box_number(from, number),
             ToEntry::Neighbours(named) => self.apply_neighbours(from, &named),
+            ToEntry::StreamOrigin { stream, origin } => {
+                self.entry.origins.answered(stream, origin.as_ref());
+            }
             ToEntry::Parts(parts) => work_at_endpoints::apply_parts(&self.entry, &parts),
             ToEntry::OthersUsage { as_of, reporting, known, quotas } => {
                 self.entry.divide_retries(known);
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -19,6 +19,9 @@
 use vaneway_ledger::UsageReport;
 use vaneway_limit::BoxNumber;
 use vaneway_limit::EndpointLimit;
+use vaneway_origins::Origin;
+use vaneway_origins::OriginRecord;
+use vaneway_origins::StreamKey;
 use vaneway_quarantine::QuarantineRecord;
 use vaneway_registry::Report;
 
@@ -151,6 +154,14 @@
         /// Its availability zone.
         availability_zone: String,
     },
+    /// Streams that yielded their first event, or went on, at the entry box, as far as not reported
+    /// yet.
+    StreamOrigins(Vec<OriginRecord>),
+    /// Asks where a stream began; answered by [`ToEntry::StreamOrigin`].
+    FindStreamOrigin {
+        /// The stream.
+        stream: StreamKey,
+    },
 }
 
 /// A message of a control box to an entry box.
@@ -220,6 +231,13 @@
     ConfigurationChange(ConfigurationChange),
     /// The entry boxes through which the receiver may forward calls while it reaches no endpoint.
     Neighbours(Vec<Neighbour>),
+    /// Answer to [`FromEntry::FindStreamOrigin`].
+    StreamOrigin {
+        /// The stream.
+        stream: StreamKey,
+        /// Where it began; none if the control box doesn't know it.
+        origin: Option<Origin>,
+    },
 }
 
 /// An entry box that handles calls which other entry boxes forward.
--- a/crates/vaneway-server/src/core/configuration.rs
+++ b/crates/vaneway-server/src/core/configuration.rs
@@ -243,6 +243,11 @@
 }
 
 impl Route {
+    /// Whether requests of this route may be sent to `service`.
+    pub fn leads_to(&self, service: &str) -> bool {
+        self.targets.iter().any(|target| target.weight > 0 && target.service == service)
+    }
+
     /// Picks the service for a request by weight; `draw` is uniformly distributed over all numbers.
     pub fn pick(&self, draw: u64) -> Option<&str> {
         let total: u64 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -243,6 +243,14 @@
                 entry.listens.replace(Some(Neighbour { name, address, availability_zone }));
             }
         }
+        ToControl::Entry(FromEntry::StreamOrigins(records)) => {
+            control.stream_origins.borrow_mut().merge(clock::now(), &records);
+        }
+        ToControl::Entry(FromEntry::FindStreamOrigin { stream }) => {
+            let origins = control.stream_origins.borrow();
+            let origin = origins.find(clock::now(), stream).cloned();
+            outgoing.send(&ToEntry::StreamOrigin { stream, origin });
+        }
         ToControl::Entry(FromEntry::Done) => {
             if let Sender::Entry { incarnation, .. } = sender {
                 control.usage_ledger.borrow_mut().mark_done(incarnation);
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -196,6 +196,7 @@
         remembered: RefCell::default(),
         usage_ledger: RefCell::default(),
         cached_parts: RefCell::default(),
+        stream_origins: RefCell::default(),
         quarantine: RefCell::default(),
         limits: RefCell::default(),
         limits_for_peers: RefCell::default(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -24,6 +24,7 @@
 use vaneway_ledger::UsageLedger;
 use vaneway_ledger::Window;
 use vaneway_limit::EndpointLimits;
+use vaneway_origins::Origins;
 use vaneway_quarantine::Quarantine;
 use vaneway_registry::InstanceId;
 use vaneway_registry::Registry;
@@ -137,6 +138,8 @@
     pub usage_ledger: RefCell<UsageLedger>,
     /// Prompt parts cached at endpoints.
     pub(crate) cached_parts: RefCell<PartLedger>,
+    /// Where streams began, as reported by entry boxes.
+    pub(crate) stream_origins: RefCell<Origins>,
     /// Requests that were running when endpoints crashed, as reported by entry boxes.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Limits advertised by endpoints, as reported by entry boxes.
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -27,6 +27,7 @@
 use hyper::http::response;
 use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
+use vaneway_origins::StreamKey;
 use vaneway_registry::SoftwareVersion;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::RunState;
@@ -97,6 +98,8 @@
     /// The software version that began the stream, if the request continues one. No other may
     /// respond: what two versions write does not fit together.
     pub software: Option<SoftwareVersion>,
+    /// The stream to which its response belongs, if it may be resumed.
+    pub stream: Option<StreamKey>,
     /// Whether another entry box accepted it and forwards it through this one. That box counts it
     /// and decides on retries.
     pub is_forwarded: bool,
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use vaneway_origins::Origin;
 use vaneway_registry::Change;
 use vaneway_registry::Details;
 use vaneway_registry::EndpointRecord;
@@ -166,6 +167,27 @@
     }
 }
 
+/// The origin of every stream of a service, if all its endpoints that this box knows of run one
+/// software version, those included that are gone or no longer report; none if no control box is
+/// connected, which sends all that have registered.
+pub fn sole_origin(entry: &Entry, service: &str) -> Option<Origin> {
+    if !entry.origins.is_connected() {
+        return None;
+    }
+    let id = entry.service_id(service);
+    let registry = entry.registry.borrow();
+    let pool = entry.pool.borrow();
+    let reported = registry.iter().filter_map(|(_, known)| known.details.as_ref());
+    let reported = reported.filter(|details| details.service == service).map(|d| &d.software);
+    // Also those that were ready before all boxes went down.
+    let in_pool = pool.endpoints().iter().filter(|endpoint| endpoint.spec.service == id);
+    let mut versions = reported.chain(in_pool.map(|endpoint| &endpoint.spec.software));
+    let software = versions.next()?;
+    versions
+        .all(|other| other == software)
+        .then(|| Origin { service: service.to_owned(), software: software.clone() })
+}
+
 fn add(entry: &Entry, instance: &InstanceId, details: &Details) -> EndpointId {
     let spec = EndpointSpec {
         name: instance.clone(),
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -50,6 +50,7 @@
 use crate::core::route_table::RouteTable;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
+use crate::core::stream_origins::StreamOrigins;
 use crate::util::clock;
 use crate::util::hash;
 use crate::util::logline::Line;
@@ -135,6 +136,8 @@
     service_ids: RefCell<BTreeMap<String, ServiceId>>,
     /// Prompt tokens of arriving requests.
     pub inflow: Inflow,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// The quotas of organisations.
     pub quotas: Quotas,
     phase: Cell<Phase>,
@@ -220,6 +223,7 @@
             table: RefCell::default(),
             service_ids: RefCell::new(service_ids),
             inflow: Inflow::default(),
+            origins: StreamOrigins::default(),
             quotas: Quotas::new(follow.map(|follow| follow.quota)),
             phase: Cell::new(Phase::Serving),
             started: clock::now(),
--- a/crates/vaneway-server/src/core/metrics.rs
+++ b/crates/vaneway-server/src/core/metrics.rs
@@ -45,6 +45,8 @@
     pub notices: IntCounter,
     /// Datagrams dropped because of a wrong tag, format or sender.
     pub datagrams_dropped: IntCounter,
+    /// Streams that callers took up, by who knew where they began.
+    pub taken_up: IntCounterVec,
     /// Calls forwarded between entry boxes, by service: `sent` to a neighbour or `taken` from one.
     pub forwarded: IntCounterVec,
     /// Requests that are open now.
@@ -100,6 +102,12 @@
                 "Calls forwarded between entry boxes",
                 &["service", "direction"],
             ),
+            taken_up: vec(
+                &registry,
+                "streams_taken_up",
+                "Streams that callers took up again",
+                &["known_by"],
+            ),
             notices: counter(&registry, "notices", "Reclaim notices seen"),
             datagrams_dropped: counter(&registry, "datagrams_dropped", "Datagrams dropped"),
             open: gauge(&registry, "open_requests", "Requests open now"),
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -27,3 +27,4 @@
 pub mod route_table;
 pub mod running;
 pub mod settings;
+pub mod stream_origins;
--- a/crates/vaneway-server/src/core/neighbours/mod.rs
+++ b/crates/vaneway-server/src/core/neighbours/mod.rs
@@ -9,7 +9,8 @@
 //! [`PathWatch`] finds this box cut off from a service, [`choose`] selects a neighbour in the place
 //! of an endpoint, and the attempt is sent there ([`wire`]).
 //!
-//! Neighbours are also asked whether an endpoint that refuses this box accepts them ([`probe`]).
+//! Neighbours are also asked whether an endpoint that refuses this box accepts them ([`probe`]), and
+//! where a stream began ([`origins`]).
 //!
 //! The box that accepted the request decides on everything: the quota, the usage, the retries and
 //! their budget are its own. The neighbour makes one attempt that may reach an endpoint and passes
@@ -18,6 +19,7 @@
 //!
 //! [`PathWatch`]: crate::core::path_watch::PathWatch
 
+pub mod origins;
 pub mod probe;
 pub mod server;
 pub mod wire;
@@ -25,7 +27,13 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::HOST;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use vaneway_relay::Event;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
@@ -35,11 +43,16 @@
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::entry::Entry;
 use crate::util::clock;
+use crate::util::frames;
+use crate::util::frames::EncodedFrame;
 use crate::util::logline::Line;
 
 /// Maximum number of requests that this box has open at one neighbour.
 const MAX_OPEN: u32 = 1_024;
 
+/// Maximum time for a neighbour's answer to a short message.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The other entry boxes through which this box may forward. Each is in the pool like an endpoint,
 /// of a service of its own.
 #[derive(Debug, Default)]
@@ -56,6 +69,27 @@
     }
 }
 
+/// Sends a short message to `path` at a neighbour and returns its answer; none if no valid one
+/// arrives in time.
+async fn exchange<Q: Serialize, A: DeserializeOwned>(
+    entry: &Entry,
+    neighbour: EndpointId,
+    path: &str,
+    message: &Q,
+    max_answer_bytes: usize,
+) -> Option<A> {
+    let address = entry.address(neighbour);
+    let req = Request::post(path)
+        .header(HOST, address.to_string())
+        .body(Full::new(EncodedFrame::new(message).frame().clone()))
+        .ok()?;
+    let until = clock::now() + ANSWER_TIMEOUT;
+    let answer =
+        entry.connections.exchange(&entry.timers, address, req, max_answer_bytes, until).await;
+    let (_status, body) = answer.ok()?;
+    frames::take_message(&mut body.into())
+}
+
 /// Replaces the neighbours by those that a control box names. Open requests stay where they are: a
 /// control box that has just started doesn't know all entry boxes.
 pub fn set(entry: &Entry, named: &[Neighbour]) {
--- a/crates/vaneway-server/src/core/neighbours/probe.rs
+++ b/crates/vaneway-server/src/core/neighbours/probe.rs
@@ -5,17 +5,14 @@
 //! sees may be a fact about its path.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::Full;
-use hyper::Request;
 use hyper::Response;
-use hyper::header::HOST;
 use vaneway_route::EndpointId;
 
 use crate::core::entry::Entry;
+use crate::core::neighbours::exchange;
 use crate::core::quarantine;
 use crate::core::quarantine::ConnectionTest;
 use crate::util::body::ResponseBody;
@@ -29,9 +26,6 @@
 /// Number of neighbours that are asked, of which some are in other availability zones.
 const ASKED: usize = 3;
 
-/// Maximum time for their answers.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64;
 
@@ -39,11 +33,10 @@
 /// connection at once; else refused if it refuses any of them; none if none of them can tell.
 pub async fn ask(entry: &Entry, address: SocketAddr) -> Option<ConnectionTest> {
     let neighbours = targets(entry);
-    let answers = join_all(neighbours.into_iter().map(|neighbour| {
-        let target = entry.address(neighbour);
-        ask_one(entry, target, address)
-    }))
-    .await;
+    let ask_one = |neighbour: EndpointId| {
+        exchange::<_, ConnectionTest>(entry, neighbour, PATH, &address, MAX_ANSWER_BYTES)
+    };
+    let answers = join_all(neighbours.into_iter().map(ask_one)).await;
     let answers: Vec<ConnectionTest> = answers.into_iter().flatten().collect();
     if answers.iter().any(|test| test.shows_listener()) {
         return Some(ConnectionTest::Accepted);
@@ -63,18 +56,6 @@
     usable
 }
 
-async fn ask_one(entry: &Entry, target: SocketAddr, address: SocketAddr) -> Option<ConnectionTest> {
-    let req = Request::post(PATH)
-        .header(HOST, target.to_string())
-        .body(Full::new(EncodedFrame::new(&address).frame().clone()))
-        .ok()?;
-    let until = clock::now() + ANSWER_TIMEOUT;
-    let answer =
-        entry.connections.exchange(&entry.timers, target, req, MAX_ANSWER_BYTES, until).await;
-    let (_status, body) = answer.ok()?;
-    frames::take_message(&mut body.into())
-}
-
 /// Answers a probe for another box. Only addresses of endpoints are tried, and a box that is cut
 /// off from their service can't tell.
 pub async fn answer(entry: &Entry, body: Bytes) -> Response<ResponseBody> {
--- a/crates/vaneway-server/src/core/neighbours/server.rs
+++ b/crates/vaneway-server/src/core/neighbours/server.rs
@@ -14,6 +14,7 @@
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::entry::Entry;
 use crate::core::entry::Phase;
+use crate::core::neighbours::origins;
 use crate::core::neighbours::probe;
 use crate::core::neighbours::wire;
 use crate::core::neighbours::wire::AttemptResult;
@@ -63,6 +64,9 @@
         if let (Ok(body), probe::PATH) = (&body, &*path) {
             return probe::answer(entry, body.clone()).await;
         }
+        if let (Ok(body), origins::PATH) = (&body, &*path) {
+            return origins::answer(entry, body.clone());
+        }
         let Some((request, limits)) = body.ok().and_then(|body| wire::decode(entry, body)) else {
             Line::new("forwarded_call_unreadable").warn();
             return AttemptResult::Refused.into_response(Bytes::new());
--- a/crates/vaneway-server/src/core/neighbours/wire.rs
+++ b/crates/vaneway-server/src/core/neighbours/wire.rs
@@ -261,6 +261,7 @@
             prefix: self.prefix,
             resume_after: self.resume_after,
             software: self.software,
+            stream: None,
             is_forwarded: true,
         };
         Some((request, limits))
--- /dev/null
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -0,0 +1,235 @@
+//! Where streams began, as an entry box knows it and finds it out.
+//!
+//! Why: a stream may go on only at the software version that began it. Inside one response the box
+//! that sends it knows that version. A caller whose connection broke takes its stream up with
+//! another request, often at another box, and names the request that brought its first event.
+//!
+//! Data flow: when a stream that may be resumed yields its first event, its origin is recorded here
+//! ([`StreamOrigins::record`]) and reported to all control boxes at once. A stream that a caller takes up is looked up here ([`find`]): among the streams of this box, then
+//! at the control boxes ([`StreamOrigins::next_lookup`]), and if none of these is connected, at the
+//! neighbours. A stream that none of them knows is not continued: a guess could join what two
+//! versions wrote.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_channel::oneshot;
+use vaneway_origins::Origin;
+use vaneway_origins::OriginRecord;
+use vaneway_origins::Origins;
+use vaneway_origins::StreamKey;
+
+use crate::core::entry::Entry;
+use crate::core::neighbours;
+use crate::util::clock;
+use crate::util::hash;
+
+/// Maximum wait for the answers of control boxes: a round trip between regions.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Age of the last message of a control box up to which this box counts as connected. Control boxes
+/// answer pings more often.
+const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_500);
+
+/// Who knew where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KnownBy {
+    /// This box.
+    OwnBox,
+    /// A control box.
+    ControlBox,
+    /// Another entry box.
+    Neighbour,
+    /// Nobody that could be asked.
+    Nobody,
+}
+
+impl KnownBy {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OwnBox => "own_box",
+            Self::ControlBox => "control_box",
+            Self::Neighbour => "neighbour",
+            Self::Nobody => "nobody",
+        }
+    }
+}
+
+/// A lookup at the control boxes whose answers have not all arrived.
+#[derive(Debug, Default)]
+struct Lookup {
+    /// Requests that wait for it.
+    waiting: Vec<oneshot::Sender<Option<Origin>>>,
+    /// Control boxes that have not answered.
+    unanswered: usize,
+}
+
+/// The streams that this box knows, and its lookups.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    known: RefCell<Origins>,
+    lookups: RefCell<BTreeMap<StreamKey, Lookup>>,
+    /// Lookups to send; no more than there are requests that wait for them.
+    unsent: RefCell<VecDeque<StreamKey>>,
+    /// Woken when there are lookups to send.
+    sender: RefCell<Option<Waker>>,
+    /// Woken when there are streams to report.
+    reporter: RefCell<Option<Waker>>,
+    last_contact: Cell<Option<Instant>>,
+}
+
+/// The key of the stream whose first event answered the request `id` of an organisation.
+pub fn key_of(organisation: &str, id: &str) -> StreamKey {
+    hash::of((organisation, id))
+}
+
+impl StreamOrigins {
+    /// Records that a stream yielded its first event, or goes on, through this box.
+    pub fn record(&self, key: StreamKey, origin: &Origin) {
+        self.known.borrow_mut().record(clock::now(), key, origin);
+        wake(&self.reporter);
+    }
+
+    /// Waits until streams are recorded that no earlier call has returned, and returns them.
+    pub async fn next_updates(&self) -> Vec<OriginRecord> {
+        poll_fn(|cx| {
+            let updates = self.known.borrow_mut().take_updates(clock::now());
+            if updates.is_empty() {
+                *self.reporter.borrow_mut() = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            Poll::Ready(updates)
+        })
+        .await
+    }
+
+    /// All streams that this box knows.
+    pub fn all(&self) -> Vec<OriginRecord> {
+        self.known.borrow().all(clock::now())
+    }
+
+    /// Where a stream began, if this box knows it.
+    pub fn get(&self, key: StreamKey) -> Option<Origin> {
+        self.known.borrow().find(clock::now(), key).cloned()
+    }
+
+    /// Records that a control box has sent something.
+    pub fn record_contact(&self) {
+        self.last_contact.set(Some(clock::now()));
+    }
+
+    /// Whether a control box has sent something lately, so that this box knows the endpoints.
+    pub fn is_connected(&self) -> bool {
+        self.last_contact.get().is_some_and(|at| clock::elapsed(at) < MAX_CONTACT_AGE)
+    }
+
+    /// Waits for the next lookup to send to the control boxes.
+    pub async fn next_lookup(&self) -> StreamKey {
+        poll_fn(|cx| {
+            let next = self.unsent.borrow_mut().pop_front();
+            if next.is_none() {
+                *self.sender.borrow_mut() = Some(cx.waker().clone());
+            }
+            next.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await
+    }
+
+    /// Records to how many control boxes a lookup was sent.
+    pub fn record_sent(&self, key: StreamKey, control_boxes: usize) {
+        let mut lookups = self.lookups.borrow_mut();
+        let Some(lookup) = lookups.get_mut(&key) else { return };
+        lookup.unanswered = control_boxes;
+        if control_boxes == 0 {
+            lookups.remove(&key);
+        }
+    }
+
+    /// Handles the answer of a control box to a lookup. The first that knows the stream decides; it
+    /// is unknown once all have answered that they don't know it.
+    pub fn answered(&self, key: StreamKey, origin: Option<&Origin>) {
+        let mut lookups = self.lookups.borrow_mut();
+        let Some(lookup) = lookups.get_mut(&key) else { return };
+        lookup.unanswered = lookup.unanswered.saturating_sub(1);
+        if origin.is_none() && lookup.unanswered > 0 {
+            return;
+        }
+        let lookup = lookups.remove(&key).unwrap_or_default();
+        for tx in lookup.waiting {
+            // The caller may have disconnected.
+            let _gone = tx.send(origin.cloned());
+        }
+    }
+
+    /// Starts a lookup, or joins one for the same stream.
+    fn look_up(&self, key: StreamKey) -> PendingLookup<'_> {
+        let (tx, rx) = oneshot::channel();
+        let mut lookups = self.lookups.borrow_mut();
+        if !lookups.contains_key(&key) {
+            self.unsent.borrow_mut().push_back(key);
+            wake(&self.sender);
+        }
+        lookups.entry(key).or_default().waiting.push(tx);
+        PendingLookup { origins: self, key, rx }
+    }
+
+    /// Removes a lookup for which no request waits any longer.
+    fn remove_abandoned(&self, key: StreamKey) {
+        let mut lookups = self.lookups.borrow_mut();
+        let Some(lookup) = lookups.get_mut(&key) else { return };
+        lookup.waiting.retain(|tx| !tx.is_canceled());
+        if lookup.waiting.is_empty() {
+            lookups.remove(&key);
+            self.unsent.borrow_mut().retain(|unsent| *unsent != key);
+        }
+    }
+}
+
+fn wake(waker: &RefCell<Option<Waker>>) {
+    if let Some(waker) = waker.borrow_mut().take() {
+        waker.wake();
+    }
+}
+
+/// A request's wait for a lookup, which ends when this is dropped.
+#[derive(Debug)]
+struct PendingLookup<'a> {
+    origins: &'a StreamOrigins,
+    key: StreamKey,
+    rx: oneshot::Receiver<Option<Origin>>,
+}
+
+impl Drop for PendingLookup<'_> {
+    fn drop(&mut self) {
+        self.rx.close();
+        self.origins.remove_abandoned(self.key);
+    }
+}
+
+/// Finds out where a stream began.
+pub async fn find(entry: &Entry, key: StreamKey) -> (Option<Origin>, KnownBy) {
+    if let Some(origin) = entry.origins.get(key) {
+        return (Some(origin), KnownBy::OwnBox);
+    }
+    let mut lookup = entry.origins.look_up(key);
+    let answer = entry.timers.timeout_at(clock::now() + LOOKUP_TIMEOUT, &mut lookup.rx).await;
+    drop(lookup);
+    match answer {
+        Some(Ok(Some(origin))) => return (Some(origin), KnownBy::ControlBox),
+        Some(Ok(None)) => return (None, KnownBy::Nobody),
+        // No control box could be asked, or none has answered.
+        Some(Err(oneshot::Canceled)) | None => {}
+    }
+    match neighbours::origins::ask(entry, key).await {
+        Some(origin) => (Some(origin), KnownBy::Neighbour),
+        None => (None, KnownBy::Nobody),
+    }
+}
