--- a/crates/vaneway-origins/src/lib.rs
+++ b/crates/vaneway-origins/src/lib.rs
@@ -170,6 +170,14 @@
         self.table.get(stream.origin)
     }
 
+    /// Whether different origins were recorded for a stream.
+    pub fn is_contradictory(&self, now: Instant, key: StreamKey) -> bool {
+        let Some(epoch) = self.epoch else { return false };
+        let now = Timestamp::new(epoch, now);
+        let stream = self.streams.get(&key).filter(|stream| !stream.is_expired(now));
+        stream.is_some_and(|stream| stream.origin == KnownOrigin::Contradictory)
+    }
+
     /// Merges the records of another box.
     pub fn merge(&mut self, now: Instant, records: &[OriginRecord]) {
         let now = self.enter(now);
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -330,7 +330,9 @@
         self.origin_recorded_at = Some(clock::now());
         let service = self.request.service_name.clone();
         let origin = Origin { service, software: software.clone() };
-        self.entry.origins.record(stream, &origin);
+        if let Some(endpoint) = self.relay.endpoint() {
+            self.entry.origins.record(stream, endpoint, &origin);
+        }
     }
 
     /// Software version of the endpoint whose response begins with `headers`, which a neighbour
@@ -479,6 +481,9 @@
                 Placement::Isolated(fingerprint) => Some(fingerprint),
                 Placement::Anywhere => None,
             };
+        if request.stream.is_some_and(|stream| self.entry.origins.is_uncertain(stream)) {
+            return Event::NoneLeft;
+        }
         if let Some(event) = neighbours::choose(&self.entry, request, self.relay.tried()) {
             return event;
         }
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -51,7 +51,7 @@
             if known.born > born_before && born_before > 0
                 || runs_other_software(entry, &report.instance, &known)
             {
-                abandon(entry, &report.instance);
+                abandon(entry, &report.instance, &known);
             }
             apply_update(entry, &report.instance, &known);
         }
@@ -71,8 +71,9 @@
 
 /// Removes an endpoint whose process has restarted: its running requests and its cache are lost.
 /// The new incarnation is added to the pool as another endpoint.
-fn abandon(entry: &Entry, instance: &InstanceId) {
+fn abandon(entry: &Entry, instance: &InstanceId, known: &EndpointRecord) {
     let Some(endpoint) = entry.registered.borrow_mut().remove(instance) else { return };
+    doubt_streams(entry, endpoint, known);
     Line::new("endpoint_reborn").with("replica", instance).info();
     entry.update_pool(|pool, now, out| {
         pool.notice(now, endpoint, now, out);
@@ -80,6 +81,20 @@
     });
 }
 
+/// Records that streams which seemed to begin at the previous incarnation of an endpoint may have
+/// begun at the `known` one, which runs other software and had started before it registered.
+fn doubt_streams(entry: &Entry, endpoint: EndpointId, known: &EndpointRecord) {
+    let Some(details) = &known.details else { return };
+    if entry.pool.borrow().get(endpoint).spec.software == details.software {
+        return;
+    }
+    let started = Duration::from_millis(known.born);
+    let age = entry.cluster_time().saturating_sub(started);
+    let since = clock::now().checked_sub(age);
+    let origin = Origin { service: details.service.clone(), software: details.software.clone() };
+    entry.origins.doubt(endpoint, since, &origin);
+}
+
 /// Adds endpoints that were ready before all boxes went down, but for those that have reported
 /// since. Those that have not reported within `left` get no new work after it.
 pub fn add_remembered(entry: &Rc<Entry>, reports: &[Report], left: Duration) {
--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -25,6 +25,7 @@
 use vaneway_origins::OriginRecord;
 use vaneway_origins::Origins;
 use vaneway_origins::StreamKey;
+use vaneway_route::EndpointId;
 
 use crate::core::entry::Entry;
 use crate::core::neighbours;
@@ -38,6 +39,9 @@
 /// answer pings more often.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_500);
 
+/// How long it is kept which endpoint answered a stream: longer than a registration can be late.
+const RECENT_RETENTION: Duration = Duration::from_secs(15);
+
 /// Who knew where a stream began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KnownBy {
@@ -72,10 +76,20 @@
     unanswered: usize,
 }
 
+/// A stream that was recorded lately.
+#[derive(Debug, Clone, Copy)]
+struct RecentStream {
+    at: Instant,
+    key: StreamKey,
+    endpoint: EndpointId,
+}
+
 /// The streams that this box knows, and its lookups.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     known: RefCell<Origins>,
+    /// Streams recorded within `RECENT_RETENTION`, the oldest first.
+    recent: RefCell<VecDeque<RecentStream>>,
     lookups: RefCell<BTreeMap<StreamKey, Lookup>>,
     /// Lookups to send; no more than there are requests that wait for them.
     unsent: RefCell<VecDeque<StreamKey>>,
@@ -92,9 +106,28 @@
 }
 
 impl StreamOrigins {
-    /// Records that a stream yielded its first event, or goes on, through this box.
-    pub fn record(&self, key: StreamKey, origin: &Origin) {
-        self.known.borrow_mut().record(clock::now(), key, origin);
+    /// Records that a stream yielded its first event, or goes on, at `endpoint` through this box.
+    pub fn record(&self, key: StreamKey, endpoint: EndpointId, origin: &Origin) {
+        let now = clock::now();
+        self.known.borrow_mut().record(now, key, origin);
+        wake(&self.reporter);
+        let mut recent = self.recent.borrow_mut();
+        while recent.front().is_some_and(|first| first.at + RECENT_RETENTION < now) {
+            recent.pop_front();
+        }
+        recent.push_back(RecentStream { at: now, key, endpoint });
+    }
+
+    /// Records that an endpoint has run other software than was known, since `since` or for an
+    /// unknown time: where the streams began that it has answered since then isn't known any longer,
+    /// at any box.
+    pub fn doubt(&self, endpoint: EndpointId, since: Option<Instant>, origin: &Origin) {
+        let now = clock::now();
+        let recent = self.recent.borrow();
+        let doubtful = recent.iter().filter(|stream| stream.endpoint == endpoint);
+        for stream in doubtful.filter(|stream| since.is_none_or(|since| stream.at >= since)) {
+            self.known.borrow_mut().record(now, stream.key, origin);
+        }
         wake(&self.reporter);
     }
 
@@ -121,6 +154,11 @@
         self.known.borrow().find(clock::now(), key).cloned()
     }
 
+    /// Whether it has become uncertain where a stream began.
+    pub fn is_uncertain(&self, key: StreamKey) -> bool {
+        self.known.borrow().is_contradictory(clock::now(), key)
+    }
+
     /// Records that a control box has sent something.
     pub fn record_contact(&self) {
         self.last_contact.set(Some(clock::now()));
@@ -219,6 +257,9 @@
     if let Some(origin) = entry.origins.get(key) {
         return (Some(origin), KnownBy::OwnBox);
     }
+    if entry.origins.is_uncertain(key) {
+        return (None, KnownBy::Nobody);
+    }
     let mut lookup = entry.origins.look_up(key);
     let answer = entry.timers.timeout_at(clock::now() + LOOKUP_TIMEOUT, &mut lookup.rx).await;
     drop(lookup);
