--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -21,11 +21,15 @@
 use futures_util::FutureExt as _;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
+use hyper::HeaderMap;
 use hyper::Response;
 use vaneway_chart::ChartName as _;
+use vaneway_origins::ORIGIN_RETENTION;
+use vaneway_origins::Origin;
 use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_quarantine::Verdict;
+use vaneway_registry::SoftwareVersion;
 use vaneway_registry::StartMillis;
 use vaneway_relay::Action;
 use vaneway_relay::AttemptId;
@@ -61,6 +65,7 @@
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::entry::Entry;
 use crate::core::neighbours;
+use crate::core::neighbours::wire;
 use crate::core::quarantine;
 use crate::core::quarantine::Placement;
 use crate::core::queue_limit;
@@ -111,6 +116,9 @@
         succeeded: false,
         born: 0,
         crashes: Vec::new(),
+        responding_software: SoftwareVersion::new(),
+        software: request.software.clone(),
+        origin_recorded_at: None,
         received_at: clock::now(),
         request,
         entry,
@@ -149,6 +157,12 @@
     born: StartMillis,
     /// Endpoints that crashed while running it.
     crashes: Vec<(Incarnation, Progress)>,
+    /// Software version of the endpoint whose response has begun.
+    responding_software: SoftwareVersion,
+    /// The software version that began the stream, once an event of it was sent.
+    software: Option<SoftwareVersion>,
+    /// When it was last recorded where the stream began.
+    origin_recorded_at: Option<Instant>,
     received_at: Instant,
 }
 
@@ -247,7 +261,11 @@
         match item {
             CallItem::Head(mut head) => {
                 self.entry.record_path_response(endpoint);
+                self.responding_software = self.software_of(endpoint, &mut head.headers);
                 self.protocol.prepare_headers(&mut head.headers);
+                if self.request.is_forwarded {
+                    wire::add_software(&mut head.headers, &self.responding_software);
+                }
                 self.succeeded = head.status.is_success();
                 self.reply.set_head(head);
                 Event::Head { attempt }
@@ -301,6 +319,33 @@
         }
     }
 
+    /// Records which software version began the stream, before the caller has its first event, and
+    /// again while it goes on, so that it isn't forgotten.
+    fn record_origin(&mut self) {
+        let software = self.software.get_or_insert_with(|| self.responding_software.clone());
+        let Some(stream) = self.request.stream else { return };
+        if self.origin_recorded_at.is_some_and(|at| clock::elapsed(at) < ORIGIN_RETENTION / 2) {
+            return;
+        }
+        self.origin_recorded_at = Some(clock::now());
+        let service = self.request.service_name.clone();
+        let origin = Origin { service, software: software.clone() };
+        if let Some(endpoint) = self.relay.endpoint() {
+            self.entry.origins.record(stream, endpoint, &origin);
+        }
+    }
+
+    /// Software version of the endpoint whose response begins with `headers`, which a neighbour
+    /// states for the endpoint that it chose.
+    fn software_of(&self, endpoint: EndpointId, headers: &mut HeaderMap) -> SoftwareVersion {
+        let pool = self.entry.pool.borrow();
+        let spec = &pool.get(endpoint).spec;
+        if spec.is_neighbour() {
+            return wire::take_software(headers).unwrap_or_default();
+        }
+        spec.software.clone()
+    }
+
     /// The incarnation of the endpoint that the attempt runs at.
     fn incarnation(&self, endpoint: EndpointId) -> Incarnation {
         Incarnation::new(&self.entry.pool.borrow().get(endpoint).spec.name, self.born)
@@ -392,6 +437,7 @@
             limits: self.limits,
             endpoint,
             after,
+            software: self.software.clone(),
         };
         attempt.items()
     }
@@ -408,6 +454,7 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
+                self.record_origin();
                 let limit = self.entry.settings.limits.stream_bytes;
                 if self.relay.splice().sent_tokens() <= 1 {
                     let taken = clock::elapsed(self.received_at).as_secs_f64();
@@ -434,6 +481,9 @@
                 Placement::Isolated(fingerprint) => Some(fingerprint),
                 Placement::Anywhere => None,
             };
+        if request.stream.is_some_and(|stream| self.entry.origins.is_uncertain(stream)) {
+            return Event::NoneLeft;
+        }
         if let Some(event) = neighbours::choose(&self.entry, request, self.relay.tried()) {
             return event;
         }
@@ -442,6 +492,7 @@
             avoid: self.relay.tried(),
             prefix: request.prefix,
             work: request.work.as_ref(),
+            software: self.software.as_deref(),
             isolation_hash,
             queue_limit: self.queue_limit(),
             ..Query::default()
@@ -449,11 +500,12 @@
     }
 
     /// The bound on an endpoint's queue that lets the first event arrive in time. It applies only
-    /// until the request is sent to an endpoint: one that has begun is continued in any case.
+    /// until the request is sent to an endpoint: one that has begun is continued in any case, also
+    /// if another box began it.
     fn queue_limit(&self) -> Option<QueueLimit> {
         let request = &self.request;
         let WaitPolicy::IfExpectedBy { deadline } = self.limits.wait_policy else { return None };
-        if request.work.is_none() || !self.relay.tried().is_empty() {
+        if request.work.is_none() || self.software.is_some() || !self.relay.tried().is_empty() {
             return None;
         }
         queue_limit::queue_limit(&self.entry, request.service, &request.service_name, deadline)
