--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -19,8 +19,8 @@
 
 use crate::core::configuration::CapacitySpec;
 use crate::core::configuration::ServiceSpec;
-use crate::core::control::duties;
-use crate::core::control::duties::CallResult;
+use crate::core::control::cloud_calls;
+use crate::core::control::cloud_calls::CallResult;
 use crate::core::control::entry_updates;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
@@ -76,7 +76,7 @@
             let planner = self.planner(control, service);
             record_lower_bound(planner, observed);
             for order in planner.plan(clock::now(), &input) {
-                if !duties::holds_duty(control) {
+                if !cloud_calls::holds_duty(control) {
                     return;
                 }
                 let answer = place(control, cloud, protocol, &service.name, &order).await;
@@ -265,7 +265,7 @@
     order: &Order,
 ) -> Answer {
     let req = protocol.capacity_order(&control.holder(), service, order);
-    match duties::call(control, cloud, req).await {
+    match cloud_calls::call(control, cloud, req).await {
         CallResult::Answered(status) => protocol.order_answer(status),
         CallResult::Unknown => Answer::Unknown,
     }
--- a/crates/vaneway-server/src/core/control/duties.rs
+++ b/crates/vaneway-server/src/core/control/duties.rs
@@ -3,26 +3,22 @@
 //! A report is committed to the Raft log before it is sent, since the next leader must send the
 //! same one. The leader fixes the counts of a window shortly after its end and sends them until the
 //! cloud has accepted them. A new leader sends the latest reports again, which the cloud recognises
-//! as the same. Nothing is sent without a valid lease, and a new leader waits until all calls of
-//! the previous one must have arrived.
+//! as the same.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::StatusCode;
-use hyper::header::HOST;
-use hyper::header::HeaderValue;
 use vaneway_ledger::UsageLedger;
 use vaneway_ledger::Window;
 
 use crate::core::control::capacity::Orders;
+use crate::core::control::cloud_calls;
 use crate::core::control::entry_updates;
 use crate::core::control::group;
 use crate::core::control::machine::Command;
 use crate::core::control::protocol::CloudProtocol;
 use crate::core::control::state::Control;
-use crate::core::endpoints::link::EndpointRequest;
 use crate::core::settings::CloudSettings;
 use crate::util::clock;
 use crate::util::logline::Line;
@@ -38,23 +34,12 @@
 /// report is in time even if the leader fails at that moment.
 const MAX_FIX_DELAY: Duration = Duration::from_secs(5);
 
-/// Maximum duration of a call. Its connection is then reset, so that nothing of the call can still
-/// arrive.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Delay before a new leader acts: by then the lease of the previous leader has expired, and any
-/// call that it began within its lease has ended.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(1_600);
-
 /// Maximum time to commit the counts of a window.
 const FIX_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Number of windows before the present one for which a report may still be useful.
 const MAX_WINDOWS_BACK: u64 = 4;
 
-/// Maximum size of a response of the cloud in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 10;
-
 /// Performs the leader's duties until dropped.
 pub async fn run<C: CloudProtocol>(control: Rc<Control>, protocol: C) {
     let Some(cloud) = control.settings.cloud.clone() else { return };
@@ -64,7 +49,7 @@
     loop {
         control.timers.sleep(CHECK_INTERVAL).await;
         if cloud.capacity_orders {
-            if holds_duty(&control) {
+            if cloud_calls::holds_duty(&control) {
                 orders.place_due(&control, &cloud, &protocol).await;
             } else {
                 orders.observe(&control);
@@ -73,7 +58,7 @@
         if cloud.usage_reports {
             let window = control.now().window;
             let first = *first_window.get_or_insert(window);
-            if holds_duty(&control) {
+            if cloud_calls::holds_duty(&control) {
                 fix_reports(&control, first, window).await;
                 send_reports(&control, &cloud, &protocol, &mut sent, window).await;
             }
@@ -81,13 +66,6 @@
     }
 }
 
-/// Whether this box may act for the deployment now.
-pub(super) fn holds_duty(control: &Control) -> bool {
-    let settled =
-        control.leader_since.get().is_some_and(|since| clock::elapsed(since) > TAKEOVER_DELAY);
-    settled && control.has_valid_lease() && !control.stopping.get()
-}
-
 /// Whether this box must report a window that has ended: it was running in that window, or entry
 /// boxes report requests in it. The latter also covers a window that ended while all control boxes
 /// were down.
@@ -133,49 +111,6 @@
     }
 }
 
-/// Result of a call to the cloud.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum CallResult {
-    /// The cloud responded with this status.
-    Answered(StatusCode),
-    /// No response: the cloud may or may not have processed the call.
-    Unknown,
-}
-
-impl CallResult {
-    fn is_success(self) -> bool {
-        matches!(self, Self::Answered(status) if status.is_success())
-    }
-}
-
-/// Makes a call to the cloud, with a time-out.
-pub(super) async fn call(
-    control: &Control,
-    cloud: &CloudSettings,
-    mut req: EndpointRequest,
-) -> CallResult {
-    let host = cloud.address.to_string();
-    if let Ok(host) = HeaderValue::from_str(&host) {
-        req.headers_mut().insert(HOST, host);
-    }
-    let path = req.uri().path().to_owned();
-    let until = clock::now() + CALL_TIMEOUT;
-    let (connections, timers) = (&control.connections, &control.timers);
-    let exchange = connections.exchange(timers, cloud.address, req, MAX_RESPONSE_BYTES, until);
-    match exchange.await {
-        Ok((status, _body)) => {
-            if !status.is_success() {
-                Line::new("cloud_refused").with("path", path).with("status", status).info();
-            }
-            CallResult::Answered(status)
-        }
-        Err(error) => {
-            Line::new("cloud_call_failed").with("path", path).with("cause", &error.cause).info();
-            CallResult::Unknown
-        }
-    }
-}
-
 /// Sends the reports that the cloud has not yet accepted from this box.
 async fn send_reports<C: CloudProtocol>(
     control: &Rc<Control>,
@@ -192,12 +127,12 @@
         due.map(|(window, counts)| (*window, counts.clone())).collect()
     };
     for (window, counts) in due {
-        if !holds_duty(control) {
+        if !cloud_calls::holds_duty(control) {
             return;
         }
         let holder = control.holder();
         let req = protocol.usage_report(&holder, window, &counts);
-        let accepted = call(control, cloud, req).await.is_success();
+        let accepted = cloud_calls::call(control, cloud, req).await.is_success();
         Line::new("usage_report")
             .with("window", window)
             .with("requests", counts.values().sum::<u64>())
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -11,8 +11,9 @@
 //! - [`peers`]: connections opened to other control boxes;
 //! - [`dissemination`]: forwards what this box learns about endpoints;
 //! - [`entry_updates`]: sends entry boxes updates about each other;
-//! - [`duties`]: the leader's calls to the cloud;
+//! - [`duties`]: the leader's duties towards the cloud;
 //! - [`capacity`]: orders of replicas;
+//! - [`cloud_calls`]: calls to the cloud, and whether this box may make them;
 //! - [`remembered`]: the endpoints and entry boxes known before a power loss;
 //! - [`clock`]: the cluster time;
 //! - [`operations`]: operations for operators and endpoints, independent of the protocol;
@@ -22,6 +23,7 @@
 pub mod capacity;
 pub mod changes;
 pub mod clock;
+pub mod cloud_calls;
 pub mod dissemination;
 pub mod duties;
 pub mod entry_updates;
