--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -15,7 +15,6 @@
 
 pub use read::SettingsError;
 pub use read::read;
-pub use read::read_file;
 pub use read::read_process;
 pub use read::read_process_file;
 
--- a/crates/vaneway-server/src/core/settings/read/mod.rs
+++ b/crates/vaneway-server/src/core/settings/read/mod.rs
@@ -44,17 +44,6 @@
 
 impl std::error::Error for SettingsError {}
 
-/// Reads and validates the settings file of an entry box at `path`.
-///
-/// # Errors
-///
-/// If the file can't be read or has findings; the error lists all of them.
-pub fn read_file(path: &Path) -> eyre::Result<Settings> {
-    let context = || format!("failed to read settings `{}`", path.display());
-    let text = std::fs::read_to_string(path).wrap_err_with(context)?;
-    read(&text).wrap_err_with(context)
-}
-
 /// Reads and validates the text of an entry box's settings file.
 ///
 /// # Errors
