--- a/crates/vaneway-agreement/src/node/mod.rs
+++ b/crates/vaneway-agreement/src/node/mod.rs
@@ -103,8 +103,8 @@
     persisted_number: u64,
     /// Index up to which this node's own entries are durable.
     durable: Index,
-    /// Number of each pending [`Persist`](crate::Persist), and the index up to which it makes entries
-    /// durable.
+    /// Number of each pending [`Persist`](crate::Persist), and the index up to which it makes
+    /// entries durable.
     pending_persists: VecDeque<(u64, Index)>,
     deferred: VecDeque<DeferredMessage>,
     jitter_seed: u64,
--- a/crates/vaneway-ledger/src/local_usage.rs
+++ b/crates/vaneway-ledger/src/local_usage.rs
@@ -1,5 +1,5 @@
-//! Usage by the requests of one entry box: requests started in each accounting window, and work sent
-//! to each service's engines.
+//! Usage by the requests of one entry box: requests started in each accounting window, and work
+//! sent to each service's engines.
 //!
 //! The usage reported for a window must be accurate to a few requests, so a request is counted in
 //! the window, by cluster time, in which its work was seen to start.
--- a/crates/vaneway-server/src/core/control/cloud_calls.rs
+++ b/crates/vaneway-server/src/core/control/cloud_calls.rs
@@ -1,7 +1,7 @@
 //! Calls of the leader to the cloud, and whether this box may make them.
 //!
-//! Without a valid lease nothing is sent, and a new leader waits until all calls of the previous one
-//! must have arrived.
+//! Without a valid lease nothing is sent, and a new leader waits until all calls of the previous
+//! one must have arrived.
 
 use std::time::Duration;
 
--- a/crates/vaneway-server/src/core/settings/read/values.rs
+++ b/crates/vaneway-server/src/core/settings/read/values.rs
@@ -62,8 +62,8 @@
         .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
-/// Reads an availability zone, which must be one of the `known` ones. Returns an empty name if it is
-/// missing or invalid; a finding has been added then.
+/// Reads an availability zone, which must be one of the `known` ones. Returns an empty name if it
+/// is missing or invalid; a finding has been added then.
 pub(super) fn zone(node: Option<JsonNode<'_>>, known: &[String]) -> String {
     let expected = format!("one of the availability zones ({})", known.join(", "));
     let known = |text: &str| known.iter().find(|zone| *zone == text).cloned();
