--- a/crates/vaneway-server/src/ops/endpoints.rs
+++ b/crates/vaneway-server/src/ops/endpoints.rs
@@ -18,14 +18,12 @@
     let response =
         client.list_endpoints(request).await.map_err(|status| client::status_error(&status))?;
     let listed = response.into_inner().endpoints;
-    if json {
-        let listed: Vec<_> = listed.iter().map(to_json).collect();
-        return Ok(format!("{:#}\n", json!(listed)));
-    }
-    let rows: Vec<_> = listed.iter().map(to_row).collect();
-    Ok(table::format_table(
+    Ok(table::format_list(
+        &listed,
+        json,
         &["replica", "service", "address", "availability zone", "state", "open", "gone in ms"],
-        &rows,
+        to_row,
+        to_json,
     ))
 }
 
--- a/crates/vaneway-server/src/ops/quarantine.rs
+++ b/crates/vaneway-server/src/ops/quarantine.rs
@@ -17,12 +17,13 @@
     let response = client.list_quarantine(v1::ListQuarantineRequest {}).await;
     let response = response.map_err(|status| client::status_error(&status))?;
     let listed = response.into_inner().requests;
-    if json {
-        let listed: Vec<_> = listed.iter().map(to_json).collect();
-        return Ok(format!("{:#}\n", json!(listed)));
-    }
-    let rows: Vec<_> = listed.iter().map(to_row).collect();
-    Ok(table::format_table(&["fingerprint", "verdict", "crashed endpoints"], &rows))
+    Ok(table::format_list(
+        &listed,
+        json,
+        &["fingerprint", "verdict", "crashed endpoints"],
+        to_row,
+        to_json,
+    ))
 }
 
 fn to_json(request: &v1::QuarantinedRequest) -> serde_json::Value {
--- a/crates/vaneway-server/src/ops/replicas.rs
+++ b/crates/vaneway-server/src/ops/replicas.rs
@@ -18,14 +18,12 @@
     let response =
         client.list_replicas(request).await.map_err(|status| client::status_error(&status))?;
     let listed = response.into_inner().replicas;
-    if json {
-        let listed: Vec<_> = listed.iter().map(to_json).collect();
-        return Ok(format!("{:#}\n", json!(listed)));
-    }
-    let rows: Vec<_> = listed.iter().map(to_row).collect();
-    Ok(table::format_table(
+    Ok(table::format_list(
+        &listed,
+        json,
         &["name", "service", "address", "availability zone", "box", "reclaimable"],
-        &rows,
+        to_row,
+        to_json,
     ))
 }
 
--- a/crates/vaneway-server/src/ops/services.rs
+++ b/crates/vaneway-server/src/ops/services.rs
@@ -18,12 +18,13 @@
     let response =
         client.list_services(request).await.map_err(|status| client::status_error(&status))?;
     let listed = response.into_inner().services;
-    if json {
-        let listed: Vec<_> = listed.iter().map(to_json).collect();
-        return Ok(format!("{:#}\n", json!(listed)));
-    }
-    let rows: Vec<_> = listed.iter().map(to_row).collect();
-    Ok(table::format_table(&["name", "kind", "models", "replicas", "available"], &rows))
+    Ok(table::format_list(
+        &listed,
+        json,
+        &["name", "kind", "models", "replicas", "available"],
+        to_row,
+        to_json,
+    ))
 }
 
 fn to_json(service: &v1::Service) -> serde_json::Value {
--- a/crates/vaneway-server/src/ops/table.rs
+++ b/crates/vaneway-server/src/ops/table.rs
@@ -1,4 +1,22 @@
-//! Plain-text tables for the terminal.
+//! Lists for the terminal: plain-text tables, or JSON.
+
+use serde_json::Value;
+
+/// Formats items as a table with these columns, or as a JSON array.
+pub fn format_list<T>(
+    items: &[T],
+    json: bool,
+    header: &[&str],
+    to_row: impl Fn(&T) -> Vec<String>,
+    to_json: impl Fn(&T) -> Value,
+) -> String {
+    if json {
+        let items: Value = items.iter().map(to_json).collect();
+        return format!("{items:#}\n");
+    }
+    let rows: Vec<_> = items.iter().map(to_row).collect();
+    format_table(header, &rows)
+}
 
 /// Formats a header and rows as columns, each as wide as its widest cell.
 ///
