--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -13,10 +13,12 @@
 use futures_util::stream::unfold;
 use hyper::Response;
 use hyper::http::response;
+use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
+use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::UNRESPONSIVE_THRESHOLD;
 
@@ -49,6 +51,7 @@
 use crate::core::retry_after::Refusal;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
+use crate::util::logline::Line;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::outbox;
 
@@ -424,7 +427,7 @@
 async fn read_response<E: EndpointProtocol>(
     entry: Rc<Entry>,
     protocol: &E,
-    request: &CallRequest,
+    request: &Rc<CallRequest>,
     sender: Sender,
     started: StartedResponse,
 ) -> CallItem {
@@ -445,7 +448,9 @@
         },
         Ok(false) => {
             protocol.prepare_headers(&mut head.headers);
-            let body = forward_rest(entry, sender, &buffered, body);
+            let is_success = head.status.is_success();
+            let request = Rc::clone(request);
+            let body = forward_rest(entry, request, sender, is_success, &buffered, body);
             return CallItem::Response(Response::from_parts(head, body));
         }
         Err(error) => error.to_string(),
@@ -463,25 +468,67 @@
 /// Forwards the rest of a long response at the speed of the caller.
 fn forward_rest(
     entry: Rc<Entry>,
+    request: Rc<CallRequest>,
     sender: Sender,
+    is_success: bool,
     buffered: &[u8],
     mut body: ConnectionBody,
 ) -> ResponseBody {
     let (tx, rx) = outbox(entry.settings.limits.stream_bytes);
     tx.push(buffered);
     compio::runtime::spawn(async move {
-        let has_ended = copy_body(&entry, &tx, &mut body).await;
-        if has_ended && check_end(&entry, sender, &body).await.is_ok() {
-            tx.finish();
-            entry.connections.release(entry.address(sender.endpoint), body);
+        let end = match copy_body(&entry, &tx, &mut body).await {
+            CopyEnd::EndOfBody => check_end(&entry, sender, &body).await.map_err(|e| e.to_string()),
+            CopyEnd::Broken(cause) => Err(cause),
+            CopyEnd::CallerGone => return,
+        };
+        match end {
+            Ok(()) => {
+                tx.finish();
+                entry.connections.release(entry.address(sender.endpoint), body);
+                if is_success {
+                    quarantine::clear_request(&entry, &request);
+                }
+            }
+            Err(cause) => {
+                drop(tx);
+                record_broken_rest(&entry, &request, sender, &cause).await;
+            }
         }
     })
     .detach();
     ResponseBody::Streamed(rx)
 }
 
-/// Copies a body into an outbox. Returns whether its bytes arrived up to their end.
-async fn copy_body(entry: &Entry, tx: &Outbox, body: &mut ConnectionBody) -> bool {
+/// Records that a long response broke off after its attempt had counted as answered.
+async fn record_broken_rest(entry: &Entry, request: &CallRequest, sender: Sender, cause: &str) {
+    let Sender { endpoint, born } = sender;
+    let spec = entry.pool.borrow().get(endpoint).spec.clone();
+    Line::new("long_answer_broken_off")
+        .with("request", &request.id)
+        .with("replica", &spec.name)
+        .with("cause", cause)
+        .info();
+    entry.apply_event(endpoint, EndpointEvent::Failed);
+    if !spec.is_neighbour() && quarantine::endpoint_has_exited(entry, &request.id, endpoint).await {
+        let incarnation = Incarnation::new(&spec.name, born);
+        quarantine::record_exit(entry, endpoint, &incarnation);
+        quarantine::record_crash(entry, request, &[(incarnation, Progress::Answering)]);
+    }
+}
+
+/// How the copy of a body ended.
+enum CopyEnd {
+    /// The bytes of the body have ended.
+    EndOfBody,
+    /// The connection broke, or nothing arrived for too long.
+    Broken(String),
+    /// The caller left or read nothing for too long.
+    CallerGone,
+}
+
+/// Copies a body into an outbox.
+async fn copy_body(entry: &Entry, tx: &Outbox, body: &mut ConnectionBody) -> CopyEnd {
     loop {
         let until = clock::now() + entry.settings.limits.caller_stall_timeout;
         let capacity = poll_fn(|cx| match tx.poll_closed(cx) {
@@ -489,12 +536,13 @@
             Poll::Pending => tx.poll_capacity(cx).map(|()| true),
         });
         if entry.timers.timeout_at(until, capacity).await != Some(true) {
-            return false;
+            return CopyEnd::CallerGone;
         }
         match entry.timers.timeout_at(until, body.data()).await {
             Some(Some(Ok(data))) => tx.push(&data),
-            Some(None) => return true,
-            Some(Some(Err(_))) | None => return false,
+            Some(None) => return CopyEnd::EndOfBody,
+            Some(Some(Err(error))) => return CopyEnd::Broken(error.to_string()),
+            None => return CopyEnd::Broken("the endpoint sent nothing for too long".to_owned()),
         }
     }
 }
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -262,7 +262,9 @@
             }
             CallItem::Response(response) => {
                 self.count_started();
-                self.succeeded = response.status().is_success();
+                // A long response is still arriving; what its end shows is recorded then.
+                let is_whole = matches!(response.body(), ResponseBody::Full(_));
+                self.succeeded = is_whole && response.status().is_success();
                 self.entry.apply_event(endpoint, EndpointEvent::Answered);
                 self.count_attempt(Outcome::Done);
                 if self.relay.splice().has_sent() {
