--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -11,6 +11,8 @@
 //! - [`peers`]: connections opened to other control boxes;
 //! - [`dissemination`]: forwards what this box learns about endpoints;
 //! - [`entry_updates`]: sends entry boxes updates about each other;
+//! - [`delivery`]: sends entry boxes state as they can take it;
+//! - [`update_log`]: the order in which state changed, without I/O;
 //! - [`duties`]: the leader's calls to the cloud;
 //! - [`capacity`]: orders of replicas;
 //! - [`remembered`]: the endpoints and entry boxes known before a power loss;
@@ -22,6 +24,7 @@
 pub mod capacity;
 pub mod changes;
 pub mod clock;
+pub mod delivery;
 pub mod dissemination;
 pub mod duties;
 pub mod entry_updates;
@@ -39,3 +42,4 @@
 pub mod running;
 pub mod state;
 pub mod store;
+pub mod update_log;
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -32,6 +32,7 @@
 use crate::core::cluster_time::Window;
 use crate::core::control::changes::ConfigurationHistory;
 use crate::core::control::clock::ClusterClock;
+use crate::core::control::delivery::UpdateLogs;
 use crate::core::control::dissemination::ForwardedCounts;
 use crate::core::control::entry_updates;
 use crate::core::control::links::EntryLink;
@@ -144,6 +145,8 @@
     /// Endpoints whose limits entry boxes reported here and that must be forwarded to the other
     /// control boxes.
     pub(crate) limits_for_peers: RefCell<BTreeSet<InstanceId>>,
+    /// Changes of the state that entry boxes are sent.
+    pub(crate) update_logs: UpdateLogs,
     /// Number of forwarded updates.
     pub(crate) forwarded: ForwardedCounts,
     /// The cluster clock.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -56,3 +56,4 @@
 mod support;
 mod telling;
 mod turns;
+mod update_log;
