--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -32,6 +32,7 @@
 use serde_json::value::RawValue;
 use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
+use vaneway_registry::SoftwareVersion;
 use vaneway_relay::Action;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::AttemptId;
@@ -256,6 +257,7 @@
         failure: None,
         counted_tokens: 0,
         occupancy: None,
+        software: None,
         error_response: None,
         response,
         request,
@@ -284,6 +286,9 @@
     /// Runs while the caller reads nothing.
     stall_timer: Option<Sleep>,
     occupancy: Option<(EndpointId, Occupancy)>,
+    /// The software version that began the stream, once a chunk of it was sent; none if its engine
+    /// declares none.
+    software: Option<SoftwareVersion>,
     error_response: Option<(StatusCode, Bytes)>,
     failure: Option<Failure>,
     /// Tokens that are counted in the metrics.
@@ -511,6 +516,7 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
+                self.record_software();
                 self.count_tokens();
                 self.response.chunk(chunk);
             }
@@ -537,12 +543,25 @@
 
     fn choose(&mut self) -> Event {
         self.occupancy = None;
-        self.entry.choose(Query {
+        let chosen = self.entry.choose(Query {
             service: self.request.service as ServiceId,
             avoid: self.relay.tried(),
             prefix: self.request.prefix,
+            software: self.software.as_deref(),
             ..Query::default()
-        })
+        });
+        match chosen {
+            // An engine that replaces the lost one may have the version.
+            Event::NoneLeft => Event::Unavailable { full: false, until: None },
+            chosen => chosen,
+        }
+    }
+
+    /// Records which software version began the stream, with its first chunk.
+    fn record_software(&mut self) {
+        let (None, Some((endpoint, _))) = (&self.software, &self.occupancy) else { return };
+        let software = self.entry.pool.borrow().get(*endpoint).spec.software.clone();
+        self.software = Some(software).filter(|software| !software.is_empty());
     }
 
     /// Has the target fetch the stream's KV cache; the result is delivered as an event.
--- a/crates/vaneway-server/src/core/settings/read/service.rs
+++ b/crates/vaneway-server/src/core/settings/read/service.rs
@@ -73,7 +73,7 @@
         box_name: fields.optional("box").and_then(|node| node.string()).unwrap_or(name.clone()),
         reclaimable: fields.optional("reclaimable").and_then(|p| p.boolean()).unwrap_or(true),
         max_open,
-        software: String::new(),
+        software: fields.optional("software").and_then(|p| p.string()).unwrap_or_default(),
         name,
     };
     fields.finish();
--- a/crates/vaneway-test-support/src/deployment.rs
+++ b/crates/vaneway-test-support/src/deployment.rs
@@ -30,12 +30,13 @@
     name: String,
     address: SocketAddr,
     zone: &'static str,
+    software: Option<&'static str>,
 }
 
 impl Replica {
     /// A replica in the first availability zone.
     pub fn new(name: &str, address: SocketAddr) -> Self {
-        Self { name: name.to_owned(), address, zone: ZONES[0] }
+        Self { name: name.to_owned(), address, zone: ZONES[0], software: None }
     }
 
     /// Sets the availability zone.
@@ -45,13 +46,24 @@
         self
     }
 
+    /// Sets the software version.
+    #[must_use]
+    pub fn with_software(mut self, software: &'static str) -> Self {
+        self.software = Some(software);
+        self
+    }
+
     fn to_json(&self) -> Value {
-        json!({
+        let mut replica = json!({
             "name": self.name,
             "address": self.address,
             "availability_zone": self.zone,
             "box": format!("box-{}", self.name),
-        })
+        });
+        if let Some(software) = self.software {
+            replica["software"] = software.into();
+        }
+        replica
     }
 }
 
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -32,6 +32,12 @@
 
 /// The chunks of a response without the fields that differ between requests; the id and the
 /// creation time must be the same in all chunks of one response.
+/// Software versions of the engines of one test.
+const VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2"];
+
+/// Number of streams of that test, enough that one would go on at the other version by chance.
+const VERSION_ROUNDS: usize = 6;
+
 fn chunks(response: &ReceivedResponse) -> Vec<Value> {
     assert_eq!(response.status, 200, "{}", String::from_utf8_lossy(&response.body));
     assert!(response.complete, "truncated: {}", String::from_utf8_lossy(&response.body));
@@ -149,6 +155,32 @@
     });
 }
 
+/// Guards against a stream that goes on at an engine of another software version than the one that
+/// began it, although one of its own version serves.
+#[test]
+fn stream_goes_on_at_an_engine_of_its_software_version() {
+    for _ in 0..VERSION_ROUNDS {
+        let mut engines: Vec<Engine> = VERSIONS.iter().map(|_| engine()).collect();
+        let mut versions = Vec::from(VERSIONS);
+        let listed = engines.iter().zip(VERSIONS).enumerate().map(|(i, (engine, version))| {
+            Replica::new(&format!("engine-{i}"), engine.address()).with_software(version)
+        });
+        let (_entry, caller) = start_entry(&deployment().engines(&listed.collect::<Vec<_>>()));
+        block_on(async {
+            let mut stream = caller.stream(MODEL, PROMPT, TOKENS).await;
+            stream.events(10).await;
+            let crashed = busy_engine(&engines.iter().collect::<Vec<_>>());
+            engines.remove(crashed).kill();
+            let began_at = versions.remove(crashed);
+            let response = stream.finish().await;
+            assert!(response.complete);
+            let continued = engines.iter().position(|engine| engine.stats().continued == 1);
+            let continued = continued.expect("an engine that went on with the stream");
+            assert_eq!(versions[continued], began_at);
+        });
+    }
+}
+
 #[test]
 fn unstreamed_responses_survive_an_engine_crash_too() {
     let (a, b) = (engine(), engine());
