--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -14,6 +14,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -39,6 +41,9 @@
 pub enum End {
     /// The connection is closed in order.
     Close,
+    /// The connection is closed in order. Next, the endpoint has too many connections: it resets the
+    /// first ones that are opened.
+    CloseWhileFull,
     /// The connection is reset.
     Reset,
     /// The endpoint's process ends, and the operating system closes its sockets in order, that which
@@ -158,6 +163,8 @@
     listener: TcpListener,
     script: Script,
     state: Mutex<State>,
+    /// How many of the next connections are reset.
+    resets: AtomicUsize,
 }
 
 /// A running endpoint, which serves each connection in a thread of its own. It crashes as its script
@@ -172,6 +179,9 @@
 /// Bytes that are announced and never sent.
 const MISSING_BYTES: usize = 8;
 
+/// Connections that an endpoint with too many of them resets: those of one check.
+const RESETS_WHILE_FULL: usize = 3;
+
 /// Time for written bytes to arrive before a reset overtakes them.
 const ARRIVAL_TIME: Duration = Duration::from_millis(50);
 
@@ -193,6 +203,7 @@
             listener,
             script: script.clone(),
             state: Mutex::default(),
+            resets: AtomicUsize::new(0),
         });
         let accepting = Arc::clone(&shared);
         let thread = std::thread::Builder::new().name(format!("raw-endpoint-{instance}"));
@@ -229,6 +240,12 @@
 }
 
 impl Shared {
+    /// Whether a new connection is to be reset.
+    fn takes_reset(&self) -> bool {
+        let one_less = |resets: usize| resets.checked_sub(1);
+        self.resets.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less).is_ok()
+    }
+
     /// Ends the listening socket and all connections. The port stays bound, so that no other process
     /// gets it.
     fn crash(&self) {
@@ -243,6 +260,11 @@
 fn accept(shared: &Arc<Shared>) {
     // Fails once the listening socket has been shut down.
     while let Ok((connection, _)) = shared.listener.accept() {
+        if shared.takes_reset() {
+            let lingers = SockRef::from(&connection).set_linger(Some(Duration::ZERO));
+            lingers.expect("the connection can be reset");
+            continue;
+        }
         if let Ok(connection) = connection.try_clone() {
             lock(&shared.state).open.push(connection);
         }
@@ -269,6 +291,10 @@
     answer.write_to(&mut connection, &shared.instance, &id);
     match answer.end {
         End::Close => end(&connection),
+        End::CloseWhileFull => {
+            shared.resets.store(RESETS_WHILE_FULL, Ordering::SeqCst);
+            end(&connection);
+        }
         End::Crash => shared.crash(),
         End::SlowCrash => {
             end(&connection);
--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -256,6 +256,53 @@
     }
 }
 
+/// Guards against a stream that a second endpoint should go on with inside the same answer and that
+/// ends as complete although nothing but the end of the connection follows the second head.
+#[test]
+fn stream_resumed_by_the_box_that_brings_no_event_is_not_complete() {
+    for (framing, end) in [(Framing::Chunks, End::Close), (Framing::UntilClose, End::Reset)] {
+        let setup = Setup::start();
+        let broken_off = Answer::stream(framing, inside_event(4), end);
+        let empty = Answer::stream(Framing::UntilClose, "", End::Close);
+        let response = setup.send("q", "/stream/x", &[broken_off, empty]);
+        let seen = (response.status, response.complete, text(&response));
+        assert_eq!(seen, (200, false, first_events(4)), "{framing:?}, {end:?}");
+        assert_eq!(setup.resumed_after("q"), ["4"], "{framing:?}, {end:?}");
+    }
+}
+
+/// Guards against an answer that is complete for a comment, which is no event, although nothing but
+/// the end of the connection ended it.
+#[test]
+fn new_unframed_stream_of_comments_alone_is_not_complete() {
+    for comment in [": wait\n", ": wait\n\n", ": wait\r\n\r\n"] {
+        let setup = Setup::start();
+        let comments = Answer::stream(Framing::UntilClose, comment, End::Close);
+        let response = setup.send("q", "/fixed/x", &[comments]);
+        let is_success = response.status == 200 && response.complete;
+        assert!(!is_success, "{comment:?}: {:?}", text(&response));
+        assert_eq!(setup.received("q").len(), 1, "{comment:?}");
+    }
+}
+
+/// Guards against complete answers that count as broken off since their endpoint has too many
+/// connections and resets the one by which it is checked.
+#[test]
+fn unframed_answer_of_an_endpoint_that_resets_new_connections_is_complete() {
+    let setup = Setup::start();
+    let answers = [
+        ("/fixed/x", Answer::stream(Framing::UntilClose, events(0), End::CloseWhileFull)),
+        ("/once/x", Answer::buffered(Framing::UntilClose, "the body", End::CloseWhileFull)),
+    ];
+    for (path, answer) in answers {
+        let body = answer.body.clone();
+        let response = setup.send(path, path, &[answer]);
+        let seen = (response.status, response.complete, text(&response));
+        assert_eq!(seen, (200, true, body), "{path}");
+        assert_eq!(setup.received(path).len(), 1, "{path}");
+    }
+}
+
 /// Guards against a framed answer without events, or the empty rest of a stream that its caller
 /// takes up again, that counts as broken off.
 #[test]
