--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -36,6 +36,7 @@
 use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::socket;
+use crate::util::socket::SocketStream;
 
 /// Timeout for a connection that probes whether an endpoint has exited: several round trips between
 /// availability zones. An endpoint that doesn't answer counts as unreachable, which is no evidence
@@ -149,24 +150,28 @@
 /// Opens connections to an address, to find out whether a process listens there.
 pub async fn test_connection(entry: &Entry, address: SocketAddr) -> ConnectionTest {
     for _ in 0..PROBE_COUNT {
-        let stream = match socket::connect_timeout(&entry.timers, address, PROBE_TIMEOUT).await {
-            Ok(stream) => stream,
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return ConnectionTest::Refused;
-            }
-            Err(_) => return ConnectionTest::Unreachable,
-        };
-        // No request was sent, so anything that can be read means that the peer closed the
-        // connection.
-        let closed = poll_fn(|cx| stream.poll_recv_ready(cx));
-        if entry.timers.timeout_at(clock::now() + MIN_CONNECTION_AGE, closed).await.is_none() {
-            return ConnectionTest::Accepted;
+        match socket::connect_timeout(&entry.timers, address, PROBE_TIMEOUT).await {
+            Ok(stream) if stays_open(entry, &stream).await => return ConnectionTest::Accepted,
+            Ok(_closed) => {}
+            Err(error) => match error.kind() {
+                ErrorKind::ConnectionRefused => return ConnectionTest::Refused,
+                // It was accepted first: where nothing listens, it is refused.
+                ErrorKind::ConnectionReset => {}
+                _ => return ConnectionTest::Unreachable,
+            },
         }
         entry.timers.sleep(PROBE_INTERVAL).await;
     }
     ConnectionTest::Closed
 }
 
+/// Whether a new connection stays open. No request is sent, so anything that can be read means that
+/// the peer closed it.
+async fn stays_open(entry: &Entry, stream: &SocketStream) -> bool {
+    let closed = poll_fn(|cx| stream.poll_recv_ready(cx));
+    entry.timers.timeout_at(clock::now() + MIN_CONNECTION_AGE, closed).await.is_none()
+}
+
 /// Whether this box reaches any endpoint besides the one at `address`; true if there is no other.
 async fn reaches_another(entry: &Entry, address: SocketAddr) -> bool {
     let others: Vec<SocketAddr> = {
