--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -25,6 +25,7 @@
 use crate::core::calls::answer_end::Received;
 use crate::core::calls::answer_end::Sender;
 use crate::core::calls::call_limits::CallLimits;
+use crate::core::calls::events;
 use crate::core::calls::events::EventSplitter;
 use crate::core::calls::events::LAST_EVENT_ID;
 use crate::core::calls::events::RawEvent;
@@ -162,6 +163,8 @@
     sender: Sender,
     /// Whether the stream goes on after an event that the caller has.
     resumed: bool,
+    /// Whether an event, not only comments, has arrived.
+    has_event: bool,
     addr: std::net::SocketAddr,
     body: ConnectionBody,
     attempt: vaneway_relay::Attempt,
@@ -233,6 +236,7 @@
                     let reader = EventStreamReader {
                         sender,
                         resumed: after.is_some() || request.headers.contains_key(LAST_EVENT_ID),
+                        has_event: false,
                         addr: spec.address,
                         splitter: EventSplitter::default(),
                         limits,
@@ -368,6 +372,7 @@
     let cause = loop {
         if let Some(event) = reader.splitter.next_event() {
             reader.occupancy.record_chunk();
+            reader.has_event = reader.has_event || event.is_event();
             return (CallItem::Event(event), Stage::Reading(reader));
         }
         let limits = &reader.limits;
@@ -400,8 +405,8 @@
 /// Returns the bytes after the last event of a stream whose bytes have ended.
 async fn end_of_stream(reader: &mut EventStreamReader) -> Result<Bytes, BrokenOff> {
     let remainder = std::mem::take(&mut reader.splitter).into_remainder();
-    let has_event = reader.occupancy.is_responding()
-        || remainder.as_ref().is_some_and(|bytes| !bytes.trim_ascii().is_empty());
+    let has_event =
+        reader.has_event || remainder.as_ref().is_some_and(|bytes| events::has_event(bytes));
     let received = match remainder {
         None => Received::PartOfEvent,
         Some(_) if !has_event && !reader.resumed => Received::NoEvent,
--- a/crates/vaneway-server/src/core/calls/events.rs
+++ b/crates/vaneway-server/src/core/calls/events.rs
@@ -34,6 +34,13 @@
     pub bytes: Bytes,
 }
 
+impl RawEvent {
+    /// Whether it is an event, not only comments and empty lines.
+    pub fn is_event(&self) -> bool {
+        has_event(&self.bytes)
+    }
+}
+
 /// Buffers the bytes of a stream that have not been returned as events yet.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -78,6 +85,12 @@
     }
 }
 
+/// Whether whole lines contain more than comments and empty lines.
+pub fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\r' | b'\n'));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Whether bytes end inside an event that begins in them. Lines may end with a carriage return, a
 /// newline or both, and comments belong to no event.
 fn is_inside_event(bytes: &[u8]) -> bool {
