--- a/crates/vaneway-server/src/core/calls/answer_end.rs
+++ b/crates/vaneway-server/src/core/calls/answer_end.rs
@@ -20,7 +20,7 @@
     All,
     /// An event stream that ended inside an event.
     PartOfEvent,
-    /// A new event stream without any event.
+    /// An event stream without any event, new or resumed by a box after an attempt that broke off.
     NoEvent,
 }
 
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -161,8 +161,9 @@
     entry: Rc<Entry>,
     request: Rc<CallRequest>,
     sender: Sender,
-    /// Whether the stream goes on after an event that the caller has.
-    resumed: bool,
+    /// Whether the answer may bring no event: the caller takes up a stream whose events it may all
+    /// have. An attempt that resumes one that broke off is expected to bring some.
+    may_be_empty: bool,
     /// Whether an event, not only comments, has arrived.
     has_event: bool,
     addr: std::net::SocketAddr,
@@ -235,7 +236,8 @@
                 if streamed && head.status.is_success() && is_event_stream(&head.headers) {
                     let reader = EventStreamReader {
                         sender,
-                        resumed: after.is_some() || request.headers.contains_key(LAST_EVENT_ID),
+                        may_be_empty: after.is_none()
+                            && request.headers.contains_key(LAST_EVENT_ID),
                         has_event: false,
                         addr: spec.address,
                         splitter: EventSplitter::default(),
@@ -409,7 +411,7 @@
         reader.has_event || remainder.as_ref().is_some_and(|bytes| events::has_event(bytes));
     let received = match remainder {
         None => Received::PartOfEvent,
-        Some(_) if !has_event && !reader.resumed => Received::NoEvent,
+        Some(_) if !has_event && !reader.may_be_empty => Received::NoEvent,
         Some(_) => Received::All,
     };
     let framing = reader.body.framing();
