--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -271,6 +271,29 @@
     }
 }
 
+/// Guards against an answer with the events of one endpoint and the head, with its signature, of
+/// another one, which broke off before its first event.
+#[test]
+fn head_of_a_stream_that_is_tried_again_is_that_of_its_events() {
+    for (framing, body) in [(Framing::UntilClose, ""), (Framing::Chunks, "id: 1\ndata: pie")] {
+        let setup = Setup::start();
+        let broken_off = Answer {
+            content_type: Some("text/event-stream; charset=utf-8"),
+            ..Answer::stream(framing, body, End::Close)
+        };
+        setup.script.replace([broken_off, rest_of_stream(0)]);
+        let caller = Caller::new(setup.entry.listen(), KEY).with_host(HOST);
+        let (content_type, response) = block_on(async {
+            let headers = stream_headers("q");
+            let open = caller.open(Method::POST, "/stream/x", &headers, "body".to_owned()).await;
+            (open.header("content-type"), open.finish().await)
+        });
+        let seen = (response.status, response.complete, text(&response));
+        assert_eq!(seen, (200, true, events(0)), "{framing:?}");
+        assert_eq!(content_type, Some("text/event-stream".to_owned()), "{framing:?}");
+    }
+}
+
 /// Guards against an answer that is complete for a comment, which is no event, although nothing but
 /// the end of the connection ended it.
 #[test]
