--- a/crates/vaneway-server/src/core/calls/reply.rs
+++ b/crates/vaneway-server/src/core/calls/reply.rs
@@ -54,9 +54,9 @@
         }
     }
 
-    /// Sets the head of an event stream, unless there is one already.
+    /// Sets the head of an event stream, unless events have been sent to the caller under another one.
     pub(super) fn set_head(&mut self, head: response::Parts) {
-        if matches!(self.pending, PendingResponse::Empty | PendingResponse::Failed(_)) {
+        if !matches!(self.pending, PendingResponse::Streaming(_)) {
             self.pending = PendingResponse::Head(head);
         }
     }
