--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -28,6 +28,7 @@
 use crate::core::calls::answer_end::Received;
 use crate::core::calls::answer_end::Sender;
 use crate::core::calls::call_limits::CallLimits;
+use crate::core::calls::events;
 use crate::core::calls::events::EventSplitter;
 use crate::core::calls::events::LAST_EVENT_ID;
 use crate::core::calls::events::RawEvent;
@@ -167,8 +168,11 @@
     entry: Rc<Entry>,
     request: Rc<CallRequest>,
     sender: Sender,
-    /// Whether the stream goes on after an event that the caller has.
-    resumed: bool,
+    /// Whether the answer may bring no event: the caller takes up a stream whose events it may all
+    /// have. An attempt that resumes one that broke off is expected to bring some.
+    may_be_empty: bool,
+    /// Whether an event, not only comments, has arrived.
+    has_event: bool,
     addr: std::net::SocketAddr,
     body: ConnectionBody,
     attempt: vaneway_relay::Attempt,
@@ -240,7 +244,9 @@
                 if streamed && head.status.is_success() && is_event_stream(&head.headers) {
                     let reader = EventStreamReader {
                         sender,
-                        resumed: after.is_some() || request.headers.contains_key(LAST_EVENT_ID),
+                        may_be_empty: after.is_none()
+                            && request.headers.contains_key(LAST_EVENT_ID),
+                        has_event: false,
                         addr: spec.address,
                         splitter: EventSplitter::default(),
                         limits,
@@ -376,6 +382,7 @@
     let cause = loop {
         if let Some(event) = reader.splitter.next_event() {
             reader.occupancy.record_chunk();
+            reader.has_event = reader.has_event || event.is_event();
             return (CallItem::Event(event), Stage::Reading(reader));
         }
         let limits = &reader.limits;
@@ -408,11 +415,11 @@
 /// Returns the bytes after the last event of a stream whose bytes have ended.
 async fn end_of_stream(reader: &mut EventStreamReader) -> Result<Bytes, BrokenOff> {
     let remainder = std::mem::take(&mut reader.splitter).into_remainder();
-    let has_event = reader.occupancy.is_responding()
-        || remainder.as_ref().is_some_and(|bytes| !bytes.trim_ascii().is_empty());
+    let has_event =
+        reader.has_event || remainder.as_ref().is_some_and(|bytes| events::has_event(bytes));
     let received = match remainder {
         None => Received::PartOfEvent,
-        Some(_) if !has_event && !reader.resumed => Received::NoEvent,
+        Some(_) if !has_event && !reader.may_be_empty => Received::NoEvent,
         Some(_) => Received::All,
     };
     let framing = reader.body.framing();
