--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -17,6 +17,10 @@
 use serde_json::Value;
 use serde_json::json;
 use vaneway_limit::Sender;
+use vaneway_origins::ORIGIN_RETENTION;
+use vaneway_origins::Origin;
+use vaneway_origins::OriginRecord;
+use vaneway_origins::Origins;
 use vaneway_route::Choice;
 use vaneway_route::EndpointSpec;
 use vaneway_route::Policy;
@@ -83,6 +87,9 @@
         if args.wants("choice") {
             choice(scale);
         }
+        if args.wants("origins") {
+            origins(scale);
+        }
     });
 }
 
@@ -345,3 +352,61 @@
     }
     print("choice", "endpoints", "seconds", &points);
 }
+
+/// Resident memory of this process in bytes.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the process's status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+    let kib: u64 = line.trim().trim_end_matches(" kB").parse().expect("a size in kB");
+    kib * 1_024
+}
+
+/// What entry boxes send to a control box in a second in which `count` streams begin: messages of
+/// one to three streams, which began at one of 40 origins.
+fn begun_streams(now: Instant, second: u32, count: u64) -> Vec<Vec<OriginRecord>> {
+    let mut messages = Vec::new();
+    let mut streams = (0..count).peekable();
+    while streams.peek().is_some() {
+        let mut entry_box = Origins::new();
+        for i in streams.by_ref().take(1 + messages.len() % 3) {
+            let key = (u64::from(second) * count + i).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            let service = format!("service-{}", i % 20);
+            let software = format!("1.{}", i / 20 % 2);
+            entry_box.record(now, key, &Origin { service, software });
+        }
+        messages.push(entry_box.take_updates(now));
+    }
+    messages
+}
+
+/// Measures memory by retained streams, and processor time by streams that begin in a second, of a
+/// control box that merges where they began.
+fn origins(scale: Scale) {
+    let (mut memory, mut merging) = (Vec::new(), Vec::new());
+    let mut control_boxes = Vec::new();
+    let warm_up = 2 * ORIGIN_RETENTION.as_secs() as u32;
+    let measured = 10 * scale.size as u32;
+    for rate in [1_500, 3_000, 4_500, 5_900] {
+        let start = Instant::now();
+        let before = resident_bytes();
+        let mut control_box = Origins::new();
+        let mut used = Duration::ZERO;
+        for second in 0..warm_up + measured {
+            let now = start + Duration::from_secs(second.into());
+            let messages = begun_streams(now, second, rate);
+            let begun = Instant::now();
+            for message in &messages {
+                control_box.merge(now, message);
+            }
+            if second >= warm_up {
+                used += begun.elapsed();
+            }
+        }
+        memory.push((control_box.len() as f64, (resident_bytes() - before) as f64));
+        merging.push((rate as f64, used.as_secs_f64() / f64::from(measured)));
+        // Its memory must not be used again for the next one.
+        control_boxes.push(control_box);
+    }
+    print("memory", "retained streams", "bytes", &memory);
+    print("processor", "streams begun a second", "cores", &merging);
+}
--- a/crates/vaneway-origins/src/lib.rs
+++ b/crates/vaneway-origins/src/lib.rs
@@ -25,11 +25,11 @@
 
 mod origin_table;
 mod record_order;
+mod stream_table;
 mod timestamp;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,6 +39,7 @@
 use crate::origin_table::KnownOrigin;
 use crate::origin_table::OriginTable;
 use crate::record_order::RecordOrder;
+use crate::stream_table::StreamTable;
 use crate::timestamp::Timestamp;
 
 /// How long an origin is retained after the stream was last recorded.
@@ -137,7 +138,7 @@
 pub struct Origins {
     /// The first time that was passed in, from which the others are counted.
     epoch: Option<Instant>,
-    streams: HashMap<StreamKey, Stream>,
+    streams: StreamTable,
     /// Each stream once, in about the order in which they expire.
     order: RecordOrder,
     table: OriginTable,
@@ -158,7 +159,7 @@
         let origin = self.table.acquire(origin);
         self.retain(now, key, Stream { recorded_at: now, origin });
         self.table.release(origin);
-        if self.streams.contains_key(&key) {
+        if self.streams.get(key).is_some() {
             self.unsent.insert(key);
         }
     }
@@ -166,7 +167,7 @@
     /// The origin of a stream; none if it isn't known, has expired, or is contradictory.
     pub fn find(&self, now: Instant, key: StreamKey) -> Option<&Origin> {
         let now = Timestamp::new(self.epoch?, now);
-        let stream = self.streams.get(&key).filter(|stream| !stream.is_expired(now))?;
+        let stream = self.streams.get(key).filter(|stream| !stream.is_expired(now))?;
         self.table.get(stream.origin)
     }
 
@@ -205,7 +206,7 @@
 
     /// Whether no stream is in memory.
     pub fn is_empty(&self) -> bool {
-        self.streams.is_empty()
+        self.len() == 0
     }
 
     fn enter(&mut self, now: Instant) -> Timestamp {
@@ -224,19 +225,22 @@
     /// Merges a record that hasn't expired.
     fn retain(&mut self, now: Timestamp, key: StreamKey, recorded: Stream) {
         self.remove_expired(now, REMOVALS_PER_RECORD);
-        let known = self.streams.get(&key).copied();
-        let merged = match known.filter(|known| !known.is_expired(now)) {
-            Some(unexpired) => unexpired.merge(recorded),
-            None => recorded,
+        let Some(known) = self.streams.get_mut(key) else {
+            self.insert(key, recorded);
+            return;
         };
-        self.table.add_stream(merged.origin);
-        self.streams.insert(key, merged);
-        if let Some(known) = known {
-            self.table.release(known.origin);
-        } else {
-            self.order.push(merged.recorded_at, key);
-            self.remove_oldest();
-        }
+        let before = *known;
+        *known = if before.is_expired(now) { recorded } else { before.merge(recorded) };
+        self.table.add_stream(known.origin);
+        self.table.release(before.origin);
+    }
+
+    /// Inserts a stream that isn't retained.
+    fn insert(&mut self, key: StreamKey, stream: Stream) {
+        self.table.add_stream(stream.origin);
+        self.streams.insert(key, stream);
+        self.order.push(stream.recorded_at, key);
+        self.remove_oldest();
     }
 
     /// Removes streams that have expired, at most `max` so that no call takes long.
@@ -260,12 +264,12 @@
     /// was put into the order.
     fn remove_first_unless_renewed(&mut self) {
         let Some((second, key)) = self.order.pop_first() else { return };
-        let Some(stream) = self.streams.get(&key).copied() else { return };
+        let Some(stream) = self.streams.get(key).copied() else { return };
         if stream.recorded_at.second() > second {
             self.order.push(stream.recorded_at, key);
             return;
         }
-        self.streams.remove(&key);
+        self.streams.remove(key);
         self.unsent.remove(&key);
         self.table.release(stream.origin);
     }
@@ -278,7 +282,7 @@
     ) -> Vec<OriginRecord> {
         let mut by_origin: BTreeMap<KnownOrigin, Vec<RecordedStream>> = BTreeMap::new();
         for key in keys {
-            let stream = self.streams.get(key).filter(|stream| !stream.is_expired(now));
+            let stream = self.streams.get(*key).filter(|stream| !stream.is_expired(now));
             if let Some(stream) = stream {
                 by_origin.entry(stream.origin).or_default().push(stream.to_record(now, *key));
             }
