--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -9,6 +9,7 @@
 
 use vaneway_agreement::Event;
 use vaneway_agreement::NodeId;
+use vaneway_ledger::EntryIncarnation;
 use vaneway_limit::BoxNumber;
 
 use crate::core::cluster::wire::BetweenControl;
@@ -29,7 +30,6 @@
 use crate::core::control::peers;
 use crate::core::control::remembered;
 use crate::core::control::state::Control;
-use crate::core::entry_incarnation::EntryIncarnation;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::EncodedFrame;
@@ -243,6 +243,14 @@
                 entry.listens.replace(Some(Neighbour { name, address, availability_zone }));
             }
         }
+        ToControl::Entry(FromEntry::StreamOrigins(records)) => {
+            control.stream_origins.borrow_mut().merge(clock::now(), &records);
+        }
+        ToControl::Entry(FromEntry::FindStreamOrigin { stream }) => {
+            let origins = control.stream_origins.borrow();
+            let origin = origins.find(clock::now(), stream).cloned();
+            outgoing.send(&ToEntry::StreamOrigin { stream, origin });
+        }
         ToControl::Entry(FromEntry::Done) => {
             if let Sender::Entry { incarnation, .. } = sender {
                 control.usage_ledger.borrow_mut().mark_done(incarnation);
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -20,7 +20,11 @@
 use vaneway_agreement::NodeId;
 use vaneway_agreement::ProposalId;
 use vaneway_agreement::Term;
+use vaneway_ledger::ClusterNow;
+use vaneway_ledger::UsageLedger;
+use vaneway_ledger::Window;
 use vaneway_limit::EndpointLimits;
+use vaneway_origins::Origins;
 use vaneway_quarantine::Quarantine;
 use vaneway_registry::InstanceId;
 use vaneway_registry::Registry;
@@ -28,8 +32,6 @@
 
 use crate::core::cached_parts::PartLedger;
 use crate::core::cluster::wire::Wanted;
-use crate::core::cluster_time::ClusterNow;
-use crate::core::cluster_time::Window;
 use crate::core::control::changes::ConfigurationHistory;
 use crate::core::control::clock::ClusterClock;
 use crate::core::control::dissemination::ForwardedCounts;
@@ -41,7 +43,6 @@
 use crate::core::control::store::Write;
 use crate::core::endpoints::upstream::ConnectionPool;
 use crate::core::settings::ControlSettings;
-use crate::core::usage::UsageLedger;
 use crate::util::clock;
 use crate::util::send_queue::BufferedBytes;
 use crate::util::timers::Timers;
@@ -137,6 +138,8 @@
     pub usage_ledger: RefCell<UsageLedger>,
     /// Prompt parts cached at endpoints.
     pub(crate) cached_parts: RefCell<PartLedger>,
+    /// Where streams began, as reported by entry boxes.
+    pub(crate) stream_origins: RefCell<Origins>,
     /// Requests that were running when endpoints crashed, as reported by entry boxes.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Limits advertised by endpoints, as reported by entry boxes.
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use vaneway_origins::Origin;
 use vaneway_registry::Change;
 use vaneway_registry::Details;
 use vaneway_registry::EndpointRecord;
@@ -47,18 +48,32 @@
         }
         let known = entry.registry.borrow().get(&report.instance).cloned();
         if let Some(known) = known {
-            if born_before > 0 && known.born > born_before {
-                abandon(entry, &report.instance);
+            if known.born > born_before && born_before > 0
+                || runs_other_software(entry, &report.instance, &known)
+            {
+                abandon(entry, &report.instance, &known);
             }
             apply_update(entry, &report.instance, &known);
         }
     }
 }
 
+/// Whether an endpoint runs another software version than it did when it was added to the pool: it
+/// has restarted, also if it states no start time.
+fn runs_other_software(entry: &Entry, instance: &InstanceId, known: &EndpointRecord) -> bool {
+    let (Some(endpoint), Some(details)) =
+        (entry.registered.borrow().get(instance).copied(), &known.details)
+    else {
+        return false;
+    };
+    entry.pool.borrow().get(endpoint).spec.software != details.software
+}
+
 /// Removes an endpoint whose process has restarted: its running requests and its cache are lost.
 /// The new incarnation is added to the pool as another endpoint.
-fn abandon(entry: &Entry, instance: &InstanceId) {
+fn abandon(entry: &Entry, instance: &InstanceId, known: &EndpointRecord) {
     let Some(endpoint) = entry.registered.borrow_mut().remove(instance) else { return };
+    doubt_streams(entry, endpoint, known);
     Line::new("endpoint_reborn").with("replica", instance).info();
     entry.update_pool(|pool, now, out| {
         pool.notice(now, endpoint, now, out);
@@ -66,6 +81,20 @@
     });
 }
 
+/// Records that streams which seemed to begin at the previous incarnation of an endpoint may have
+/// begun at the `known` one, which runs other software and had started before it registered.
+fn doubt_streams(entry: &Entry, endpoint: EndpointId, known: &EndpointRecord) {
+    let Some(details) = &known.details else { return };
+    if entry.pool.borrow().get(endpoint).spec.software == details.software {
+        return;
+    }
+    let started = Duration::from_millis(known.born);
+    let age = entry.cluster_time().saturating_sub(started);
+    let since = clock::now().checked_sub(age);
+    let origin = Origin { service: details.service.clone(), software: details.software.clone() };
+    entry.origins.doubt(endpoint, since, &origin);
+}
+
 /// Adds endpoints that were ready before all boxes went down, but for those that have reported
 /// since. Those that have not reported within `left` get no new work after it.
 pub fn add_remembered(entry: &Rc<Entry>, reports: &[Report], left: Duration) {
@@ -121,6 +150,7 @@
         .with("standing", known.lifecycle.name())
         .with("sequence", known.sequence)
         .with("address", known.details.as_ref().map_or(String::new(), |d| d.address.to_string()))
+        .with("software", known.details.as_ref().map_or("", |d| &d.software))
         .info();
     if known.lifecycle > Lifecycle::Ready {
         let now = clock::now();
@@ -152,6 +182,27 @@
     }
 }
 
+/// The origin of every stream of a service, if all its endpoints that this box knows of run one
+/// software version, those included that are gone or no longer report; none if no control box is
+/// connected, which sends all that have registered.
+pub fn sole_origin(entry: &Entry, service: &str) -> Option<Origin> {
+    if !entry.origins.is_connected() {
+        return None;
+    }
+    let id = entry.service_id(service);
+    let registry = entry.registry.borrow();
+    let pool = entry.pool.borrow();
+    let reported = registry.iter().filter_map(|(_, known)| known.details.as_ref());
+    let reported = reported.filter(|details| details.service == service).map(|d| &d.software);
+    // Also those that were ready before all boxes went down.
+    let in_pool = pool.endpoints().iter().filter(|endpoint| endpoint.spec.service == id);
+    let mut versions = reported.chain(in_pool.map(|endpoint| &endpoint.spec.software));
+    let software = versions.next()?;
+    versions
+        .all(|other| other == software)
+        .then(|| Origin { service: service.to_owned(), software: software.clone() })
+}
+
 fn add(entry: &Entry, instance: &InstanceId, details: &Details) -> EndpointId {
     let spec = EndpointSpec {
         name: instance.clone(),
@@ -161,6 +212,7 @@
         box_name: instance.clone(),
         reclaimable: details.reclaimable,
         max_open: details.slots.saturating_mul(1 + MAX_QUEUED_PER_SLOT),
+        software: details.software.clone(),
     };
     let endpoint = entry.update_pool(|pool, _, _| pool.add(spec));
     entry.registered.borrow_mut().insert(instance.clone(), endpoint);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod agreement;
 mod agreement_snapshots;
 mod brittle_endpoints;
+mod broken_off_answers;
 mod capacity;
 mod capacity_plan;
 mod claims;
@@ -50,6 +51,7 @@
 mod simulated_fleet;
 mod simulated_shortage;
 mod soak;
+mod software_versions;
 mod standins;
 mod stop;
 mod streams;
