--- a/crates/vaneway-server/src/core/callers/api_error.rs
+++ b/crates/vaneway-server/src/core/callers/api_error.rs
@@ -28,6 +28,9 @@
 /// endpoints send heartbeats about every second.
 const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Least value of `Retry-After`, in seconds.
+const MIN_RETRY_AFTER_SECONDS: u64 = 1;
+
 /// An error returned to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ApiError {
@@ -126,8 +129,15 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(RUN_HEADER, HeaderValue::from_static(self.run.name()));
         if let Some(after) = self.retry_after {
-            headers.insert(RETRY_AFTER, after.as_secs().max(1).into());
+            headers.insert(RETRY_AFTER, retry_after_seconds(after).into());
         }
         response
     }
 }
+
+/// Returns the value of `Retry-After`, which HTTP defines in whole seconds. A fraction is rounded
+/// up, so that the caller doesn't retry before the delay is over.
+fn retry_after_seconds(delay: Duration) -> u64 {
+    let seconds = delay.as_secs() + u64::from(delay.subsec_nanos() > 0);
+    seconds.max(MIN_RETRY_AFTER_SECONDS)
+}
