--- a/crates/vaneway-origins/src/lib.rs
+++ b/crates/vaneway-origins/src/lib.rs
@@ -166,16 +166,13 @@
 
     /// The origin of a stream; none if it isn't known, has expired, or is contradictory.
     pub fn find(&self, now: Instant, key: StreamKey) -> Option<&Origin> {
-        let now = Timestamp::new(self.epoch?, now);
-        let stream = self.streams.get(key).filter(|stream| !stream.is_expired(now))?;
+        let stream = self.unexpired(now, key)?;
         self.table.get(stream.origin)
     }
 
     /// Whether different origins were recorded for a stream.
     pub fn is_contradictory(&self, now: Instant, key: StreamKey) -> bool {
-        let Some(epoch) = self.epoch else { return false };
-        let now = Timestamp::new(epoch, now);
-        let stream = self.streams.get(key).filter(|stream| !stream.is_expired(now));
+        let stream = self.unexpired(now, key);
         stream.is_some_and(|stream| stream.origin == KnownOrigin::Contradictory)
     }
 
@@ -217,6 +214,11 @@
         self.len() == 0
     }
 
+    fn unexpired(&self, now: Instant, key: StreamKey) -> Option<&Stream> {
+        let now = Timestamp::new(self.epoch?, now);
+        self.streams.get(key).filter(|stream| !stream.is_expired(now))
+    }
+
     fn enter(&mut self, now: Instant) -> Timestamp {
         Timestamp::new(*self.epoch.get_or_insert(now), now)
     }
