--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -152,6 +152,7 @@
     received: Vec<RawRequest>,
     /// The open connections, which end with the process.
     open: Vec<TcpStream>,
+    has_crashed: bool,
 }
 
 /// What the threads of one endpoint share.
@@ -213,6 +214,11 @@
         lock(&self.shared.state).received.clone()
     }
 
+    /// Whether it has crashed, as its script says.
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.shared.state).has_crashed
+    }
+
     /// Path and body of a heartbeat.
     pub fn heartbeat(&self, service: &str, state: &str, seq: u64) -> (String, String) {
         let Shared { instance, .. } = &*self.shared;
@@ -237,7 +243,9 @@
     fn crash(&self) {
         // A socket that has ended already can't be shut down.
         let _ended = SockRef::from(&self.listener).shutdown(Shutdown::Both);
-        for connection in lock(&self.state).open.drain(..) {
+        let mut state = lock(&self.state);
+        state.has_crashed = true;
+        for connection in state.open.drain(..) {
             let _ended = connection.shutdown(Shutdown::Both);
         }
     }
--- a/crates/vaneway-test-support/src/soak/callers.rs
+++ b/crates/vaneway-test-support/src/soak/callers.rs
@@ -40,10 +40,13 @@
     Resumable,
     /// A stream that may run at most once.
     Fixed,
+    /// The same, from endpoints that convey the end of a stream only by closing the connection.
+    Unframed,
 }
 
 impl Kind {
-    const ALL: [Self; 4] = [Self::Repeatable, Self::Once, Self::Resumable, Self::Fixed];
+    const ALL: [Self; 5] =
+        [Self::Repeatable, Self::Once, Self::Resumable, Self::Fixed, Self::Unframed];
 
     fn path(self) -> &'static str {
         match self {
@@ -51,12 +54,13 @@
             Self::Once => "/once/x",
             Self::Resumable => "/stream/x",
             Self::Fixed => "/fixed/x",
+            Self::Unframed => "/unframed/x",
         }
     }
 
     /// Whether the response is a stream.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Resumable | Self::Fixed)
+        matches!(self, Self::Resumable | Self::Fixed | Self::Unframed)
     }
 
     /// Whether the request may run more than once.
--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -49,6 +49,7 @@
     steps.extend(plan::limits(seed));
     steps.extend(plan::back_offs(seed, time));
     steps.extend(plan::configurations(seed, time));
+    steps.extend(plan::unframed(seed, time));
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
     let callers = Callers::start(seed, world.entry_addresses());
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::wire_endpoint::Behaviour;
+use crate::wire_endpoint::EVENTS_PER_STREAM;
 
 /// Number of control boxes of a run.
 pub const CONTROL_BOXES: usize = 3;
@@ -57,6 +58,9 @@
     Drain(usize),
     /// Makes an endpoint advertise a limit in requests per second from now on.
     AdvertiseLimit(usize, &'static str),
+    /// Starts an endpoint that responds to this many requests with whole streams, and then crashes
+    /// inside the event after this one.
+    StartUnframed(usize, u32),
     /// Makes an endpoint request a back-off of this many seconds in its refusals from now on, or
     /// none.
     RequestBackOff(usize, Option<&'static str>),
@@ -201,3 +205,24 @@
         }
     }
 }
+
+/// Maximum number of whole streams from an endpoint that crashes in the next one.
+const MAX_WHOLE_STREAMS: usize = 8;
+
+/// Separates the random numbers of endpoints that crash in a stream from those of faults.
+const UNFRAMED_STREAM: u64 = 0x554E_4652_414D_4544;
+
+/// The endpoints without framed responses of a seed within `time`: one starts at the beginning and
+/// another one every 0.2 to 0.8 s.
+pub fn unframed(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ UNFRAMED_STREAM);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < time {
+        let whole = rng.random_range(0..=MAX_WHOLE_STREAMS);
+        let last = rng.random_range(0..EVENTS_PER_STREAM);
+        steps.push(Step { at, action: Action::StartUnframed(whole, last) });
+        at += Duration::from_millis(rng.random_range(200..800));
+    }
+    steps
+}
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -65,6 +65,9 @@
     let back_offs = |seed| soak::plan::back_offs(seed, FAULT_PERIOD);
     assert_eq!(back_offs(5), back_offs(5));
     assert_ne!(back_offs(5), back_offs(6));
+    let unframed = |seed| soak::plan::unframed(seed, FAULT_PERIOD);
+    assert_eq!(unframed(5), unframed(5));
+    assert_ne!(unframed(5), unframed(6));
     let configurations = |seed| soak::plan::configurations(seed, FAULT_PERIOD);
     assert_eq!(configurations(5), configurations(5));
     assert_ne!(configurations(5), configurations(6));
