--- a/crates/vaneway-origins/src/lib.rs
+++ b/crates/vaneway-origins/src/lib.rs
@@ -19,8 +19,8 @@
 //!   forgotten [`ORIGIN_RETENTION`] after they were last recorded, and the oldest are forgotten
 //!   first if there are more than [`MAX_STREAMS`].
 //! - Records carry their age, not a time, so boxes need no common clock. The time for which a
-//!   message travels isn't part of the age, and neither is lost by rounding: ages are rounded up, so
-//!   that sending records back and forth never extends the retention.
+//!   message travels isn't part of the age. Ages are rounded up, so that sending a record back and
+//!   forth doesn't extend its retention by rounding.
 //! - Records may be lost, repeated and reordered.
 
 mod origin_table;
