--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -616,3 +616,18 @@
     }
     assert_eq!(vanectl_json(&setup.entry, &["dump"])["idle_connections"], json!(0));
 }
+
+/// Guards against an event stream of a plain service that ends inside an event and that the native
+/// interface passes on as complete, with a part of that event.
+#[test]
+fn event_stream_of_a_plain_service_that_ends_inside_an_event_is_not_complete() {
+    for framing in FRAMINGS {
+        let answer = Answer::stream(framing, inside_event(4), End::Close);
+        let endpoint = RawEndpoint::spawn("p", &Script::new([answer]));
+        let deployment = plain_deployment(&endpoint);
+        let entry = deployment.start();
+        let response = block_on(deployment.caller(&entry).send(Method::POST, PAY, "10"));
+        let is_success = response.status == 200 && response.complete;
+        assert!(!is_success, "{framing:?}: {:?}", text(&response));
+    }
+}
