--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -19,6 +19,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use vaneway_ledger::ClusterTime;
+use vaneway_ledger::Loads;
+use vaneway_ledger::RETAINED_WINDOWS;
+use vaneway_ledger::UsageReport;
 use vaneway_limit::BoxNumber;
 use vaneway_quota::RETAINED_SLOTS;
 use vaneway_quota::Sharers;
@@ -47,16 +51,12 @@
 use crate::core::cluster::wire::WINDOWS_PER_REPORT;
 use crate::core::cluster::wire::Wanted;
 use crate::core::cluster::work_at_endpoints;
-use crate::core::cluster_time::ClusterTime;
 use crate::core::endpoints::registered;
 use crate::core::entry::Entry;
 use crate::core::limits;
-use crate::core::loads::Loads;
 use crate::core::neighbours;
 use crate::core::quarantine;
 use crate::core::settings::FollowSettings;
-use crate::core::usage::RETAINED_WINDOWS;
-use crate::core::usage::UsageReport;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::EncodedFrame;
@@ -125,6 +125,8 @@
         clock_sample: Cell::new(None),
     });
     follower.set_control_boxes(BTreeSet::new());
+    compio::runtime::spawn(send_origins(Rc::clone(&follower))).detach();
+    compio::runtime::spawn(send_lookups(Rc::clone(&follower))).detach();
     let mut pinged_at = clock::now();
     let mut round: u64 = 0;
     let mut usage_reported_at = clock::now();
@@ -160,6 +162,28 @@
     }
 }
 
+/// Reports to the control boxes where streams began, until dropped. Not with the other reports: this
+/// box may be lost before the next one.
+async fn send_origins(follower: Rc<Follower>) {
+    loop {
+        let origins = follower.entry.origins.next_updates().await;
+        follower.send_to_all(FromEntry::StreamOrigins(origins));
+    }
+}
+
+/// Sends the lookups of streams that callers take up, until dropped.
+async fn send_lookups(follower: Rc<Follower>) {
+    loop {
+        let stream = follower.entry.origins.next_lookup().await;
+        let message = FromEntry::FindStreamOrigin { stream };
+        let message = EncodedFrame::new(&ToControl::Entry(message));
+        let open = follower.open.borrow();
+        let sent = open.values().filter(|link| link.send_unless_behind(&message)).count();
+        drop(open);
+        follower.entry.origins.record_sent(stream, sent);
+    }
+}
+
 impl Follower {
     /// Keeps a connection to each of these control boxes and to the seeds, and closes all others.
     fn set_control_boxes(self: &Rc<Self>, mut wanted: BTreeSet<SocketAddr>) {
@@ -264,11 +288,16 @@
         if !limits.is_empty() {
             link.send(FromEntry::Limits(limits));
         }
+        let origins = self.entry.origins.all();
+        if !origins.is_empty() {
+            link.send(FromEntry::StreamOrigins(origins));
+        }
     }
 
     fn received(self: &Rc<Self>, from: SocketAddr, message: ToEntry) {
         if let Some(link) = self.open.borrow().get(&from) {
             link.last_message_at.set(clock::now());
+            self.entry.origins.record_contact();
         }
         match message {
             ToEntry::Hello { availability_zone } => {
@@ -320,6 +349,9 @@
             ToEntry::Limits(limits) => limits::merge(&self.entry, &limits),
             ToEntry::BoxNumber(number) => self.apply_box_number(from, number),
             ToEntry::Neighbours(named) => self.apply_neighbours(from, &named),
+            ToEntry::StreamOrigin { stream, origin } => {
+                self.entry.origins.answered(stream, origin.as_ref());
+            }
             ToEntry::Parts(parts) => work_at_endpoints::apply_parts(&self.entry, &parts),
             ToEntry::OthersUsage { as_of, reporting, known, quotas } => {
                 self.entry.divide_retries(known);
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -13,8 +13,9 @@
 //! - [`entry_updates`]: sends entry boxes updates about each other;
 //! - [`delivery`]: sends entry boxes state as they can take it;
 //! - [`update_log`]: the order in which state changed, without I/O;
-//! - [`duties`]: the leader's calls to the cloud;
+//! - [`duties`]: the leader's duties towards the cloud;
 //! - [`capacity`]: orders of replicas;
+//! - [`cloud_calls`]: calls to the cloud, and whether this box may make them;
 //! - [`remembered`]: the endpoints and entry boxes known before a power loss;
 //! - [`clock`]: the cluster time;
 //! - [`operations`]: operations for operators and endpoints, independent of the protocol;
@@ -24,6 +25,7 @@
 pub mod capacity;
 pub mod changes;
 pub mod clock;
+pub mod cloud_calls;
 pub mod delivery;
 pub mod dissemination;
 pub mod duties;
--- a/tests/testsuite/control_memory.rs
+++ b/tests/testsuite/control_memory.rs
@@ -116,6 +116,7 @@
             availability_zone: "zone".to_owned(),
             slots: sequence as u32,
             reclaimable: false,
+            software: "v1".to_owned(),
         }),
     };
     (0..ENDPOINTS).map(report).collect()
