--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -13,11 +13,13 @@
 use futures_util::stream::unfold;
 use hyper::Response;
 use hyper::http::response;
+use vaneway_quarantine::Incarnation;
 use vaneway_quarantine::Progress;
 use vaneway_registry::SoftwareVersion;
 use vaneway_relay::AnswerForm;
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
+use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
 use vaneway_route::UNRESPONSIVE_THRESHOLD;
 
@@ -26,6 +28,7 @@
 use crate::core::calls::answer_end::Received;
 use crate::core::calls::answer_end::Sender;
 use crate::core::calls::call_limits::CallLimits;
+use crate::core::calls::events;
 use crate::core::calls::events::EventSplitter;
 use crate::core::calls::events::LAST_EVENT_ID;
 use crate::core::calls::events::RawEvent;
@@ -51,6 +54,7 @@
 use crate::core::retry_after::Refusal;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
+use crate::util::logline::Line;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::outbox;
 
@@ -164,8 +168,11 @@
     entry: Rc<Entry>,
     request: Rc<CallRequest>,
     sender: Sender,
-    /// Whether the stream goes on after an event that the caller has.
-    resumed: bool,
+    /// Whether the answer may bring no event: the caller takes up a stream whose events it may all
+    /// have. An attempt that resumes one that broke off is expected to bring some.
+    may_be_empty: bool,
+    /// Whether an event, not only comments, has arrived.
+    has_event: bool,
     addr: std::net::SocketAddr,
     body: ConnectionBody,
     attempt: vaneway_relay::Attempt,
@@ -237,7 +244,9 @@
                 if streamed && head.status.is_success() && is_event_stream(&head.headers) {
                     let reader = EventStreamReader {
                         sender,
-                        resumed: after.is_some() || request.headers.contains_key(LAST_EVENT_ID),
+                        may_be_empty: after.is_none()
+                            && request.headers.contains_key(LAST_EVENT_ID),
+                        has_event: false,
                         addr: spec.address,
                         splitter: EventSplitter::default(),
                         limits,
@@ -373,6 +382,7 @@
     let cause = loop {
         if let Some(event) = reader.splitter.next_event() {
             reader.occupancy.record_chunk();
+            reader.has_event = reader.has_event || event.is_event();
             return (CallItem::Event(event), Stage::Reading(reader));
         }
         let limits = &reader.limits;
@@ -405,11 +415,11 @@
 /// Returns the bytes after the last event of a stream whose bytes have ended.
 async fn end_of_stream(reader: &mut EventStreamReader) -> Result<Bytes, BrokenOff> {
     let remainder = std::mem::take(&mut reader.splitter).into_remainder();
-    let has_event = reader.occupancy.is_responding()
-        || remainder.as_ref().is_some_and(|bytes| !bytes.trim_ascii().is_empty());
+    let has_event =
+        reader.has_event || remainder.as_ref().is_some_and(|bytes| events::has_event(bytes));
     let received = match remainder {
         None => Received::PartOfEvent,
-        Some(_) if !has_event && !reader.resumed => Received::NoEvent,
+        Some(_) if !has_event && !reader.may_be_empty => Received::NoEvent,
         Some(_) => Received::All,
     };
     let framing = reader.body.framing();
@@ -429,7 +439,7 @@
 async fn read_response<E: EndpointProtocol>(
     entry: Rc<Entry>,
     protocol: &E,
-    request: &CallRequest,
+    request: &Rc<CallRequest>,
     sender: Sender,
     started: StartedResponse,
 ) -> CallItem {
@@ -450,7 +460,9 @@
         },
         Ok(false) => {
             protocol.prepare_headers(&mut head.headers);
-            let body = forward_rest(entry, sender, &buffered, body);
+            let is_success = head.status.is_success();
+            let request = Rc::clone(request);
+            let body = forward_rest(entry, request, sender, is_success, &buffered, body);
             return CallItem::Response(Response::from_parts(head, body));
         }
         Err(error) => error.to_string(),
@@ -468,25 +480,67 @@
 /// Forwards the rest of a long response at the speed of the caller.
 fn forward_rest(
     entry: Rc<Entry>,
+    request: Rc<CallRequest>,
     sender: Sender,
+    is_success: bool,
     buffered: &[u8],
     mut body: ConnectionBody,
 ) -> ResponseBody {
     let (tx, rx) = outbox(entry.settings.limits.stream_bytes);
     tx.push(buffered);
     compio::runtime::spawn(async move {
-        let has_ended = copy_body(&entry, &tx, &mut body).await;
-        if has_ended && check_end(&entry, sender, &body).await.is_ok() {
-            tx.finish();
-            entry.connections.release(entry.address(sender.endpoint), body);
+        let end = match copy_body(&entry, &tx, &mut body).await {
+            CopyEnd::EndOfBody => check_end(&entry, sender, &body).await.map_err(|e| e.to_string()),
+            CopyEnd::Broken(cause) => Err(cause),
+            CopyEnd::CallerGone => return,
+        };
+        match end {
+            Ok(()) => {
+                tx.finish();
+                entry.connections.release(entry.address(sender.endpoint), body);
+                if is_success {
+                    quarantine::clear_request(&entry, &request);
+                }
+            }
+            Err(cause) => {
+                drop(tx);
+                record_broken_rest(&entry, &request, sender, &cause).await;
+            }
         }
     })
     .detach();
     ResponseBody::Streamed(rx)
 }
 
-/// Copies a body into an outbox. Returns whether its bytes arrived up to their end.
-async fn copy_body(entry: &Entry, tx: &Outbox, body: &mut ConnectionBody) -> bool {
+/// Records that a long response broke off after its attempt had counted as answered.
+async fn record_broken_rest(entry: &Entry, request: &CallRequest, sender: Sender, cause: &str) {
+    let Sender { endpoint, born } = sender;
+    let spec = entry.pool.borrow().get(endpoint).spec.clone();
+    Line::new("long_answer_broken_off")
+        .with("request", &request.id)
+        .with("replica", &spec.name)
+        .with("cause", cause)
+        .info();
+    entry.apply_event(endpoint, EndpointEvent::Failed);
+    if !spec.is_neighbour() && quarantine::endpoint_has_exited(entry, &request.id, endpoint).await {
+        let incarnation = Incarnation::new(&spec.name, born);
+        quarantine::record_exit(entry, endpoint, &incarnation);
+        quarantine::record_crash(entry, request, &[(incarnation, Progress::Answering)]);
+    }
+}
+
+/// How the copy of a body ended.
+enum CopyEnd {
+    /// The bytes of the body have ended.
+    EndOfBody,
+    /// The connection broke, or nothing arrived for too long.
+    Broken(String),
+    /// The caller left or read nothing for too long.
+    CallerGone,
+}
+
+/// Copies a body into an outbox.
+async fn copy_body(entry: &Entry, tx: &Outbox, body: &mut ConnectionBody) -> CopyEnd {
     loop {
         let until = clock::now() + entry.settings.limits.caller_stall_timeout;
         let capacity = poll_fn(|cx| match tx.poll_closed(cx) {
@@ -494,12 +548,13 @@
             Poll::Pending => tx.poll_capacity(cx).map(|()| true),
         });
         if entry.timers.timeout_at(until, capacity).await != Some(true) {
-            return false;
+            return CopyEnd::CallerGone;
         }
         match entry.timers.timeout_at(until, body.data()).await {
             Some(Some(Ok(data))) => tx.push(&data),
-            Some(None) => return true,
-            Some(Some(Err(_))) | None => return false,
+            Some(None) => return CopyEnd::EndOfBody,
+            Some(Some(Err(error))) => return CopyEnd::Broken(error.to_string()),
+            None => return CopyEnd::Broken("the endpoint sent nothing for too long".to_owned()),
         }
     }
 }
--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -14,6 +14,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -40,6 +42,9 @@
 pub enum End {
     /// The connection is closed in order.
     Close,
+    /// The connection is closed in order. Next, the endpoint has too many connections: it resets the
+    /// first ones that are opened.
+    CloseWhileFull,
     /// The connection is reset.
     Reset,
     /// The endpoint's process ends, and the operating system closes its sockets in order, that which
@@ -152,6 +157,7 @@
     received: Vec<RawRequest>,
     /// The open connections, which end with the process.
     open: Vec<TcpStream>,
+    has_crashed: bool,
 }
 
 /// What the threads of one endpoint share.
@@ -161,6 +167,8 @@
     listener: TcpListener,
     script: Script,
     state: Mutex<State>,
+    /// How many of the next connections are reset.
+    resets: AtomicUsize,
 }
 
 /// A running endpoint, which serves each connection in a thread of its own. It crashes as its script
@@ -175,6 +183,9 @@
 /// Bytes that are announced and never sent.
 const MISSING_BYTES: usize = 8;
 
+/// Connections that an endpoint with too many of them resets: those of one check.
+const RESETS_WHILE_FULL: usize = 3;
+
 /// Time for written bytes to arrive before a reset overtakes them.
 const ARRIVAL_TIME: Duration = Duration::from_millis(50);
 
@@ -196,6 +207,7 @@
             listener,
             script: script.clone(),
             state: Mutex::default(),
+            resets: AtomicUsize::new(0),
         });
         let accepting = Arc::clone(&shared);
         let thread = std::thread::Builder::new().name(format!("raw-endpoint-{instance}"));
@@ -213,6 +225,11 @@
         lock(&self.shared.state).received.clone()
     }
 
+    /// Whether it has crashed, as its script says.
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.shared.state).has_crashed
+    }
+
     /// Path and body of a heartbeat.
     pub fn heartbeat(&self, service: &str, state: &str, seq: u64) -> (String, String) {
         let Shared { instance, .. } = &*self.shared;
@@ -232,12 +249,20 @@
 }
 
 impl Shared {
+    /// Whether a new connection is to be reset.
+    fn takes_reset(&self) -> bool {
+        let one_less = |resets: usize| resets.checked_sub(1);
+        self.resets.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less).is_ok()
+    }
+
     /// Ends the listening socket and all connections. The port stays bound, so that no other process
     /// gets it.
     fn crash(&self) {
         // A socket that has ended already can't be shut down.
         let _ended = SockRef::from(&self.listener).shutdown(Shutdown::Both);
-        for connection in lock(&self.state).open.drain(..) {
+        let mut state = lock(&self.state);
+        state.has_crashed = true;
+        for connection in state.open.drain(..) {
             let _ended = connection.shutdown(Shutdown::Both);
         }
     }
@@ -246,6 +271,11 @@
 fn accept(shared: &Arc<Shared>) {
     // Fails once the listening socket has been shut down.
     while let Ok((connection, _)) = shared.listener.accept() {
+        if shared.takes_reset() {
+            let lingers = SockRef::from(&connection).set_linger(Some(Duration::ZERO));
+            lingers.expect("the connection can be reset");
+            continue;
+        }
         if let Ok(connection) = connection.try_clone() {
             lock(&shared.state).open.push(connection);
         }
@@ -274,6 +304,10 @@
         End::Close => end(&connection),
         // The endpoint keeps a reference to the connection.
         End::Open => {}
+        End::CloseWhileFull => {
+            shared.resets.store(RESETS_WHILE_FULL, Ordering::SeqCst);
+            end(&connection);
+        }
         End::Crash => shared.crash(),
         End::SlowCrash => {
             end(&connection);
