--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -5,10 +5,10 @@
 //! another request, often at another box, and names the request that brought its first event.
 //!
 //! Data flow: when a stream that may be resumed yields its first event, its origin is recorded here
-//! ([`StreamOrigins::record`]) and reported to all control boxes at once. A stream that a caller takes up is looked up here ([`find`]): among the streams of this box, then
-//! at the control boxes ([`StreamOrigins::next_lookup`]), and if none of these is connected, at the
-//! neighbours. A stream that none of them knows is not continued: a guess could join what two
-//! versions wrote.
+//! ([`StreamOrigins::record`]) and reported to all control boxes at once. A stream that a caller
+//! takes up is looked up ([`find`]) among the streams of this box, then at the control boxes
+//! ([`StreamOrigins::next_lookup`]), and if these can't be asked, at the neighbours. A stream that
+//! nobody knows is not continued: a guess could join what two versions wrote.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -266,7 +266,7 @@
     match answer {
         Some(Ok(Some(origin))) => return (Some(origin), KnownBy::ControlBox),
         Some(Ok(None)) => return (None, KnownBy::Nobody),
-        // No control box could be asked, or none has answered.
+        // No control box could be asked, or not all have answered.
         Some(Err(oneshot::Canceled)) | None => {}
     }
     match neighbours::origins::ask(entry, key).await {
