--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -214,6 +214,7 @@
         let seen = (again.status, again.complete, text(&again));
         assert_eq!(seen, (200, true, events(0)), "{framing:?}, {end:?}");
 
+        let setup = Setup::start();
         let once = setup.send("once", "/fixed/x", &[broken_off]);
         assert_eq!(once.status, 502, "{framing:?}, {end:?}");
         assert_eq!(setup.received("once").len(), 1, "{framing:?}, {end:?}");
@@ -232,6 +233,7 @@
         assert_eq!(seen, (200, true, events(0)), "{crash:?}");
         assert_eq!(setup.resumed_after("again"), ["4"], "{crash:?}");
 
+        let setup = Setup::start();
         let response = setup.send("once", "/fixed/x", &[broken_off]);
         let seen = (response.status, response.complete, text(&response));
         assert_eq!(seen, (200, false, first_events(4)), "{crash:?}");
@@ -286,6 +288,7 @@
         let seen = (response.status, response.complete, text(&response));
         assert_eq!(seen, (200, true, events(0)), "{end:?}");
 
+        let setup = Setup::start();
         assert_eq!(setup.send("once", "/fixed/x", &[broken_off]).status, 502, "{end:?}");
         assert_eq!(setup.received("once").len(), 1, "{end:?}");
     }
@@ -422,6 +425,7 @@
     let seen = (response.status, response.complete, text(&response));
     assert_eq!(seen, (200, true, NO_STREAM.to_owned()));
 
+    let setup = Setup::start();
     assert_eq!(setup.send("once", "/fixed/x", &[broken_off]).status, 502);
     assert_eq!(setup.received("once").len(), 1);
 }
@@ -439,6 +443,7 @@
         let seen = (response.status, response.complete, text(&response));
         assert_eq!(seen, (200, true, "the body".to_owned()), "{status}");
 
+        let setup = Setup::start();
         assert_eq!(setup.send("once", "/once/x", &[broken_off]).status, 502, "{status}");
         assert_eq!(setup.received("once").len(), 1, "{status}");
     }
