--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -81,7 +81,8 @@
     fn write_to(&self, connection: &mut TcpStream, instance: &str, id: &str) {
         let content_type = self.content_type.map(|value| format!("content-type: {value}\r\n"));
         let head = format!(
-            "HTTP/1.1 {}\r\nx-request-id: {id}\r\nx-response-stamp: stamp-{instance}\r\n{}",
+            "HTTP/1.1 {}\r\nconnection: close\r\nx-request-id: {id}\r\n\
+             x-response-stamp: stamp-{instance}\r\n{}",
             self.status,
             content_type.unwrap_or_default()
         );
@@ -98,7 +99,7 @@
             Framing::CutLength => {
                 format!("{head}content-length: {}\r\n\r\n{body}", length + MISSING_BYTES)
             }
-            Framing::UntilClose => format!("{head}connection: close\r\n\r\n{body}"),
+            Framing::UntilClose => format!("{head}\r\n{body}"),
         };
         // Tests break connections on purpose.
         let _broken = connection.write_all(bytes.as_bytes());
