--- a/crates/vaneway-test-support/src/soak/callers.rs
+++ b/crates/vaneway-test-support/src/soak/callers.rs
@@ -18,7 +18,7 @@
 use crate::caller::ReceivedResponse;
 use crate::soak::world::HOST;
 use crate::soak::world::KEY;
-use crate::wire_endpoint::events;
+use crate::stream_caller::StreamEvent;
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
@@ -26,6 +26,9 @@
 /// Time between a caller's response and its next request.
 const THINK_TIME: Duration = Duration::from_millis(12);
 
+/// Maximum number of requests for one stream.
+const MAX_TRIES: u32 = 4;
+
 /// Addresses of the entry boxes for callers, by number; none while a box is stopped.
 pub type EntryAddresses = Arc<Mutex<Vec<Option<SocketAddr>>>>;
 
@@ -76,6 +79,14 @@
     pub id: String,
     /// Whether it may be repeated, and whether it is a stream.
     pub kind: Kind,
+    /// The request that brought the first event of the stream: this one, unless it takes a stream
+    /// up.
+    pub first: String,
+    /// Number of the event after which it takes a stream up; 0 if it doesn't.
+    pub after: u32,
+    /// The whole events received, also of an incomplete response; none in place of one of another
+    /// form.
+    pub events: Vec<Option<StreamEvent>>,
     /// The entry box that it was sent to.
     pub entry: usize,
     /// When the caller began to send it.
@@ -92,12 +103,30 @@
         self.response.as_ref().is_some_and(|response| response.status == 200)
     }
 
-    /// The body that a response with status 200 must have.
-    pub fn expected_body(&self) -> String {
-        if self.kind.is_stream() { events(0) } else { body_of(&self.id) }
+    /// The body of the request, which a response that is no stream repeats.
+    pub fn body(&self) -> String {
+        body_of(&self.id)
+    }
+
+    /// The stream that its caller has after it and may take up.
+    fn interrupted(&self, tries: u32) -> Option<Interrupted> {
+        let last = self.events.iter().flatten().last().map_or(self.after, |event| event.number);
+        let may_go_on = self.kind == Kind::Resumable && !self.is_served() && tries < MAX_TRIES;
+        (may_go_on && last > 0).then(|| Interrupted { first: self.first.clone(), last, tries })
     }
 }
 
+/// A stream that a caller has received in part.
+#[derive(Debug)]
+struct Interrupted {
+    /// Id of the request that brought the first event.
+    first: String,
+    /// Number of the last event received.
+    last: u32,
+    /// Number of requests for it.
+    tries: u32,
+}
+
 fn body_of(id: &str) -> String {
     format!("body of {id}")
 }
@@ -150,6 +179,7 @@
 ) -> Vec<CallerRequest> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (number + 1));
     let mut requests = Vec::new();
+    let mut interrupted: Option<Interrupted> = None;
     while !stop.load(Ordering::Relaxed) {
         compio::time::sleep(THINK_TIME).await;
         let (entry, address) = {
@@ -158,14 +188,28 @@
             (entry, entries[entry])
         };
         let Some(address) = address else { continue };
-        let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+        let kind = match interrupted {
+            Some(_) => Kind::Resumable,
+            None => Kind::ALL[rng.random_range(0..Kind::ALL.len())],
+        };
         let id = format!("{seed:x}-{number}-{}", requests.len());
-        requests.push(send(address, entry, kind, id).await);
+        let request = send(address, entry, kind, id, interrupted.as_ref()).await;
+        interrupted = request.interrupted(interrupted.map_or(1, |stream| stream.tries + 1));
+        requests.push(request);
     }
     requests
 }
 
-async fn send(address: SocketAddr, entry: usize, kind: Kind, id: String) -> CallerRequest {
+/// Sends a request, which takes up the stream `interrupted` if there is one.
+async fn send(
+    address: SocketAddr,
+    entry: usize,
+    kind: Kind,
+    id: String,
+    interrupted: Option<&Interrupted>,
+) -> CallerRequest {
+    let after = interrupted.map_or(0, |stream| stream.last);
+    let last = after.to_string();
     let mut headers = vec![("x-request-id", id.as_str()), ("x-deadline-ms", "3000")];
     if kind.is_stream() {
         headers.extend([
@@ -174,8 +218,26 @@
             ("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
         ]);
     }
+    if let Some(stream) = interrupted {
+        headers.extend([("last-event-id", &*last), ("resumes", &*stream.first)]);
+    }
     let caller = Caller::new(address, KEY).with_host(HOST);
     let sent = Instant::now();
-    let response = caller.try_send_with(Method::POST, kind.path(), &headers, &body_of(&id)).await;
-    CallerRequest { kind, entry, sent, ended: Instant::now(), response, id }
+    let response = match caller.try_open(Method::POST, kind.path(), &headers, body_of(&id)).await {
+        Some(response) => Some(response.finish().await),
+        None => None,
+    };
+    let is_versioned = matches!(kind, Kind::Resumable | Kind::Fixed);
+    let received = response.as_ref().filter(|response| is_versioned && response.status == 200);
+    CallerRequest {
+        first: interrupted.map_or_else(|| id.clone(), |stream| stream.first.clone()),
+        after,
+        events: received.map(|response| StreamEvent::all_in(&response.body)).unwrap_or_default(),
+        kind,
+        entry,
+        sent,
+        ended: Instant::now(),
+        response: response.filter(|response| response.complete),
+        id,
+    }
 }
--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -33,6 +33,10 @@
     pub requests: usize,
     /// Number of requests that received a complete response with status 200.
     pub served: usize,
+    /// Number of requests that take a stream up.
+    pub taken_up: usize,
+    /// Number of these that received events.
+    pub went_on: usize,
     /// Number of requests by kind and status; status 0 stands for no complete response.
     pub outcomes: BTreeMap<(String, u16), usize>,
     /// Log of each process, with the process's name.
@@ -50,6 +54,7 @@
     steps.extend(plan::back_offs(seed, time));
     steps.extend(plan::configurations(seed, time));
     steps.extend(plan::unframed(seed, time));
+    steps.extend(plan::kills(seed, time));
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
     let callers = Callers::start(seed, world.entry_addresses());
@@ -69,8 +74,11 @@
         let status = request.response.as_ref().map_or(0, |response| response.status);
         *outcomes.entry((format!("{:?}", request.kind), status)).or_default() += 1;
     }
+    let taken_up = || requests.iter().filter(|request| request.after > 0);
     Report {
         outcomes,
+        taken_up: taken_up().count(),
+        went_on: taken_up().filter(|request| !request.events.is_empty()).count(),
         violations: promises::violations(&evidence),
         requests: requests.len(),
         served: requests.iter().filter(|request| request.is_served()).count(),
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -226,3 +226,23 @@
     }
     steps
 }
+
+/// Separates the random numbers of kills from those of faults.
+const KILLS_STREAM: u64 = 0x4B49_4C4C_5300;
+
+/// The kills of a seed within `time`, in addition to those among the faults: every 0.3 to 0.9 s an
+/// entry box is killed and soon started again, so that callers take streams up at other boxes.
+pub fn kills(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ KILLS_STREAM);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(300..900));
+    while at < time {
+        let entry = rng.random_range(0..ENTRY_BOXES);
+        let end = at + Duration::from_millis(rng.random_range(50..300));
+        steps.push(Step { at, action: Action::KillEntry(entry) });
+        steps.push(Step { at: end, action: Action::StartEntry(entry) });
+        at += Duration::from_millis(rng.random_range(300..900));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -1,6 +1,7 @@
 //! Checks the requests seen by callers and endpoints against the guarantees of the system.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,6 +12,9 @@
 use crate::soak::world::BackOff;
 use crate::soak::world::LimitedEndpoint;
 use crate::soak::world::World;
+use crate::stream_caller::StreamEvent;
+use crate::wire_endpoint::EVENTS_PER_STREAM;
+use crate::wire_endpoint::events;
 
 /// Statuses that state that the request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -48,6 +52,7 @@
         let runs = world.runs(&request.id);
         let found = [
             complete_response(request),
+            events_in_order(request),
             runs_in_bounds(request, runs),
             refusal(request, runs),
             responded(request, world),
@@ -59,6 +64,7 @@
                 .map(|what| format!("{} {:?}: {what}", request.id, request.kind)),
         );
     }
+    violations.extend(one_version(evidence));
     violations.extend(marks(world));
     violations.extend(advertised_limits(evidence));
     violations.extend(back_offs(evidence));
@@ -70,7 +76,40 @@
 fn complete_response(request: &CallerRequest) -> Option<String> {
     let response = request.response.as_ref().filter(|response| response.status == 200)?;
     let body = String::from_utf8_lossy(&response.body);
-    (body != request.expected_body()).then(|| format!("status 200 with another body: {body:?}"))
+    let is_expected = match request.kind {
+        Kind::Repeatable | Kind::Once => body == request.body(),
+        Kind::Unframed => body == events(0),
+        Kind::Resumable | Kind::Fixed => {
+            let received: String = request.events.iter().flatten().map(StreamEvent::text).collect();
+            let expected = EVENTS_PER_STREAM.saturating_sub(request.after);
+            body == received && request.events.len() == expected as usize
+        }
+    };
+    (!is_expected).then(|| format!("status 200 with another body: {body:?}"))
+}
+
+/// The events of a response follow each other without gap, from the one after which it was asked to
+/// go on, also if it is incomplete.
+fn events_in_order(request: &CallerRequest) -> Option<String> {
+    let numbers = request.events.iter().map(|event| event.as_ref().map(|event| event.number));
+    let numbers: Vec<_> = numbers.collect();
+    let is_expected =
+        numbers.iter().copied().eq((request.after + 1..).map(Some).take(numbers.len()));
+    (!is_expected).then(|| format!("events {numbers:?} after event {}", request.after))
+}
+
+/// A stream holds events of one software version, in one response and over the requests with which
+/// its caller takes it up.
+fn one_version(evidence: &Evidence<'_>) -> Vec<String> {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for request in evidence.requests {
+        let of_request = request.events.iter().flatten().map(|event| &*event.version);
+        versions.entry(&request.first).or_default().extend(of_request);
+    }
+    let mixed = versions.into_iter().filter(|(_first, versions)| versions.len() > 1);
+    mixed
+        .map(|(first, versions)| format!("{first}: the stream holds events of {versions:?}"))
+        .collect()
 }
 
 /// A request that is not repeatable runs at most once, and no request runs at more endpoints than
--- a/crates/vaneway-test-support/src/soak/world.rs
+++ b/crates/vaneway-test-support/src/soak/world.rs
@@ -40,6 +40,9 @@
 /// Key of the only organisation.
 pub const KEY: &str = "key-of-ada";
 
+/// Software versions of the endpoints, which serve side by side.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// What ends an event, the last line of its data included.
 const END_OF_EVENT: &str = "\n\n";
 
@@ -241,7 +244,8 @@
     fn add_endpoint(&self) -> usize {
         let mut endpoints = lock(&self.endpoints.framed);
         let name = format!("i-{}", endpoints.len());
-        let standin = WireEndpoint::spawn(&name);
+        let version = VERSIONS[endpoints.len() % VERSIONS.len()];
+        let standin = WireEndpoint::spawn_with_version(&name, version);
         standin.behave(Behaviour::Steady);
         let proxy = Proxy::tcp(standin.address());
         endpoints.push(Endpoint {
--- a/crates/vaneway-test-support/src/stream_caller.rs
+++ b/crates/vaneway-test-support/src/stream_caller.rs
@@ -21,6 +21,19 @@
 }
 
 impl StreamEvent {
+    /// The whole events in a part of a stream; none in place of one that has another form.
+    pub fn all_in(received: &[u8]) -> Vec<Option<Self>> {
+        let text = String::from_utf8_lossy(received);
+        let whole = text.split_inclusive("\n\n").filter_map(|event| event.strip_suffix("\n\n"));
+        whole.map(Self::parse).collect()
+    }
+
+    /// The bytes of the event.
+    pub fn text(&self) -> String {
+        let Self { number, version, instance } = self;
+        format!("id: {number}\ndata: piece {number} by {version} at {instance}\n\n")
+    }
+
     /// Reads an event such as `id: 3\ndata: piece 3 by v1 at i-a`; none if it has another form.
     fn parse(text: &str) -> Option<Self> {
         let (number, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
@@ -139,9 +152,8 @@
         {
             let known = count(response.received());
             response.events(known + 1).await;
-            let text = String::from_utf8_lossy(response.received());
-            let whole = text.split_inclusive("\n\n").filter_map(|event| event.strip_suffix("\n\n"));
-            self.events.extend(whole.skip(known).filter_map(StreamEvent::parse));
+            let events = StreamEvent::all_in(response.received());
+            self.events.extend(events.into_iter().skip(known).flatten());
             if let Some(is_complete) = response.is_complete() {
                 attempt.is_complete = is_complete;
                 attempt.response = None;
