--- a/crates/vaneway-server/src/util/outbox.rs
+++ b/crates/vaneway-server/src/util/outbox.rs
@@ -22,6 +22,8 @@
 struct Queue {
     bytes: BytesMut,
     ended: Option<End>,
+    /// Whether the reader has been made to wait once before it gets the error of a truncated body.
+    truncation_delayed: bool,
     reader_dropped: bool,
     reader: Option<Waker>,
     writer: Option<Waker>,
@@ -138,7 +140,16 @@
         }
         match queue.ended {
             Some(End::Complete) => Poll::Ready(None),
-            Some(End::Truncated) => Poll::Ready(Some(Err(TruncatedBody))),
+            Some(End::Truncated) if queue.truncation_delayed => {
+                Poll::Ready(Some(Err(TruncatedBody)))
+            }
+            // hyper drops what it has not written when a body fails. While the body is pending, it
+            // writes the head and the bytes passed on so far.
+            Some(End::Truncated) => {
+                queue.truncation_delayed = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
             None => {
                 register_waker(&mut queue.reader, cx);
                 Poll::Pending
--- a/crates/vaneway-test-support/src/server.rs
+++ b/crates/vaneway-test-support/src/server.rs
@@ -1,6 +1,6 @@
 //! A minimal HTTP server and client for stand-ins.
 
-use std::convert::Infallible;
+use std::fmt;
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -21,6 +21,22 @@
 use vaneway_server::util::socket;
 use vaneway_server::util::socket::SocketListener;
 
+/// Extension of a response in place of which the connection breaks.
+#[derive(Debug, Clone, Copy)]
+pub struct BreakConnection;
+
+/// Error of a request whose connection breaks.
+#[derive(Debug)]
+struct ConnectionBroken;
+
+impl fmt::Display for ConnectionBroken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the stand-in broke the connection")
+    }
+}
+
+impl std::error::Error for ConnectionBroken {}
+
 /// Serves every request with `handler` until dropped.
 ///
 /// # Panics
@@ -39,7 +55,11 @@
         let handler = Rc::clone(&handler);
         let service = service_fn(move |req| {
             let response = handler(req);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                let breaks = response.extensions().get::<BreakConnection>().is_some();
+                if breaks { Err(ConnectionBroken) } else { Ok(response) }
+            }
         });
         compio::runtime::spawn(async move {
             // Tests break connections on purpose.
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -325,9 +325,7 @@
     }
     if let Some(mode) = crash_mode {
         crash(state, &mode).await;
-        let (tx, rx) = outbox(STREAM_BYTES);
-        drop(tx);
-        return respond(StatusCode::OK, &id, &instance, ResponseBody::Streamed(rx));
+        return break_connection();
     }
     let mut response = match behaviour {
         Behaviour::Refuse => {
@@ -356,11 +354,7 @@
             .detach();
             respond(StatusCode::OK, &id, &instance, ResponseBody::Streamed(rx))
         }
-        Behaviour::LoseResponse => {
-            let (tx, rx) = outbox(STREAM_BYTES);
-            drop(tx);
-            respond(StatusCode::OK, &id, &instance, ResponseBody::Streamed(rx))
-        }
+        Behaviour::LoseResponse => break_connection(),
         Behaviour::RespondToAnother => {
             respond(StatusCode::OK, "another", &instance, ResponseBody::full(body))
         }
@@ -377,6 +371,13 @@
     response
 }
 
+/// A response in place of which the connection breaks.
+fn break_connection() -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::full(Bytes::new()));
+    response.extensions_mut().insert(server::BreakConnection);
+    response
+}
+
 /// Crashes the endpoint. Returns in the mode `late`, in which the request's connection breaks first.
 async fn crash(state: Arc<Mutex<State>>, mode: &str) {
     if mode != "late" {
--- a/tests/testsuite/broken_off_answers.rs
+++ b/tests/testsuite/broken_off_answers.rs
@@ -10,7 +10,10 @@
 use std::time::Duration;
 
 use hyper::Method;
+use hyper::Response;
 use serde_json::json;
+use vaneway_server::util::body::ResponseBody;
+use vaneway_server::util::outbox::outbox;
 use vaneway_test_support::Caller;
 use vaneway_test_support::ClosedPort;
 use vaneway_test_support::ControlGroup;
@@ -26,6 +29,8 @@
 use vaneway_test_support::raw_endpoint::Framing;
 use vaneway_test_support::raw_endpoint::RawRequest;
 use vaneway_test_support::raw_endpoint::Script;
+use vaneway_test_support::server;
+use vaneway_test_support::standin::Standin;
 use vaneway_test_support::wire_endpoint::EVENTS_PER_STREAM;
 use vaneway_test_support::wire_endpoint::events;
 
@@ -502,6 +507,24 @@
     setup.entry.wait_for_log(&["event=request_cleared"]);
 }
 
+/// Guards against a connection that is closed without the head and the events that were to be sent
+/// before the body of a response broke off.
+#[test]
+fn what_precedes_the_end_of_a_truncated_answer_reaches_its_caller() {
+    let truncating = Standin::spawn("truncating-server", |listener| {
+        server::serve(listener, |_| async {
+            let (tx, rx) = outbox(STREAM_BYTES);
+            tx.push(events(0).as_bytes());
+            drop(tx);
+            Response::new(ResponseBody::Streamed(rx))
+        })
+    });
+    let caller = Caller::new(truncating.address(), KEY);
+    let response = block_on(caller.send(Method::POST, "/", ""));
+    let seen = (response.status, response.complete, text(&response));
+    assert_eq!(seen, (200, false, events(0)));
+}
+
 /// Guards against a truncated answer that a caller over HTTP/1.0, whose answers have no chunks, takes
 /// for a complete one.
 #[test]
@@ -546,6 +569,9 @@
     }
 }
 
+/// Bytes of a response that may be buffered for its reader.
+const STREAM_BYTES: usize = 64 << 10;
+
 /// Path of a request that may not be repeated, at the native interface.
 const PAY: &str = "/services/reading-room/payments";
 
