--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod path_view;
 pub mod plain_service;
 pub mod platform;
+pub mod ports;
 pub mod process;
 pub mod proxy;
 pub mod raw_endpoint;
--- a/tests/testsuite/standins.rs
+++ b/tests/testsuite/standins.rs
@@ -1,11 +1,15 @@
 //! The stand-ins behave as docs/INTERFACES.md specifies; the other tests rely on it.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use compio::buf::BufResult;
 use compio::net::UdpSocket;
 use hyper::Method;
 use serde_json::Value;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use vaneway_test_support::Caller;
 use vaneway_test_support::CloudPlatform;
 use vaneway_test_support::Engine;
@@ -196,3 +200,14 @@
     assert!(lossy.len() < 90 && lossy.is_sorted());
     assert!(!received_by_target(0, 33).is_sorted());
 }
+
+/// Guards against connections that are accepted where they are to be refused: the port of a proxy
+/// that refuses them was free for any other stand-in.
+#[test]
+fn port_of_a_proxy_that_refuses_connections_is_assigned_to_nobody_else() {
+    let proxy = Proxy::tcp(engine().address());
+    proxy.refuse(true);
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let bound = other.bind(&proxy.address().into());
+    assert_eq!(bound.map_err(|error| error.kind()), Err(ErrorKind::AddrInUse));
+}
