--- a/crates/vaneway-server/src/core/neighbours/probe.rs
+++ b/crates/vaneway-server/src/core/neighbours/probe.rs
@@ -56,17 +56,27 @@
     usable
 }
 
-/// Answers a probe for another box. Only addresses of endpoints are tried, and a box that is cut
-/// off from their service can't tell.
+/// Answers a probe for another box. Only addresses of endpoints are tried.
 pub async fn answer(entry: &Entry, body: Bytes) -> Response<ResponseBody> {
     let address = frames::take_message::<SocketAddr>(&mut body.into());
     let test = match address.filter(|address| is_known(entry, *address)) {
-        Some(address) => quarantine::test_connection(entry, address).await,
+        Some(address) => test(entry, address).await,
         None => ConnectionTest::Unknown,
     };
     Response::new(ResponseBody::full(EncodedFrame::new(&test).frame().clone()))
 }
 
+/// What this box finds of an address. It can't tell if it is refused while it reaches no other
+/// endpoint: it may be cut off and not have noticed yet.
+async fn test(entry: &Entry, address: SocketAddr) -> ConnectionTest {
+    match quarantine::test_connection(entry, address).await {
+        ConnectionTest::Refused if !quarantine::reaches_another(entry, address).await => {
+            ConnectionTest::Unknown
+        }
+        test => test,
+    }
+}
+
 fn is_known(entry: &Entry, address: SocketAddr) -> bool {
     let pool = entry.pool.borrow();
     let mut at_address = pool.endpoints().iter().filter(|each| each.spec.address == address);
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -50,9 +50,18 @@
 /// Pause between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Maximum number of other endpoints that are tried where no other box can tell.
+/// Maximum number of other endpoints of a service that are tried to find out whether this box
+/// reaches any.
 const MAX_OTHERS: usize = 6;
 
+/// Number of those that are tried at a time: mostly the first ones accept, and each gets a
+/// connection more.
+const OTHERS_AT_A_TIME: usize = 2;
+
+/// Maximum time for trying others: together with the test of the endpoint itself less than a box
+/// that asks waits for.
+const OTHERS_TIMEOUT: Duration = Duration::from_millis(80);
+
 /// How long a probe connection must stay open for its endpoint to count as alive: when a process
 /// dies, its operating system closes its connections and its listening socket one after another.
 const MIN_CONNECTION_AGE: Duration = Duration::from_millis(20);
@@ -187,16 +196,36 @@
 }
 
 /// Whether this box reaches any endpoint besides the one at `address`; true if there is no other.
-async fn reaches_another(entry: &Entry, address: SocketAddr) -> bool {
+pub async fn reaches_another(entry: &Entry, address: SocketAddr) -> bool {
     let others: Vec<SocketAddr> = {
-        let pool = entry.pool.borrow();
-        let usable = entry.services().into_iter().flat_map(|service| pool.usable(service));
-        let addresses = usable.map(|id| pool.get(id).spec.address);
-        addresses.filter(|other| *other != address).take(MAX_OTHERS).collect()
+        let mut pool = entry.pool.borrow_mut();
+        let services = entry.services().into_iter();
+        let sampled: Vec<_> = services.flat_map(|id| pool.sample(id, MAX_OTHERS)).collect();
+        let addresses = sampled.into_iter().map(|id| pool.get(id).spec.address);
+        addresses.filter(|other| *other != address).collect()
     };
-    let tests = others.iter().map(|other| test_connection(entry, *other));
-    let tests = join_all(tests).await;
-    tests.is_empty() || tests.into_iter().any(ConnectionTest::shows_listener)
+    let until = clock::now() + OTHERS_TIMEOUT;
+    let reached = entry.timers.timeout_at(until, accepts_any(entry, &others));
+    others.is_empty() || reached.await.unwrap_or(false)
+}
+
+/// Whether a connection to any of the addresses is accepted, also if it is closed at once: that a
+/// path is open shows before it is known how long the connection lasts.
+async fn accepts_any(entry: &Entry, addresses: &[SocketAddr]) -> bool {
+    for some in addresses.chunks(OTHERS_AT_A_TIME) {
+        let accepted = join_all(some.iter().map(|address| accepts(entry, *address))).await;
+        if accepted.contains(&true) {
+            return true;
+        }
+    }
+    false
+}
+
+async fn accepts(entry: &Entry, address: SocketAddr) -> bool {
+    match socket::connect_timeout(&entry.timers, address, PROBE_TIMEOUT).await {
+        Ok(_) => true,
+        Err(error) => error.kind() == ErrorKind::ConnectionReset,
+    }
 }
 
 /// Finds out whether an endpoint that refuses connections has exited, and if so records that.
