--- a/crates/vaneway-server/src/core/callers/native.rs
+++ b/crates/vaneway-server/src/core/callers/native.rs
@@ -30,6 +30,7 @@
 use crate::core::calls::call_limits::CallLimits;
 use crate::core::calls::keyed_call;
 use crate::core::calls::model_call;
+use crate::core::calls::model_request;
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::endpoints::protocol::PlainEndpoints;
 use crate::core::entry::Entry;
@@ -175,7 +176,7 @@
     admit(entry)?;
     let key = idempotency_key(req.headers())?;
     let body = read_body(entry, req.into_body(), entry.settings.limits.body_bytes).await?;
-    let request = model_call::read(entry, interface, body.clone())?;
+    let request = model_request::read(entry, interface, body.clone())?;
     let service = &entry.settings.services[request.service];
     let non_repeatable = service.is_non_repeatable("POST", interface.path());
     let claim = key.filter(|_| non_repeatable).map(|key| {
--- a/crates/vaneway-server/src/core/calls/mod.rs
+++ b/crates/vaneway-server/src/core/calls/mod.rs
@@ -9,5 +9,6 @@
 pub mod events;
 pub mod keyed_call;
 pub mod model_call;
+pub mod model_request;
 pub mod open_requests;
 mod reply;
