--- a/crates/vaneway-test-support/src/closed_port.rs
+++ b/crates/vaneway-test-support/src/closed_port.rs
@@ -7,8 +7,7 @@
 use socket2::Type;
 
 /// A loopback port that is bound but not listened on, so that every connection to it is refused.
-/// The port of a stopped stand-in would not do: the system may assign it to the next stand-in,
-/// which would accept the connections.
+/// While it exists, the system assigns the port to nobody else.
 #[derive(Debug)]
 pub struct ClosedPort {
     _socket: Socket,
--- a/tests/testsuite/standins.rs
+++ b/tests/testsuite/standins.rs
@@ -1,6 +1,7 @@
 //! The stand-ins behave as docs/INTERFACES.md specifies; the other tests rely on it.
 
 use std::io::ErrorKind;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use compio::buf::BufResult;
@@ -211,3 +212,17 @@
     let bound = other.bind(&proxy.address().into());
     assert_eq!(bound.map_err(|error| error.kind()), Err(ErrorKind::AddrInUse));
 }
+
+/// Guards against requests to an endpoint that has ended which another test's stand-in gets: the
+/// port of a stopped stand-in was free for any other.
+#[test]
+fn port_of_a_stopped_standin_is_assigned_to_nobody_else() {
+    let standin = engine();
+    let address = standin.address();
+    drop(standin);
+    let refused = TcpStream::connect(address).map_err(|error| error.kind());
+    assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let bound = other.bind(&address.into());
+    assert_eq!(bound.map_err(|error| error.kind()), Err(ErrorKind::AddrInUse));
+}
