--- a/crates/vaneway-test-support/src/standin.rs
+++ b/crates/vaneway-test-support/src/standin.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use futures_channel::oneshot;
 use futures_util::future::select;
@@ -14,6 +17,7 @@
 #[derive(Debug)]
 pub struct Standin {
     address: SocketAddr,
+    ended_at: Arc<OnceLock<Instant>>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -30,6 +34,8 @@
     ) -> Self {
         let (stop, stopped) = oneshot::channel();
         let (tx, rx) = std::sync::mpsc::channel();
+        let ended_at = Arc::new(OnceLock::new());
+        let for_thread = Arc::clone(&ended_at);
         let body = move || {
             let runtime = compio::runtime::Runtime::new().expect("the event loop starts");
             runtime.block_on(async move {
@@ -40,17 +46,24 @@
                 futures_util::pin_mut!(work);
                 select(work, stopped).await;
             });
+            drop(runtime);
+            for_thread.set(Instant::now()).expect("a thread ends once");
         };
         let thread = std::thread::Builder::new().name(name.to_owned()).spawn(body);
         let thread = thread.expect("a thread starts");
         let address = rx.recv().expect("the stand-in binds its port");
-        Self { address, stop: Some(stop), thread: Some(thread) }
+        Self { address, ended_at, stop: Some(stop), thread: Some(thread) }
     }
 
     /// The address it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Waits until its work has ended, and returns when all its sockets had been closed.
+    pub fn wait_for_end(&self) -> Instant {
+        *self.ended_at.wait()
+    }
 }
 
 impl Drop for Standin {
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -118,6 +118,8 @@
     runs: BTreeMap<String, u32>,
     /// Crashes the endpoint when dropped; none once it has crashed.
     crash: Option<oneshot::Sender<()>>,
+    /// When it began to crash: the connection of the request breaks now.
+    broke_at: Option<Instant>,
 }
 
 impl State {
@@ -257,6 +259,14 @@
         lock(&self.state).crash.is_none()
     }
 
+    /// How long it listened after a request with [`CRASH_HEADER`] had made its connection break:
+    /// about 5 ms in the mode `late`, and more if its thread does not run in time. Waits until its
+    /// sockets are closed; none if it got no such request.
+    pub fn listened_on(&self) -> Option<Duration> {
+        let broke_at = lock(&self.state).broke_at?;
+        Some(self.standin.wait_for_end().saturating_duration_since(broke_at))
+    }
+
     /// When the last request arrived; none if none has.
     pub fn last_arrival(&self) -> Option<Instant> {
         lock(&self.state).received.last().map(|received| received.at)
@@ -442,6 +452,7 @@
 
 /// Crashes the endpoint. Returns in the mode `late`, in which the request's connection breaks first.
 async fn crash(state: Arc<Mutex<State>>, mode: &str) {
+    lock(&state).broke_at = Some(Instant::now());
     if mode != "late" {
         drop(lock(&state).crash.take());
         return std::future::pending().await;
