--- a/tests/testsuite/standins.rs
+++ b/tests/testsuite/standins.rs
@@ -1,11 +1,17 @@
 //! The stand-ins behave as docs/INTERFACES.md specifies; the other tests rely on it.
 
+use std::io::ErrorKind;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use compio::buf::BufResult;
 use compio::net::UdpSocket;
 use hyper::Method;
 use serde_json::Value;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use vaneway_test_support::Caller;
 use vaneway_test_support::CloudPlatform;
 use vaneway_test_support::Engine;
@@ -196,3 +202,20 @@
     assert!(lossy.len() < 90 && lossy.is_sorted());
     assert!(!received_by_target(0, 33).is_sorted());
 }
+
+/// Guards against a port that is given to another process while its proxy refuses connections: a box
+/// that is to reach nothing there reaches that process.
+#[test]
+fn port_of_a_proxy_that_refuses_connections_is_not_free() {
+    let service = TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = Proxy::tcp(service.local_addr().unwrap());
+    proxy.refuse(true);
+    let refused = TcpStream::connect(proxy.address());
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let bound = other.bind(&proxy.address().into());
+    assert_eq!(bound.unwrap_err().kind(), ErrorKind::AddrInUse);
+    drop(other);
+    proxy.refuse(false);
+    TcpStream::connect(proxy.address()).unwrap();
+}
