--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -147,6 +147,13 @@
         &self.tried
     }
 
+    /// Whether another attempt may be made where one was made before, if nothing else is left to
+    /// try: a stream of which the caller has a part goes on wherever it can. A request whose
+    /// response has not begun is refused instead, so that its caller need not wait.
+    pub fn may_return(&self) -> bool {
+        self.splice.has_sent()
+    }
+
     /// The endpoint of the running attempt.
     pub fn endpoint(&self) -> Option<EndpointId> {
         self.current.map(|current| current.endpoint)
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -58,6 +58,22 @@
     }
 }
 
+/// Requirements of a forwarded request for the neighbour to be chosen.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NeighbourQuery<'a> {
+    /// The neighbours.
+    pub among: &'a [EndpointId],
+    /// Availability zone of this entry box; neighbours in it are preferred.
+    pub home: &'a str,
+    /// Neighbours tried already.
+    pub tried: &'a [EndpointId],
+    /// Whether one that was tried may be chosen again if there is no other. If not, a request that
+    /// all have been tried for is refused at once.
+    pub may_return: bool,
+    /// Neighbours that have no endpoint of the required software version left.
+    pub without_version: &'a [EndpointId],
+}
+
 /// Decides whether an engine's queue is short enough for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueueLimit {
@@ -417,25 +433,27 @@
         usable.min_by_key(|endpoint| endpoint.available_from())
     }
 
-    /// Chooses one of `candidates` that accepts work and isn't in `avoid`: one in the zone `home`
-    /// before others, then the one with the fewest open requests of this box, then any.
-    pub fn choose_among(
-        &mut self,
-        now: Instant,
-        candidates: &[EndpointId],
-        home: &str,
-        avoid: &[EndpointId],
-    ) -> Option<EndpointId> {
-        let first = (self.chooser.random_fraction() * candidates.len() as f64) as usize;
-        let in_turn = candidates[first..].iter().chain(&candidates[..first]).copied();
+    /// Chooses a neighbour that accepts work: one that wasn't tried before others, then one in the
+    /// home availability zone, then the one with the fewest open requests of this box, then any.
+    pub fn choose_neighbour(&mut self, now: Instant, query: NeighbourQuery<'_>) -> Choice {
+        let NeighbourQuery { among, home, tried, may_return, without_version } = query;
+        if among.iter().all(|id| without_version.contains(id)) {
+            return Choice::NoneLeft;
+        }
+        let first = (self.chooser.random_fraction() * among.len() as f64) as usize;
+        let in_turn = among[first..].iter().chain(&among[..first]).copied();
+        let may_serve =
+            |id: &EndpointId| !without_version.contains(id) && (may_return || !tried.contains(id));
         let takes_work = |id: &EndpointId| {
-            let endpoint = self.get(*id);
-            !avoid.contains(id) && endpoint.takes_work(now) && endpoint.has_room()
+            let neighbour = self.get(*id);
+            may_serve(id) && neighbour.takes_work(now) && neighbour.has_room()
         };
-        in_turn.filter(takes_work).min_by_key(|id| {
-            let endpoint = self.get(*id);
-            (endpoint.spec.availability_zone != home, endpoint.open)
-        })
+        let chosen = in_turn.filter(takes_work).min_by_key(|id| {
+            let neighbour = self.get(*id);
+            let is_elsewhere = neighbour.spec.availability_zone != home;
+            (tried.contains(id), is_elsewhere, neighbour.open)
+        });
+        chosen.map_or(Choice::Unavailable { until: None }, Choice::Endpoint)
     }
 
     /// The endpoints of a service that are neither leaving nor gone.
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -79,6 +79,8 @@
     Failed(Response<ResponseBody>),
     /// A neighbour reports that the request is condemned.
     Condemned,
+    /// A neighbour reports that it has no endpoint left of the required software version.
+    NoneLeft,
     /// The attempt ended; nothing follows.
     Ended {
         outcome: Outcome,
@@ -346,6 +348,7 @@
         AttemptResult::Unreachable => {
             CallItem::ended(Outcome::NotSent, "the neighbour reaches no endpoint")
         }
+        AttemptResult::NoneLeft => CallItem::NoneLeft,
         AttemptResult::Condemned => CallItem::Condemned,
         AttemptResult::Unknown | AttemptResult::Answer => {
             CallItem::ended(Outcome::Unknown, "the attempt of a neighbour broke off")
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -115,6 +115,7 @@
         started: false,
         succeeded: false,
         born: 0,
+        without_version: Vec::new(),
         crashes: Vec::new(),
         responding_software: SoftwareVersion::new(),
         software: request.software.clone(),
@@ -155,6 +156,8 @@
     succeeded: bool,
     /// Start time of the incarnation that the attempt runs at, as known when the attempt began.
     born: StartMillis,
+    /// Neighbours that have no endpoint left of the software version that began the stream.
+    without_version: Vec<EndpointId>,
     /// Endpoints that crashed while running it.
     crashes: Vec<(Incarnation, Progress)>,
     /// Software version of the endpoint whose response has begun.
@@ -298,6 +301,12 @@
                 self.record_end(attempt, endpoint, Outcome::Unknown, &cause)
             }
             CallItem::Condemned => Event::Condemned,
+            CallItem::NoneLeft => {
+                self.without_version.push(endpoint);
+                // The neighbour responds, so it isn't reported as failed.
+                let cause = "the neighbour has no endpoint left of the software version";
+                self.record_end(attempt, endpoint, Outcome::NotSent, cause)
+            }
             CallItem::Ended { outcome, cause, observation } => {
                 let event = self.ended(attempt, endpoint, outcome, &cause);
                 match observation {
@@ -486,7 +495,9 @@
         if request.stream.is_some_and(|stream| self.entry.origins.is_uncertain(stream)) {
             return Event::NoneLeft;
         }
-        if let Some(event) = neighbours::choose(&self.entry, request, self.relay.tried()) {
+        let forwarded =
+            neighbours::choose(&self.entry, request, &self.relay, &self.without_version);
+        if let Some(event) = forwarded {
             return event;
         }
         self.entry.choose(Query {
--- a/crates/vaneway-server/src/core/neighbours/mod.rs
+++ b/crates/vaneway-server/src/core/neighbours/mod.rs
@@ -35,9 +35,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use vaneway_relay::Event;
+use vaneway_relay::Relay;
+use vaneway_route::Choice;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointSpec;
 use vaneway_route::NEIGHBOUR_SERVICE;
+use vaneway_route::NeighbourQuery;
 
 use crate::core::cluster::wire::Neighbour;
 use crate::core::endpoints::protocol::CallRequest;
@@ -119,9 +122,15 @@
     *entry.neighbours.ids.borrow_mut().entry(key).or_insert_with(add)
 }
 
-/// Chooses a neighbour for a request whose service this box is cut off from, as far as none of
-/// `tried` is chosen again; none if an endpoint is to be chosen.
-pub fn choose(entry: &Entry, request: &CallRequest, tried: &[EndpointId]) -> Option<Event> {
+/// Chooses a neighbour for a request whose service this box is cut off from; none if an endpoint is
+/// to be chosen. The neighbours `without_version` have stated that they have no endpoint left of the
+/// software version that must respond.
+pub fn choose(
+    entry: &Entry,
+    request: &CallRequest,
+    relay: &Relay,
+    without_version: &[EndpointId],
+) -> Option<Event> {
     if !entry.paths.is_cut_off(request.service) {
         return None;
     }
@@ -133,9 +142,18 @@
     if current.is_empty() {
         return None;
     }
-    let home = &entry.settings.availability_zone;
-    let chosen = entry.pool.borrow_mut().choose_among(clock::now(), &current, home, tried);
-    let Some(endpoint) = chosen else { return Some(unavailable) };
+    let query = NeighbourQuery {
+        among: &current,
+        home: &entry.settings.availability_zone,
+        tried: relay.tried(),
+        may_return: relay.may_return(),
+        without_version,
+    };
+    let endpoint = match entry.pool.borrow_mut().choose_neighbour(clock::now(), query) {
+        Choice::Endpoint(endpoint) => endpoint,
+        Choice::NoneLeft => return Some(Event::NoneLeft),
+        _ => return Some(unavailable),
+    };
     entry.metrics.forwarded.with_label_values(&[&request.service_name, "sent"]).inc();
     log::debug!(
         "event=forwarded request={} neighbour={}",
--- a/crates/vaneway-server/src/core/neighbours/wire.rs
+++ b/crates/vaneway-server/src/core/neighbours/wire.rs
@@ -59,6 +59,8 @@
     Refused,
     /// The neighbour reached no endpoint either, or is stopping.
     Unreachable,
+    /// Nothing was run, since no endpoint is left of the required software version.
+    NoneLeft,
     /// An endpoint may have run the call.
     Unknown,
     /// The call is condemned, since endpoints crashed while running it.
@@ -66,14 +68,21 @@
 }
 
 impl AttemptResult {
-    const ALL: [Self; 5] =
-        [Self::Answer, Self::Refused, Self::Unreachable, Self::Unknown, Self::Condemned];
+    const ALL: [Self; 6] = [
+        Self::Answer,
+        Self::Refused,
+        Self::Unreachable,
+        Self::NoneLeft,
+        Self::Unknown,
+        Self::Condemned,
+    ];
 
     fn name(self) -> &'static str {
         match self {
             Self::Answer => "answer",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
+            Self::NoneLeft => "none_left",
             Self::Unknown => "unknown",
             Self::Condemned => "condemned",
         }
@@ -86,6 +95,7 @@
         }
         match error.run {
             RunState::NotRun if error.code == FailureKind::NoEndpoint.code() => Self::Unreachable,
+            RunState::NotRun if error.code == FailureKind::SoftwareGone.code() => Self::NoneLeft,
             RunState::NotRun => Self::Refused,
             RunState::Ran | RunState::Unknown => Self::Unknown,
         }
--- a/tests/testsuite/software_versions.rs
+++ b/tests/testsuite/software_versions.rs
@@ -70,6 +70,9 @@
 /// [`ROUTE_TIMEOUT_MS`].
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time after which the response to a request is no longer in time for its route's objective.
+const PAST_OBJECTIVE: Duration = Duration::from_millis(1_200);
+
 /// Pause between two requests to a box that is expected to notice something.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -666,6 +669,55 @@
     assert_half_go_on(&streams);
 }
 
+/// Guards against a forwarded answer that is held until its deadline because no other endpoint of its
+/// version serves: each neighbour that was asked is left out, and none is left to ask.
+#[test]
+fn forwarded_answer_is_cut_at_once_if_only_other_versions_serve() {
+    let mut setup = Setup::start_with_paths(3, &ONE_OF_EACH);
+    setup.cut_off();
+    setup.behave(Behaviour::PauseAfter(FIRST_PART));
+    let (stream, elapsed) = block_on(async {
+        let mut stream = stream("stream");
+        stream.send(setup.entry(0).listen()).await;
+        stream.read_until(FIRST_PART).await;
+        std::thread::sleep(PAST_OBJECTIVE);
+        let instance = stream.events()[0].instance.clone();
+        setup.behave(Behaviour::Respond);
+        setup.crash(&instance);
+        let crashed = Instant::now();
+        stream.finish().await;
+        (stream, crashed.elapsed())
+    });
+    assert_one_version_each(std::slice::from_ref(&stream));
+    assert_eq!((stream.last_number(), stream.is_complete()), (FIRST_PART, false));
+    assert!(elapsed < NOTICE_TIMEOUT, "the answer is held: {elapsed:?}");
+}
+
+/// Guards against a forwarded answer that is held until its deadline because each neighbour was
+/// asked once, although one of them reaches an endpoint of its version.
+#[test]
+fn forwarded_answer_goes_on_through_a_neighbour_that_was_asked_before() {
+    let mut setup = Setup::start_with_paths(3, &[("i-a", "v1"), ("i-b", "v1")]);
+    setup.cut_off();
+    setup.behave(Behaviour::PauseAfter(FIRST_PART));
+    let (stream, elapsed) = block_on(async {
+        let mut stream = stream("stream");
+        stream.send(setup.entry(0).listen()).await;
+        stream.read_until(FIRST_PART).await;
+        let other = [1, 2].into_iter().find(|i| *i != setup.neighbour_of(&stream.id()));
+        setup.kill_entry(other.expect("two neighbours"));
+        std::thread::sleep(PAST_OBJECTIVE);
+        let instance = stream.events()[0].instance.clone();
+        setup.behave(Behaviour::Respond);
+        setup.crash(&instance);
+        let crashed = Instant::now();
+        stream.finish().await;
+        (stream, crashed.elapsed())
+    });
+    assert!(stream.is_complete(), "cut after event {}: {elapsed:?}", stream.last_number());
+    assert!(elapsed < NOTICE_TIMEOUT, "the answer is held: {elapsed:?}");
+}
+
 /// Guards against an answer that changes its version because the neighbour that forwards it is
 /// killed.
 #[test]
