--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -79,6 +79,8 @@
     Failed(Response<ResponseBody>),
     /// A neighbour reports that the request is condemned.
     Condemned,
+    /// A neighbour reports that no endpoint accepts requests of it at present.
+    NoEndpoint,
     /// A neighbour reports that it has no endpoint left of the required software version.
     NoneLeft,
     /// The attempt ended; nothing follows.
@@ -348,6 +350,7 @@
         AttemptResult::Unreachable => {
             CallItem::ended(Outcome::NotSent, "the neighbour reaches no endpoint")
         }
+        AttemptResult::NoEndpoint => CallItem::NoEndpoint,
         AttemptResult::NoneLeft => CallItem::NoneLeft,
         AttemptResult::Condemned => CallItem::Condemned,
         AttemptResult::Unknown | AttemptResult::Answer => {
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -301,9 +301,13 @@
                 self.record_end(attempt, endpoint, Outcome::Unknown, &cause)
             }
             CallItem::Condemned => Event::Condemned,
+            // The neighbour responds and reaches endpoints, so it isn't reported as failed.
+            CallItem::NoEndpoint => {
+                let cause = "no endpoint accepts requests of the neighbour";
+                self.record_end(attempt, endpoint, Outcome::NotSent, cause)
+            }
             CallItem::NoneLeft => {
                 self.without_version.push(endpoint);
-                // The neighbour responds, so it isn't reported as failed.
                 let cause = "the neighbour has no endpoint left of the software version";
                 self.record_end(attempt, endpoint, Outcome::NotSent, cause)
             }
--- a/crates/vaneway-server/src/core/neighbours/server.rs
+++ b/crates/vaneway-server/src/core/neighbours/server.rs
@@ -75,7 +75,8 @@
         let protocol = Rc::clone(&self.protocol);
         let copy = request.clone();
         let result = call::call(Rc::clone(entry), protocol, request, limits).await;
-        wire::response(result, || quarantine::case_of(entry, &copy))
+        let is_cut_off = entry.paths.is_cut_off(copy.service);
+        wire::response(result, is_cut_off, || quarantine::case_of(entry, &copy))
     }
 
     fn limits(&self) -> ConnectionLimits {
--- a/crates/vaneway-server/src/core/neighbours/wire.rs
+++ b/crates/vaneway-server/src/core/neighbours/wire.rs
@@ -57,8 +57,10 @@
     Answer,
     /// Nothing was run, since endpoints had no room or refused.
     Refused,
-    /// The neighbour reached no endpoint either, or is stopping.
+    /// The neighbour is cut off from the service as well, or is stopping.
     Unreachable,
+    /// Nothing was run, since no endpoint accepts requests of the neighbour at present.
+    NoEndpoint,
     /// Nothing was run, since no endpoint is left of the required software version.
     NoneLeft,
     /// An endpoint may have run the call.
@@ -68,10 +70,11 @@
 }
 
 impl AttemptResult {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Answer,
         Self::Refused,
         Self::Unreachable,
+        Self::NoEndpoint,
         Self::NoneLeft,
         Self::Unknown,
         Self::Condemned,
@@ -82,19 +85,27 @@
             Self::Answer => "answer",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
+            Self::NoEndpoint => "no_endpoint",
             Self::NoneLeft => "none_left",
             Self::Unknown => "unknown",
             Self::Condemned => "condemned",
         }
     }
 
-    /// The result of an attempt that ended with `error`.
-    fn of_error(error: &ApiError) -> Self {
+    /// The result of an attempt that ended with `error`, at a box that is cut off from the service
+    /// or not.
+    fn of_error(error: &ApiError, is_cut_off: bool) -> Self {
         if error.code == FailureKind::CrashesEndpoints.code() {
             return Self::Condemned;
         }
         match error.run {
-            RunState::NotRun if error.code == FailureKind::NoEndpoint.code() => Self::Unreachable,
+            RunState::NotRun if error.code == FailureKind::NoEndpoint.code() => {
+                if is_cut_off {
+                    Self::Unreachable
+                } else {
+                    Self::NoEndpoint
+                }
+            }
             RunState::NotRun if error.code == FailureKind::SoftwareGone.code() => Self::NoneLeft,
             RunState::NotRun => Self::Refused,
             RunState::Ran | RunState::Unknown => Self::Unknown,
@@ -126,6 +137,7 @@
 /// what is recorded against the call, `case`: the accepting box may hear of a crash later than it retries.
 pub fn response(
     result: Result<Response<ResponseBody>, ApiError>,
+    is_cut_off: bool,
     case: impl FnOnce() -> Option<QuarantineRecord>,
 ) -> Response<ResponseBody> {
     match result {
@@ -135,7 +147,7 @@
         }
         Err(error) => {
             let case = case().map(|case| EncodedFrame::new(&case).frame().clone());
-            AttemptResult::of_error(&error).into_response(case.unwrap_or_default())
+            AttemptResult::of_error(&error, is_cut_off).into_response(case.unwrap_or_default())
         }
     }
 }
--- a/tests/testsuite/software_versions.rs
+++ b/tests/testsuite/software_versions.rs
@@ -73,6 +73,10 @@
 /// Time after which the response to a request is no longer in time for its route's objective.
 const PAST_OBJECTIVE: Duration = Duration::from_millis(1_200);
 
+/// Requests sent one after the other after an endpoint crashed, over longer than a neighbour is left
+/// out.
+const AFTER_CRASH: usize = 20;
+
 /// Pause between two requests to a box that is expected to notice something.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -693,6 +697,34 @@
     assert!(elapsed < NOTICE_TIMEOUT, "the answer is held: {elapsed:?}");
 }
 
+/// Guards against a cut-off box that leaves out a neighbour, for all requests, because an endpoint
+/// that the neighbour chose for one of them had crashed.
+#[test]
+fn neighbour_is_not_left_out_for_an_endpoint_that_has_crashed() {
+    let mut setup = Setup::start_with_paths(3, &ONE_OF_EACH);
+    setup.cut_off();
+    setup.behave(Behaviour::PauseAfter(FIRST_PART));
+    let statuses = block_on(async {
+        let mut stream = stream("stream");
+        stream.send(setup.entry(0).listen()).await;
+        stream.read_until(FIRST_PART).await;
+        std::thread::sleep(PAST_OBJECTIVE);
+        let instance = stream.events()[0].instance.clone();
+        let caller = Caller::new(setup.entry(0).listen(), KEY).with_host(HOST);
+        setup.behave(Behaviour::Respond);
+        setup.crash(&instance);
+        let mut statuses = Vec::new();
+        for i in 0..AFTER_CRASH {
+            let id = format!("after-{i}");
+            let headers = [("x-request-id", &*id), ("x-deadline-ms", "600")];
+            statuses.push(caller.send_with(Method::POST, "/safe/x", &headers, "b").await.status);
+            std::thread::sleep(PAUSE);
+        }
+        statuses
+    });
+    assert_eq!(statuses, [200; AFTER_CRASH]);
+}
+
 /// Guards against a forwarded answer that is held until its deadline because each neighbour was
 /// asked once, although one of them reaches an endpoint of its version.
 #[test]
