--- a/crates/vaneway-origins/src/lib.rs
+++ b/crates/vaneway-origins/src/lib.rs
@@ -14,7 +14,8 @@
 //!
 //! - An origin that is found is one that was recorded for the stream. Two different origins of the
 //!   same stream contradict each other: from then on none is found, at each box that receives both,
-//!   in whatever order. This also holds for boxes that receive the contradiction only.
+//!   in whatever order. This also holds for boxes that receive the contradiction only. A doubt
+//!   ([`Origins::doubt`]) is a contradiction by itself, whatever was recorded or forgotten before.
 //! - Streams can be forgotten at any time; the caller then can't resume its stream. They are
 //!   forgotten [`ORIGIN_RETENTION`] after they were last recorded, and the oldest are forgotten
 //!   first if there are more than [`MAX_STREAMS`].
@@ -87,7 +88,7 @@
     key: [u8; 8],
     /// Time since it was last recorded, in milliseconds, rounded up.
     age_ms: u32,
-    /// Whether different origins were recorded for it.
+    /// Whether different origins were recorded for it, or it was doubted.
     contradictory: bool,
 }
 
@@ -157,11 +158,16 @@
     pub fn record(&mut self, now: Instant, key: StreamKey, origin: &Origin) {
         let now = self.enter(now);
         let origin = self.table.acquire(origin);
-        self.retain(now, key, Stream { recorded_at: now, origin });
+        self.record_known(now, key, origin);
         self.table.release(origin);
-        if self.streams.get(key).is_some() {
-            self.unsent.insert(key);
-        }
+    }
+
+    /// Records that it has become uncertain where a stream began, whether or not the stream is
+    /// retained here. Until this expires no origin is found for it, here and at each box that
+    /// receives this, whatever else is recorded.
+    pub fn doubt(&mut self, now: Instant, key: StreamKey) {
+        let now = self.enter(now);
+        self.record_known(now, key, KnownOrigin::Contradictory);
     }
 
     /// The origin of a stream; none if it isn't known, has expired, or is contradictory.
@@ -170,7 +176,8 @@
         self.table.get(stream.origin)
     }
 
-    /// Whether different origins were recorded for a stream.
+    /// Whether it is uncertain where a stream began: different origins were recorded for it, or it
+    /// was doubted.
     pub fn is_contradictory(&self, now: Instant, key: StreamKey) -> bool {
         let stream = self.unexpired(now, key);
         stream.is_some_and(|stream| stream.origin == KnownOrigin::Contradictory)
@@ -223,6 +230,14 @@
         Timestamp::new(*self.epoch.get_or_insert(now), now)
     }
 
+    /// Records here what is known of a stream.
+    fn record_known(&mut self, now: Timestamp, key: StreamKey, origin: KnownOrigin) {
+        self.retain(now, key, Stream { recorded_at: now, origin });
+        if self.streams.get(key).is_some() {
+            self.unsent.insert(key);
+        }
+    }
+
     fn merge_stream(&mut self, now: Timestamp, recorded: RecordedStream, origin: KnownOrigin) {
         let age = recorded.age();
         if age >= ORIGIN_RETENTION {
--- a/crates/vaneway-origins/src/origin_table.rs
+++ b/crates/vaneway-origins/src/origin_table.rs
@@ -14,7 +14,8 @@
 pub enum KnownOrigin {
     /// All that was recorded names this origin.
     One(OriginId),
-    /// Different origins were recorded, or there are more of them than the table holds.
+    /// Different origins were recorded, or there are more of them than the table holds, or the
+    /// stream was doubted.
     Contradictory,
 }
 
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -91,8 +91,7 @@
     let started = Duration::from_millis(known.born);
     let age = entry.cluster_time().saturating_sub(started);
     let since = clock::now().checked_sub(age);
-    let origin = Origin { service: details.service.clone(), software: details.software.clone() };
-    entry.origins.doubt(endpoint, since, &origin);
+    entry.origins.doubt(endpoint, since);
 }
 
 /// Adds endpoints that were ready before all boxes went down, but for those that have reported
--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -121,12 +121,12 @@
     /// Records that an endpoint has run other software than was known, since `since` or for an
     /// unknown time: where the streams began that it has answered since then isn't known any longer,
     /// at any box.
-    pub fn doubt(&self, endpoint: EndpointId, since: Option<Instant>, origin: &Origin) {
+    pub fn doubt(&self, endpoint: EndpointId, since: Option<Instant>) {
         let now = clock::now();
         let recent = self.recent.borrow();
         let doubtful = recent.iter().filter(|stream| stream.endpoint == endpoint);
         for stream in doubtful.filter(|stream| since.is_none_or(|since| stream.at >= since)) {
-            self.known.borrow_mut().record(now, stream.key, origin);
+            self.known.borrow_mut().doubt(now, stream.key);
         }
         wake(&self.reporter);
     }
--- a/tests/testsuite/origins.rs
+++ b/tests/testsuite/origins.rs
@@ -557,3 +557,46 @@
         }
     });
 }
+
+/// Guards against a doubt that stands for an origin, so that a stream goes on at another software
+/// version: the first record of the stream had been forgotten for want of room.
+#[test]
+fn doubt_stays_doubt_after_the_first_record_was_forgotten() {
+    let now = Instant::now();
+    let mut entry_box = Origins::new();
+    entry_box.record(now, 1, &origin("v1"));
+    for other in 0..MAX_STREAMS as u64 {
+        entry_box.record(now, 2 + other, &origin("v1"));
+    }
+    assert_eq!((entry_box.find(now, 1), entry_box.is_contradictory(now, 1)), (None, false));
+
+    entry_box.doubt(now, 1);
+    assert_eq!((entry_box.find(now, 1), entry_box.is_contradictory(now, 1)), (None, true));
+    let updates = std::iter::from_fn(|| Some(entry_box.take_updates(now)));
+    let updates: Vec<_> = updates.take_while(|updates| !updates.is_empty()).flatten().collect();
+    let mut control_box = control_box(now, &updates);
+    for origins in [&mut entry_box, &mut control_box] {
+        assert_eq!((origins.find(now, 1), origins.is_contradictory(now, 1)), (None, true));
+        origins.record(now, 1, &origin("v1"));
+        assert_eq!(origins.find(now, 1), None);
+    }
+}
+
+/// Guards against a doubt that reaches only boxes which know the stream, and against one that does
+/// not end.
+#[test]
+fn doubt_reaches_boxes_that_do_not_know_the_stream_and_expires() {
+    let now = Instant::now();
+    let mut entry_box = Origins::new();
+    entry_box.doubt(now, 1);
+    for records in [entry_box.all(now), entry_box.take_updates(now)] {
+        let mut control_box = control_box(now, &records);
+        assert_eq!((control_box.find(now, 1), control_box.is_contradictory(now, 1)), (None, true));
+        let mut other = Origins::new();
+        other.merge(now, &control_box.all(now));
+        assert!(other.is_contradictory(now, 1));
+        let expired = now + ORIGIN_RETENTION;
+        control_box.record(expired, 1, &origin("v1"));
+        assert_eq!(control_box.find(expired, 1), Some(&origin("v1")));
+    }
+}
