--- a/crates/vaneway-registry/src/lib.rs
+++ b/crates/vaneway-registry/src/lib.rs
@@ -15,6 +15,8 @@
 //!
 //! Times travel as ages and remaining times, since the boxes' clocks may differ.
 
+mod software_versions;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +24,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::software_versions::SoftwareVersions;
+
 /// Id of an endpoint, shared by its incarnations.
 pub type InstanceId = String;
 
@@ -135,6 +139,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     known: BTreeMap<InstanceId, EndpointRecord>,
+    /// Those of all known endpoints.
+    software: SoftwareVersions,
 }
 
 impl Registry {
@@ -145,7 +151,7 @@
         if let Some(known) = self.known.get_mut(&report.instance)
             && !report.is_newer_incarnation(known)
         {
-            return known.merge(report, last_report_at, ends_at);
+            return known.merge(report, last_report_at, ends_at, &mut self.software);
         }
         if now.saturating_duration_since(last_report_at) >= retention(report.lifecycle) {
             // It would expire at once, and count as an update again the next time.
@@ -159,7 +165,9 @@
             last_report_at,
             details: report.details.clone(),
         };
-        self.known.insert(report.instance.clone(), known);
+        let before = self.known.insert(report.instance.clone(), known);
+        let before = before.and_then(|before| before.details);
+        self.software.replace(before.as_ref(), report.details.as_ref());
         Change::Updated
     }
 
@@ -168,6 +176,12 @@
         self.known.iter()
     }
 
+    /// The software versions that the endpoints of a service declare, those included that are gone
+    /// or no longer report. Takes as long as there are versions, not endpoints.
+    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &SoftwareVersion> {
+        self.software.of(service)
+    }
+
     /// The state of one endpoint.
     pub fn get(&self, instance: &str) -> Option<&EndpointRecord> {
         self.known.get(instance)
@@ -202,7 +216,12 @@
     /// Removes endpoints that have not reported within the retention time of their state.
     pub fn expire(&mut self, now: Instant) {
         self.known.retain(|_, known| {
-            now.saturating_duration_since(known.last_report_at) < retention(known.lifecycle)
+            let age = now.saturating_duration_since(known.last_report_at);
+            let is_retained = age < retention(known.lifecycle);
+            if !is_retained {
+                self.software.replace(known.details.as_ref(), None);
+            }
+            is_retained
         });
     }
 }
@@ -229,6 +248,7 @@
         report: &Report,
         last_report_at: Instant,
         ends_at: Option<Instant>,
+        software: &mut SoftwareVersions,
     ) -> Change {
         if report.born > 0 && report.born < self.born {
             return Change::Unchanged;
@@ -250,6 +270,7 @@
         let newer = report.sequence > self.sequence || self.details.is_none();
         self.sequence = self.sequence.max(report.sequence);
         if newer && report.details.is_some() && report.details != self.details {
+            software.replace(self.details.as_ref(), report.details.as_ref());
             self.details.clone_from(&report.details);
             changed = true;
         }
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -1,5 +1,7 @@
 //! The pool of endpoints that an entry box can use, and the choice among them.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -150,6 +152,8 @@
 #[derive(Debug)]
 pub struct Pool {
     endpoints: Vec<Endpoint>,
+    /// Software versions of all endpoints by service.
+    software: BTreeMap<ServiceId, BTreeSet<String>>,
     chooser: Chooser,
     /// Candidates of the current choice; kept to reuse the allocation.
     candidates: Vec<EndpointId>,
@@ -161,20 +165,32 @@
 impl Pool {
     /// Creates a pool of `specs` that chooses by `policy` with random numbers from `seed`.
     pub fn new(specs: Vec<EndpointSpec>, policy: Policy, seed: u64) -> Self {
-        Self {
-            endpoints: specs.into_iter().map(Endpoint::new).collect(),
+        let mut pool = Self {
+            endpoints: Vec::with_capacity(specs.len()),
+            software: BTreeMap::new(),
             chooser: Chooser::new(policy, Pcg64Mcg::seed_from_u64(seed)),
             candidates: Vec::new(),
             new_parts: Vec::new(),
+        };
+        for spec in specs {
+            pool.add(spec);
         }
+        pool
     }
 
     /// Adds an endpoint and returns its id.
     pub fn add(&mut self, spec: EndpointSpec) -> EndpointId {
+        self.software.entry(spec.service).or_default().insert(spec.software.clone());
         self.endpoints.push(Endpoint::new(spec));
         self.endpoints.len() as EndpointId - 1
     }
 
+    /// The software versions of a service's endpoints, those included that are gone. Takes as long
+    /// as there are versions, not endpoints.
+    pub fn software_versions(&self, service: ServiceId) -> impl Iterator<Item = &String> {
+        self.software.get(&service).into_iter().flatten()
+    }
+
     /// All endpoints, indexed by id.
     pub fn endpoints(&self) -> &[Endpoint] {
         &self.endpoints
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -191,11 +191,8 @@
     let id = entry.service_id(service);
     let registry = entry.registry.borrow();
     let pool = entry.pool.borrow();
-    let reported = registry.iter().filter_map(|(_, known)| known.details.as_ref());
-    let reported = reported.filter(|details| details.service == service).map(|d| &d.software);
-    // Also those that were ready before all boxes went down.
-    let in_pool = pool.endpoints().iter().filter(|endpoint| endpoint.spec.service == id);
-    let mut versions = reported.chain(in_pool.map(|endpoint| &endpoint.spec.software));
+    // The pool also has those that were ready before all boxes went down.
+    let mut versions = registry.software_versions(service).chain(pool.software_versions(id));
     let software = versions.next()?;
     versions
         .all(|other| other == software)
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -1,5 +1,6 @@
 //! The registry of endpoints that register themselves: merging and expiry of reports.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -107,3 +108,37 @@
     let record = registry.get("i-1").unwrap();
     assert_eq!(record.ends_at, Some(now + Duration::from_secs(2)));
 }
+
+/// Guards against versions that are still named, or no longer, after endpoints restarted with
+/// others, moved to another service, or were forgotten.
+#[test]
+fn software_versions_of_a_service_are_those_of_its_known_endpoints() {
+    let start = Instant::now();
+    let services = ["maps", "chat"];
+    property::check("registry versions", 2_000, |steps: Vec<(u8, u8, u8, u8)>| {
+        let mut registry = Registry::default();
+        let mut now = start;
+        for (what, instance, version, minutes) in steps {
+            now += Duration::from_mins(u64::from(minutes % 4));
+            let lifecycle = if what & 0b1 == 0 { Lifecycle::Ready } else { Lifecycle::Gone };
+            let mut report = report(u64::from(what >> 4), lifecycle);
+            report.instance = format!("i-{}", instance % 5);
+            report.born = u64::from(instance >> 5);
+            if let Some(details) = &mut report.details {
+                details.service = services[usize::from(version >> 7)].to_owned();
+                details.software = format!("v{}", version % 3);
+            }
+            report.details = report.details.filter(|_| what & 0b10 == 0);
+            registry.merge(now, &report);
+            if what & 0b1100 == 0 {
+                registry.expire(now);
+            }
+            for service in services {
+                let known = registry.iter().filter_map(|(_, known)| known.details.as_ref());
+                let known = known.filter(|details| details.service == service);
+                let expected: BTreeSet<_> = known.map(|details| &details.software).collect();
+                assert!(registry.software_versions(service).eq(expected));
+            }
+        }
+    });
+}
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -260,3 +260,28 @@
     fleet.now = over;
     assert_eq!(fleet.choose("a"), Choice::Endpoint(0));
 }
+
+/// Guards against versions that are forgotten with the endpoint that ran them, or mixed up between
+/// services.
+#[test]
+fn software_versions_of_a_service_are_those_of_all_its_endpoints() {
+    let now = Instant::now();
+    let spec = |service, software: &str| EndpointSpec {
+        name: software.to_owned(),
+        service,
+        address: ([127, 0, 0, 1], 1).into(),
+        availability_zone: "a".to_owned(),
+        box_name: software.to_owned(),
+        reclaimable: false,
+        max_open: 1,
+        software: software.to_owned(),
+    };
+    let mut pool = Pool::new(vec![spec(0, "v1"), spec(1, "v3")], Policy::Random, 1);
+    let versions = |pool: &Pool, service| pool.software_versions(service).cloned().collect();
+    assert_eq!((versions(&pool, 0), versions(&pool, 2)), (vec!["v1".to_owned()], Vec::new()));
+    let added = pool.add(spec(0, "v2"));
+    pool.add(spec(0, "v1"));
+    pool.handle(now, added, EndpointEvent::Removed, &mut Vec::new());
+    assert_eq!(versions(&pool, 0), ["v1", "v2"]);
+    assert_eq!(versions(&pool, 1), ["v3"]);
+}
