--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -1,5 +1,7 @@
 //! The pool of endpoints that an entry box can use, and the choice among them.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -58,6 +60,22 @@
     }
 }
 
+/// Requirements of a forwarded request for the neighbour to be chosen.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NeighbourQuery<'a> {
+    /// The neighbours.
+    pub among: &'a [EndpointId],
+    /// Availability zone of this entry box; neighbours in it are preferred.
+    pub home: &'a str,
+    /// Neighbours tried already.
+    pub tried: &'a [EndpointId],
+    /// Whether one that was tried may be chosen again if there is no other. If not, a request that
+    /// all have been tried for is refused at once.
+    pub may_return: bool,
+    /// Neighbours that have no endpoint of the required software version left.
+    pub without_version: &'a [EndpointId],
+}
+
 /// Decides whether an engine's queue is short enough for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueueLimit {
@@ -134,6 +152,8 @@
 #[derive(Debug)]
 pub struct Pool {
     endpoints: Vec<Endpoint>,
+    /// Software versions of all endpoints by service.
+    software: BTreeMap<ServiceId, BTreeSet<String>>,
     chooser: Chooser,
     /// Candidates of the current choice; kept to reuse the allocation.
     candidates: Vec<EndpointId>,
@@ -145,20 +165,32 @@
 impl Pool {
     /// Creates a pool of `specs` that chooses by `policy` with random numbers from `seed`.
     pub fn new(specs: Vec<EndpointSpec>, policy: Policy, seed: u64) -> Self {
-        Self {
-            endpoints: specs.into_iter().map(Endpoint::new).collect(),
+        let mut pool = Self {
+            endpoints: Vec::with_capacity(specs.len()),
+            software: BTreeMap::new(),
             chooser: Chooser::new(policy, Pcg64Mcg::seed_from_u64(seed)),
             candidates: Vec::new(),
             new_parts: Vec::new(),
+        };
+        for spec in specs {
+            pool.add(spec);
         }
+        pool
     }
 
     /// Adds an endpoint and returns its id.
     pub fn add(&mut self, spec: EndpointSpec) -> EndpointId {
+        self.software.entry(spec.service).or_default().insert(spec.software.clone());
         self.endpoints.push(Endpoint::new(spec));
         self.endpoints.len() as EndpointId - 1
     }
 
+    /// The software versions of a service's endpoints, those included that are gone. Takes as long
+    /// as there are versions, not endpoints.
+    pub fn software_versions(&self, service: ServiceId) -> impl Iterator<Item = &String> {
+        self.software.get(&service).into_iter().flatten()
+    }
+
     /// All endpoints, indexed by id.
     pub fn endpoints(&self) -> &[Endpoint] {
         &self.endpoints
@@ -417,25 +449,27 @@
         usable.min_by_key(|endpoint| endpoint.available_from())
     }
 
-    /// Chooses one of `candidates` that accepts work and isn't in `avoid`: one in the zone `home`
-    /// before others, then the one with the fewest open requests of this box, then any.
-    pub fn choose_among(
-        &mut self,
-        now: Instant,
-        candidates: &[EndpointId],
-        home: &str,
-        avoid: &[EndpointId],
-    ) -> Option<EndpointId> {
-        let first = (self.chooser.random_fraction() * candidates.len() as f64) as usize;
-        let in_turn = candidates[first..].iter().chain(&candidates[..first]).copied();
+    /// Chooses a neighbour that accepts work: one that wasn't tried before others, then one in the
+    /// home availability zone, then the one with the fewest open requests of this box, then any.
+    pub fn choose_neighbour(&mut self, now: Instant, query: NeighbourQuery<'_>) -> Choice {
+        let NeighbourQuery { among, home, tried, may_return, without_version } = query;
+        if among.iter().all(|id| without_version.contains(id)) {
+            return Choice::NoneLeft;
+        }
+        let first = (self.chooser.random_fraction() * among.len() as f64) as usize;
+        let in_turn = among[first..].iter().chain(&among[..first]).copied();
+        let may_serve =
+            |id: &EndpointId| !without_version.contains(id) && (may_return || !tried.contains(id));
         let takes_work = |id: &EndpointId| {
-            let endpoint = self.get(*id);
-            !avoid.contains(id) && endpoint.takes_work(now) && endpoint.has_room()
+            let neighbour = self.get(*id);
+            may_serve(id) && neighbour.takes_work(now) && neighbour.has_room()
         };
-        in_turn.filter(takes_work).min_by_key(|id| {
-            let endpoint = self.get(*id);
-            (endpoint.spec.availability_zone != home, endpoint.open)
-        })
+        let chosen = in_turn.filter(takes_work).min_by_key(|id| {
+            let neighbour = self.get(*id);
+            let is_elsewhere = neighbour.spec.availability_zone != home;
+            (tried.contains(id), is_elsewhere, neighbour.open)
+        });
+        chosen.map_or(Choice::Unavailable { until: None }, Choice::Endpoint)
     }
 
     /// The endpoints of a service that are neither leaving nor gone.
