--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -36,6 +36,7 @@
 pub use policy::Work;
 pub use pool::Choice;
 pub use pool::Effect;
+pub use pool::FittingCounts;
 pub use pool::Pool;
 pub use pool::Query;
 pub use pool::QueueLimit;
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -42,6 +42,7 @@
 use crate::core::route_table::RouteTable;
 use crate::core::stream_origins;
 use crate::core::stream_origins::KnownBy;
+use crate::core::stream_origins::Unknown;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
 use crate::util::hash;
@@ -52,6 +53,9 @@
 /// refused at the same time don't retry at the same time.
 const RETRY_DELAY_JITTER: Range<f64> = 0.6..1.4;
 
+/// What logs and metrics name in place of who knew where a stream began.
+const NOBODY: &str = "nobody";
+
 /// Maximum gap between two events of a stream, as a multiple of the route's objective for gaps.
 /// After it the endpoint counts as lost.
 const MAX_GAP_FACTOR: u32 = 4;
@@ -201,26 +205,32 @@
 ) -> Result<Option<Origin>, ApiError> {
     let Some(stream) = &head.takes_up else { return Ok(None) };
     let Some(key) = stream_key(route, organisation, head) else { return Ok(None) };
-    let (origin, known_by) = if stream.first_request.is_some() {
+    let found = if stream.first_request.is_some() {
         stream_origins::find(entry, key).await
     } else {
         let service = route.pick(hash::of(&head.id)).unwrap_or_default();
-        (registered::sole_origin(entry, service), KnownBy::OwnBox)
+        let origin = registered::sole_origin(entry, service);
+        origin.map(|origin| (origin, KnownBy::OwnBox)).ok_or(Unknown::Unnamed)
     };
-    let origin = origin.filter(|origin| route.leads_to(&origin.service));
+    let found = found.and_then(|(origin, known_by)| {
+        let leads_there = route.leads_to(&origin.service);
+        leads_there.then_some((origin, known_by)).ok_or(Unknown::OtherService)
+    });
+    let known_by = found.as_ref().map_or(NOBODY, |(_, known_by)| known_by.name());
     Line::new("stream_taken_up")
         .with("request", &head.id)
         .with("first_request", stream.first_request.as_deref().unwrap_or_default())
-        .with("software", origin.as_ref().map_or("", |origin| &origin.software))
-        .with("known_by", origin.as_ref().map_or(KnownBy::Nobody, |_| known_by).name())
+        .with("software", found.as_ref().map_or("", |(origin, _)| &origin.software))
+        .with("known_by", known_by)
+        .with("unknown", found.as_ref().err().map_or("", |unknown| unknown.name()))
         .info();
-    entry.metrics.taken_up.with_label_values(&[known_by.name()]).inc();
-    let unknown = || {
+    entry.metrics.taken_up.with_label_values(&[known_by]).inc();
+    let refusal = |_unknown| {
         let message = "it isn't known which software version began this stream, so it can't be \
                        resumed; begin it again, or retry later";
         ApiError::temporarily_refused("stream_unknown", message)
     };
-    origin.map(Some).ok_or_else(unknown)
+    found.map(|(origin, _)| Some(origin)).map_err(refusal)
 }
 
 fn organisation<'a>(
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -553,12 +553,35 @@
             // A response that has begun is truncated, since its outbox is dropped unfinished.
             (Some(failure), _) => {
                 self.events.log_failure(&self.request.id, failure, self.relay.counts().attempts);
+                self.log_not_resumed(failure);
                 let error = self.error_for(failure);
                 self.reply.send(Err(error));
             }
         }
     }
 
+    /// Logs which endpoints of the required software version this box knew when a stream that a
+    /// caller takes up has failed.
+    fn log_not_resumed(&self, failure: Failure) {
+        let Some(software) = self.request.software.as_deref() else { return };
+        let query =
+            Query { service: self.request.service, software: Some(software), ..Query::default() };
+        let counts = self.entry.count_fitting(query);
+        Line::new("stream_not_resumed")
+            .with("request", &self.request.id)
+            .with("code", failure.kind.code())
+            .with("software", software)
+            .with("events", self.relay.splice().sent_tokens())
+            .with("cut_off", self.entry.paths.is_cut_off(self.request.service))
+            .with("known", counts.known)
+            .with("staying", counts.staying)
+            .with("exited", counts.exited)
+            .with("available", counts.available)
+            .with("within_limit", counts.within_limit)
+            .with("with_room", counts.with_room)
+            .info();
+    }
+
     /// The error for the caller. While all endpoints have requested back-off, a retry before the
     /// first back-off ends is useless.
     fn error_for(&self, failure: Failure) -> ApiError {
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -28,6 +28,7 @@
 use vaneway_route::Effect;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
+use vaneway_route::FittingCounts;
 use vaneway_route::Pool;
 use vaneway_route::Query;
 use vaneway_route::ServiceId;
@@ -285,6 +286,12 @@
         }
     }
 
+    /// The numbers of endpoints that could respond to a query, in each respect.
+    pub fn count_fitting(&self, query: Query<'_>) -> FittingCounts {
+        let query = Query { sender: self.sender(), ..query };
+        self.pool.borrow().count_fitting(clock::now(), &query)
+    }
+
     /// The cluster time and the number of this box, which determine its share of the limits that
     /// endpoints advertise.
     fn sender(&self) -> Sender {
--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -51,8 +51,6 @@
     ControlBox,
     /// Another entry box.
     Neighbour,
-    /// Nobody that could be asked.
-    Nobody,
 }
 
 impl KnownBy {
@@ -62,7 +60,37 @@
             Self::OwnBox => "own_box",
             Self::ControlBox => "control_box",
             Self::Neighbour => "neighbour",
-            Self::Nobody => "nobody",
+        }
+    }
+}
+
+/// Why it isn't known where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unknown {
+    /// This box knows that its origins contradict each other.
+    Contradictory,
+    /// No connected control box knows it, or knows it without contradiction.
+    Unrecorded,
+    /// No control box is connected, and no neighbour knows it.
+    NotAsked,
+    /// Not all control boxes that were asked have answered in time, and no neighbour knows it.
+    NotAnswered,
+    /// The caller doesn't name its first request, and there may be several versions.
+    Unnamed,
+    /// The route no longer leads to the service that began it.
+    OtherService,
+}
+
+impl Unknown {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Contradictory => "contradictory",
+            Self::Unrecorded => "unrecorded",
+            Self::NotAsked => "not_asked",
+            Self::NotAnswered => "not_answered",
+            Self::Unnamed => "unnamed",
+            Self::OtherService => "other_service",
         }
     }
 }
@@ -253,24 +281,26 @@
 }
 
 /// Finds out where a stream began.
-pub async fn find(entry: &Entry, key: StreamKey) -> (Option<Origin>, KnownBy) {
+///
+/// # Errors
+///
+/// Why it isn't known.
+pub async fn find(entry: &Entry, key: StreamKey) -> Result<(Origin, KnownBy), Unknown> {
     if let Some(origin) = entry.origins.get(key) {
-        return (Some(origin), KnownBy::OwnBox);
+        return Ok((origin, KnownBy::OwnBox));
     }
     if entry.origins.is_uncertain(key) {
-        return (None, KnownBy::Nobody);
+        return Err(Unknown::Contradictory);
     }
     let mut lookup = entry.origins.look_up(key);
     let answer = entry.timers.timeout_at(clock::now() + LOOKUP_TIMEOUT, &mut lookup.rx).await;
     drop(lookup);
-    match answer {
-        Some(Ok(Some(origin))) => return (Some(origin), KnownBy::ControlBox),
-        Some(Ok(None)) => return (None, KnownBy::Nobody),
-        // No control box could be asked, or not all have answered.
-        Some(Err(oneshot::Canceled)) | None => {}
-    }
-    match neighbours::origins::ask(entry, key).await {
-        Some(origin) => (Some(origin), KnownBy::Neighbour),
-        None => (None, KnownBy::Nobody),
-    }
+    let unknown = match answer {
+        Some(Ok(Some(origin))) => return Ok((origin, KnownBy::ControlBox)),
+        Some(Ok(None)) => return Err(Unknown::Unrecorded),
+        Some(Err(oneshot::Canceled)) => Unknown::NotAsked,
+        None => Unknown::NotAnswered,
+    };
+    let origin = neighbours::origins::ask(entry, key).await;
+    origin.map(|origin| (origin, KnownBy::Neighbour)).ok_or(unknown)
 }
--- a/tests/testsuite/software_versions.rs
+++ b/tests/testsuite/software_versions.rs
@@ -467,6 +467,8 @@
     let setup = Setup::start(2, &TWO_OF_EACH);
     let mut stream = stream("late").with_received("never-begun", FIRST_PART);
     block_on(setup.assert_refused(&mut stream, 0));
+    let refused = ["event=stream_taken_up", "first_request=never-begun", "unknown=unrecorded"];
+    setup.entry(0).wait_for_log(&refused);
 }
 
 /// Guards against a stream that is taken up at another version, or held, after the last endpoint of
@@ -490,6 +492,8 @@
         }
         for i in [0, 1] {
             setup.assert_refused(&mut stream, i).await;
+            let failed = ["event=stream_not_resumed", "code=software_gone", "known=1 staying=0"];
+            setup.entry(i).wait_for_log(&failed);
         }
     });
 }
