--- a/crates/vaneway-test-support/src/soak/callers.rs
+++ b/crates/vaneway-test-support/src/soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers that continuously send requests of every kind, and the responses that they received.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -23,6 +24,9 @@
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
 
+/// Number of concurrent callers that send only streams that may be resumed.
+const STREAM_CALLERS: u64 = 8;
+
 /// Time between a caller's response and its next request.
 const THINK_TIME: Duration = Duration::from_millis(12);
 
@@ -145,15 +149,34 @@
     ///
     /// If a caller's event loop can't be started.
     pub fn start(seed: u64, entries: &EntryAddresses) -> Self {
+        Self::start_with(seed, entries, 0..CALLERS, &Kind::ALL)
+    }
+
+    /// Starts callers that send only streams that may be resumed, beside the others.
+    ///
+    /// # Panics
+    ///
+    /// If a caller's event loop can't be started.
+    pub fn start_streams(seed: u64, entries: &EntryAddresses) -> Self {
+        let numbers = CALLERS..CALLERS + STREAM_CALLERS;
+        Self::start_with(seed, entries, numbers, &[Kind::Resumable])
+    }
+
+    fn start_with(
+        seed: u64,
+        entries: &EntryAddresses,
+        numbers: Range<u64>,
+        kinds: &'static [Kind],
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let start = |number| {
             let (stop, entries) = (Arc::clone(&stop), Arc::clone(entries));
             std::thread::spawn(move || {
                 let runtime = compio::runtime::Runtime::new().expect("the event loop starts");
-                runtime.block_on(send_all(seed, number, &stop, &entries))
+                runtime.block_on(send_all(seed, number, kinds, &stop, &entries))
             })
         };
-        let threads = (0..CALLERS).map(start).collect();
+        let threads = numbers.map(start).collect();
         Self { stop, threads }
     }
 
@@ -174,6 +197,7 @@
 async fn send_all(
     seed: u64,
     number: u64,
+    kinds: &[Kind],
     stop: &AtomicBool,
     entries: &Mutex<Vec<Option<SocketAddr>>>,
 ) -> Vec<CallerRequest> {
@@ -190,7 +214,7 @@
         let Some(address) = address else { continue };
         let kind = match interrupted {
             Some(_) => Kind::Resumable,
-            None => Kind::ALL[rng.random_range(0..Kind::ALL.len())],
+            None => kinds[rng.random_range(0..kinds.len())],
         };
         let id = format!("{seed:x}-{number}-{}", requests.len());
         let request = send(address, entry, kind, id, interrupted.as_ref()).await;
--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -12,6 +12,7 @@
 pub mod callers;
 pub mod plan;
 pub mod promises;
+pub mod taken_up;
 pub mod world;
 
 use std::collections::BTreeMap;
@@ -21,7 +22,10 @@
 
 use crate::limits;
 use crate::soak::callers::Callers;
+use crate::soak::plan::Step;
 use crate::soak::promises::Evidence;
+use crate::soak::taken_up::Shares;
+use crate::soak::taken_up::TakenUp;
 use crate::soak::world::World;
 
 /// The result of one run.
@@ -33,16 +37,29 @@
     pub requests: usize,
     /// Number of requests that received a complete response with status 200.
     pub served: usize,
-    /// Number of requests that take a stream up.
-    pub taken_up: usize,
-    /// Number of these that received events.
-    pub went_on: usize,
+    /// The requests that take a stream up.
+    pub taken_up: Vec<TakenUp>,
+    /// The streams taken up under the conditions under which they must go on.
+    pub judged: Shares,
     /// Number of requests by kind and status; status 0 stands for no complete response.
     pub outcomes: BTreeMap<(String, u16), usize>,
     /// Log of each process, with the process's name.
     pub logs: Vec<(String, String)>,
 }
 
+/// Time for which one entry box is killed again and again: enough for several times as many streams
+/// to be taken up as are needed to judge them.
+const ONE_BOX_TIME: Duration = Duration::from_secs(6);
+
+/// Executes steps at their times from now on.
+fn execute(world: &mut World, steps: &[Step]) {
+    let begin = Instant::now();
+    for step in steps {
+        std::thread::sleep((begin + step.at).saturating_duration_since(Instant::now()));
+        world.apply(&step.action);
+    }
+}
+
 /// Runs the plan of `seed`, in which new faults begin for `time`.
 ///
 /// # Panics
@@ -58,29 +75,32 @@
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
     let callers = Callers::start(seed, world.entry_addresses());
-    let begin = Instant::now();
-    for step in &steps {
-        std::thread::sleep((begin + step.at).saturating_duration_since(Instant::now()));
-        world.apply(&step.action);
-    }
+    execute(&mut world, &steps);
     world.heal();
     world.wait_until_configured();
     // All entry boxes must keep the limits only after `BINDING_DELAY`; one window more is counted.
     std::thread::sleep(limits::BINDING_DELAY + limits::COUNTING_WINDOW);
-    let requests = callers.finish();
+    let streams = Callers::start_streams(seed, world.entry_addresses());
+    execute(&mut world, &plan::kills_of_one_box(seed, ONE_BOX_TIME));
+    world.heal();
+    let mut requests = callers.finish();
+    requests.extend(streams.finish());
     let evidence = Evidence { requests: &requests, world: &world };
+    let taken_up = taken_up::taken_up(&evidence);
+    let judged = Shares::of(&evidence, &taken_up);
+    let mut violations = promises::violations(&evidence);
+    violations.extend(judged.violation());
     let mut outcomes = BTreeMap::new();
     for request in &requests {
         let status = request.response.as_ref().map_or(0, |response| response.status);
         *outcomes.entry((format!("{:?}", request.kind), status)).or_default() += 1;
     }
-    let taken_up = || requests.iter().filter(|request| request.after > 0);
     Report {
         outcomes,
-        taken_up: taken_up().count(),
-        went_on: taken_up().filter(|request| !request.events.is_empty()).count(),
-        violations: promises::violations(&evidence),
+        judged,
+        violations,
         requests: requests.len(),
+        taken_up,
         served: requests.iter().filter(|request| request.is_served()).count(),
         logs: world.logs(),
     }
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -56,6 +56,8 @@
     AddRoutes(usize),
     /// Makes an endpoint announce that it is leaving, and starts another in its place.
     Drain(usize),
+    /// Starts an endpoint in addition.
+    AddEndpoint,
     /// Makes an endpoint advertise a limit in requests per second from now on.
     AdvertiseLimit(usize, &'static str),
     /// Starts an endpoint that responds to this many requests with whole streams, and then crashes
@@ -246,3 +248,44 @@
     steps.sort_by_key(|step| step.at);
     steps
 }
+
+/// Separates the random numbers of the kills of one box from those of faults.
+const ONE_BOX_STREAM: u64 = 0x4F4E_4520_424F_5800;
+
+/// Number of endpoints that are started before the kills of one box: two of each version, so that
+/// two serve whatever the faults before have left, and whatever limits the others advertise.
+const ADDED_ENDPOINTS: usize = 4;
+
+/// Time in which boxes find out which endpoints have been added.
+const ADDED_TIME: Duration = Duration::from_secs(1);
+
+/// After all faults, while all other boxes stay in touch: one entry box is killed again and again
+/// and soon started again, and one endpoint at a time breaks off its streams, so that callers take
+/// streams up at boxes that can know where they began.
+pub fn kills_of_one_box(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ ONE_BOX_STREAM);
+    let entry = rng.random_range(0..ENTRY_BOXES);
+    let add = |_| Step { at: Duration::ZERO, action: Action::AddEndpoint };
+    let mut steps: Vec<Step> = (0..ADDED_ENDPOINTS).map(add).collect();
+    let mut at = ADDED_TIME;
+    while at < ADDED_TIME + time {
+        let end = at + Duration::from_millis(rng.random_range(50..300));
+        let endpoint = rng.random_range(0..ENDPOINTS);
+        let (begins, ends) = if rng.random() {
+            (Action::Cut(endpoint, true), Action::Cut(endpoint, false))
+        } else {
+            let broken = Behaviour::TruncateAfter(rng.random_range(1..EVENTS_PER_STREAM));
+            let usual = Action::Behave(endpoint, Behaviour::Steady);
+            (Action::Behave(endpoint, broken), usual)
+        };
+        let step = |at, action| Step { at, action };
+        steps.extend([
+            step(at, begins),
+            step(at, Action::KillEntry(entry)),
+            step(end, ends),
+            step(end, Action::StartEntry(entry)),
+        ]);
+        at = end + Duration::from_millis(rng.random_range(300..700));
+    }
+    steps
+}
--- a/crates/vaneway-test-support/src/soak/world.rs
+++ b/crates/vaneway-test-support/src/soak/world.rs
@@ -71,6 +71,34 @@
     limit: Option<(f64, Instant)>,
     /// When a fault of its proxy began or ended.
     proxy_changes: Vec<Instant>,
+    /// The faults that keep it from serving.
+    faults: EndpointFaults,
+    /// When it began (true) or ceased to serve.
+    service_changes: Vec<(Instant, bool)>,
+}
+
+/// The faults that keep an endpoint from serving.
+#[derive(Debug, Clone, Copy, Default)]
+struct EndpointFaults {
+    is_cut: bool,
+    is_frozen: bool,
+    misbehaves: bool,
+}
+
+impl Endpoint {
+    /// Records whether it serves from now on: it is registered, isn't leaving and has no fault.
+    fn record_service(&mut self) {
+        let EndpointFaults { is_cut, is_frozen, misbehaves } = self.faults;
+        let serves = !self.is_leaving && !is_cut && !is_frozen && !misbehaves;
+        self.service_changes.push((Instant::now(), serves));
+    }
+
+    /// Whether it served throughout a period.
+    fn served(&self, from: Instant, until: Instant) -> bool {
+        let before = self.service_changes.iter().rev().find(|(at, _)| *at <= from);
+        let mut within = self.service_changes.iter().filter(|(at, _)| from < *at && *at <= until);
+        before.is_some_and(|(_, serves)| *serves) && within.all(|(_, serves)| *serves)
+    }
 }
 
 /// A refusal that requested a back-off.
@@ -137,6 +165,8 @@
     starts: Vec<Event>,
     /// When a process was paused or resumed.
     pauses: Vec<Event>,
+    /// When a control box was killed, started, paused or resumed.
+    control_changes: Vec<Instant>,
     /// Entry boxes that were told to stop and have not been started again.
     stopping: [bool; ENTRY_BOXES],
     sent_version: u64,
@@ -217,6 +247,7 @@
             stops: Vec::new(),
             starts: Vec::new(),
             pauses: Vec::new(),
+            control_changes: Vec::new(),
             stopping: [false; ENTRY_BOXES],
             sent_version: 0,
             sent: BTreeMap::new(),
@@ -257,6 +288,8 @@
             sequence: 0,
             limit: None,
             proxy_changes: Vec::new(),
+            faults: EndpointFaults::default(),
+            service_changes: Vec::new(),
         });
         endpoints.len() - 1
     }
@@ -297,21 +330,33 @@
                 if self.control.running().contains(&i) {
                     self.keep_log(format!("control-{i}"), self.control.process(i).log());
                     self.control.kill(i);
+                    self.control_changes.push(Instant::now());
                 }
             }
             Action::StartControl(i) => {
                 if !self.control.running().contains(&i) {
                     self.control.start_box(i, false);
+                    self.control_changes.push(Instant::now());
                 }
             }
             Action::PauseControl(i, paused) => {
                 if self.control.running().contains(&i) {
                     self.control.process(i).signal(if paused { "STOP" } else { "CONT" });
+                    self.control_changes.push(Instant::now());
                 }
             }
-            Action::Behave(i, behaviour) => self.update(i, |e| e.standin.behave(behaviour)),
-            Action::Cut(i, cut) => self.change_proxy(i, |proxy| proxy.cut(cut)),
-            Action::Freeze(i, frozen) => self.change_proxy(i, |proxy| proxy.freeze(frozen)),
+            Action::Behave(i, behaviour) => self.update(i, |e| {
+                e.standin.behave(behaviour);
+                e.faults.misbehaves = behaviour != Behaviour::Steady;
+            }),
+            Action::Cut(i, cut) => {
+                self.change_proxy(i, |proxy| proxy.cut(cut));
+                self.update(i, |e| e.faults.is_cut = cut);
+            }
+            Action::Freeze(i, frozen) => {
+                self.change_proxy(i, |proxy| proxy.freeze(frozen));
+                self.update(i, |e| e.faults.is_frozen = frozen);
+            }
             Action::Delay(i, delay) => self.change_proxy(i, |proxy| proxy.delay(delay)),
             Action::RequestBackOff(i, wait) => self.update(i, |e| e.standin.request_back_off(wait)),
             Action::Configure => self.configure(),
@@ -324,6 +369,9 @@
                 e.limit = limit.parse().ok().map(|rate| (rate, Instant::now()));
             }),
             Action::StartUnframed(whole, last) => self.add_unframed_endpoint(whole, last),
+            Action::AddEndpoint => {
+                self.add_endpoint();
+            }
             Action::Drain(i) => {
                 self.update(i, |e| e.is_leaving = true);
                 self.serving[i] = self.add_endpoint();
@@ -332,7 +380,11 @@
     }
 
     fn update(&self, i: usize, change: impl FnOnce(&mut Endpoint)) {
-        change(&mut lock(&self.endpoints.framed)[self.serving[i]]);
+        let endpoint = &mut lock(&self.endpoints.framed)[self.serving[i]];
+        change(endpoint);
+        if !endpoint.service_changes.is_empty() {
+            endpoint.record_service();
+        }
     }
 
     fn change_proxy(&self, i: usize, change: impl FnOnce(&Proxy)) {
@@ -486,6 +538,30 @@
         of_entry.any(|event| at < event.at + period)
     }
 
+    /// Whether nothing was done to an entry box or a control box from `contact` before `from` until
+    /// `until`.
+    pub fn was_in_touch(
+        &self,
+        entry: usize,
+        from: Instant,
+        until: Instant,
+        contact: Duration,
+    ) -> bool {
+        let events = self.starts.iter().chain(&self.stops).chain(&self.pauses).chain(&self.kills);
+        let of_entry = events.filter(|event| event.entry == entry).map(|event| event.at);
+        let mut changes = of_entry.chain(self.control_changes.iter().copied());
+        !changes.any(|at| at + contact > from && at <= until)
+    }
+
+    /// Number of endpoints of a software version that served throughout a period: registered, not
+    /// leaving, reached, and without a fault that the plan gave them.
+    pub fn serving(&self, version: &str, from: Instant, until: Instant) -> usize {
+        let endpoints = lock(&self.endpoints.framed);
+        let of_version = endpoints.iter().enumerate();
+        let of_version = of_version.filter(|(i, _)| VERSIONS[i % VERSIONS.len()] == version);
+        of_version.filter(|(_, endpoint)| endpoint.served(from, until)).count()
+    }
+
     /// The endpoints that advertise limits, with the requests that they received.
     pub fn limited(&self) -> Vec<LimitedEndpoint> {
         let endpoints = lock(&self.endpoints.framed);
@@ -637,8 +713,15 @@
             endpoint.standin.heartbeat_with_address(address, "maps", state, endpoint.sequence);
         (path, body, endpoint.is_leaving)
     };
-    if is_accepted_by_any(&path, &body, controls, next_control) && is_leaving {
-        lock(endpoints)[i].leaving_since.get_or_insert_with(Instant::now);
+    if !is_accepted_by_any(&path, &body, controls, next_control) {
+        return;
+    }
+    let endpoint = &mut lock(endpoints)[i];
+    if endpoint.service_changes.is_empty() {
+        endpoint.record_service();
+    }
+    if is_leaving {
+        endpoint.leaving_since.get_or_insert_with(Instant::now);
     }
 }
 
