--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -69,6 +69,7 @@
 use crate::core::quarantine;
 use crate::core::quarantine::Placement;
 use crate::core::queue_limit;
+use crate::core::stream_origins::REPORT_TIMEOUT;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
 use crate::util::logline::Line;
@@ -192,7 +193,12 @@
                     running = Some(Running { attempt, endpoint, started_at, items });
                 }
                 Action::Detach { .. } | Action::Cancel { .. } => running = None,
-                action => call.perform(action),
+                action => {
+                    if matches!(action, Action::Emit { .. }) {
+                        call.report_origin().await;
+                    }
+                    call.perform(action);
+                }
             }
         }
         call.events.open.request().record_state(&call.relay);
@@ -321,8 +327,20 @@
         }
     }
 
-    /// Records which software version began the stream, before the caller has its first event, and
-    /// again while it goes on, so that it isn't forgotten.
+    /// Records which software version began the stream, and waits until that is reported before the
+    /// caller has its first event: it may take the stream up at another box as soon as it has one.
+    async fn report_origin(&mut self) {
+        let is_first = self.origin_recorded_at.is_none();
+        self.record_origin();
+        if is_first && self.origin_recorded_at.is_some() {
+            let until = clock::now() + REPORT_TIMEOUT;
+            // Late reports leave the stream unknown if this box is lost before.
+            let _in_time = self.entry.timers.timeout_at(until, self.entry.origins.reported()).await;
+        }
+    }
+
+    /// Records which software version began the stream, and again while it goes on, so that it isn't
+    /// forgotten.
     fn record_origin(&mut self) {
         let software = self.software.get_or_insert_with(|| self.responding_software.clone());
         let Some(stream) = self.request.stream else { return };
@@ -456,7 +474,6 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
-                self.record_origin();
                 let limit = self.entry.settings.limits.stream_bytes;
                 if self.relay.splice().sent_tokens() <= 1 {
                     let taken = clock::elapsed(self.received_at).as_secs_f64();
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use vaneway_ledger::ClusterTime;
 use vaneway_ledger::Loads;
 use vaneway_ledger::RETAINED_WINDOWS;
@@ -57,6 +58,7 @@
 use crate::core::neighbours;
 use crate::core::quarantine;
 use crate::core::settings::FollowSettings;
+use crate::core::stream_origins::REPORT_TIMEOUT;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::EncodedFrame;
@@ -162,11 +164,17 @@
 }
 
 /// Reports to the control boxes where streams began, until dropped. Not with the other reports: this
-/// box may be lost before the next one.
+/// box may be lost before the next one. Callers get their first event once a report has been written.
 async fn send_origins(follower: Rc<Follower>) {
     loop {
-        let origins = follower.entry.origins.next_updates().await;
+        let (count, origins) = follower.entry.origins.next_updates().await;
         follower.send_to_all(FromEntry::StreamOrigins(origins));
+        let queues = follower.queues();
+        let written = join_all(queues.iter().map(SendQueue::written));
+        let until = clock::now() + REPORT_TIMEOUT;
+        // The reports of those that can't be written to are late.
+        let _all_written = follower.entry.timers.timeout_at(until, written).await;
+        follower.entry.origins.record_reported(count);
     }
 }
 
@@ -485,6 +493,11 @@
         }
     }
 
+    /// The queues of all connections to control boxes.
+    fn queues(&self) -> Vec<SendQueue> {
+        self.open.borrow().values().map(|link| link.outgoing.clone()).collect()
+    }
+
     fn send_to_all(&self, message: FromEntry) {
         let message = EncodedFrame::new(&ToControl::Entry(message));
         for link in self.open.borrow().values() {
--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -35,6 +35,10 @@
 /// Maximum wait for the answers of control boxes: a round trip between regions.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum wait until what is reported to control boxes is written to their connections. The
+/// operating system takes it at once, unless a control box doesn't read.
+pub const REPORT_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Age of the last message of a control box up to which this box counts as connected. Control boxes
 /// answer pings more often.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_500);
@@ -125,6 +129,12 @@
     sender: RefCell<Option<Waker>>,
     /// Woken when there are streams to report.
     reporter: RefCell<Option<Waker>>,
+    /// Number of records so far.
+    recorded: Cell<u64>,
+    /// Number of these that have been reported.
+    reported: Cell<u64>,
+    /// Woken when more have been reported.
+    unreported: RefCell<Vec<Waker>>,
     last_contact: Cell<Option<Instant>>,
 }
 
@@ -138,6 +148,7 @@
     pub fn record(&self, key: StreamKey, endpoint: EndpointId, origin: &Origin) {
         let now = clock::now();
         self.known.borrow_mut().record(now, key, origin);
+        self.recorded.update(|count| count + 1);
         wake(&self.reporter);
         let mut recent = self.recent.borrow_mut();
         while recent.front().is_some_and(|first| first.at + RECENT_RETENTION < now) {
@@ -159,15 +170,36 @@
         wake(&self.reporter);
     }
 
-    /// Waits until streams are recorded that no earlier call has returned, and returns them.
-    pub async fn next_updates(&self) -> Vec<OriginRecord> {
+    /// Waits until everything recorded so far has been reported to the control boxes, so that it is
+    /// known if this box is lost. Doesn't wait if none is connected.
+    pub async fn reported(&self) {
+        let count = self.recorded.get();
+        poll_fn(|cx| {
+            if self.reported.get() >= count || !self.is_connected() {
+                return Poll::Ready(());
+            }
+            self.unreported.borrow_mut().push(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Records that the first `count` records have been reported.
+    pub fn record_reported(&self, count: u64) {
+        self.reported.set(count);
+        self.unreported.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// Waits until streams are recorded that no earlier call has returned, and returns them with the
+    /// number of records so far.
+    pub async fn next_updates(&self) -> (u64, Vec<OriginRecord>) {
         poll_fn(|cx| {
             let updates = self.known.borrow_mut().take_updates(clock::now());
             if updates.is_empty() {
                 *self.reporter.borrow_mut() = Some(cx.waker().clone());
                 return Poll::Pending;
             }
-            Poll::Ready(updates)
+            Poll::Ready((self.recorded.get(), updates))
         })
         .await
     }
--- a/crates/vaneway-server/src/util/send_queue.rs
+++ b/crates/vaneway-server/src/util/send_queue.rs
@@ -14,6 +14,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
 use std::task::Context;
@@ -94,6 +95,8 @@
     partial: usize,
     closed: bool,
     waker: Option<Waker>,
+    /// Woken when nothing is queued any longer.
+    emptied: Option<Waker>,
     buffered: Rc<BufferedBytes>,
 }
 
@@ -155,6 +158,13 @@
     fn close(&mut self) {
         self.closed = true;
         self.wake();
+        self.wake_emptied();
+    }
+
+    fn wake_emptied(&mut self) {
+        if let Some(waker) = self.emptied.take() {
+            waker.wake();
+        }
     }
 }
 
@@ -172,6 +182,7 @@
             partial: 0,
             closed: false,
             waker: None,
+            emptied: None,
             buffered: Rc::clone(buffered),
         })))
     }
@@ -224,6 +235,20 @@
         self.0.borrow().queued
     }
 
+    /// Waits until the operating system has taken everything that is queued, or the queue is closed.
+    /// Only the last call that waits is woken.
+    pub async fn written(&self) {
+        poll_fn(|cx| {
+            let mut queue = self.0.borrow_mut();
+            if queue.closed || queue.chunks.is_empty() {
+                return Poll::Ready(());
+            }
+            queue.emptied = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Sets the number of bytes received of an incomplete frame.
     pub(super) fn set_partial(&self, bytes: usize) {
         let mut queue = self.0.borrow_mut();
@@ -247,6 +272,9 @@
             if queue.closed {
                 return Poll::Ready(Ok(()));
             }
+            if queue.chunks.is_empty() {
+                queue.wake_emptied();
+            }
             let Some(first) = queue.chunks.front_mut() else {
                 queue.waker = Some(cx.waker().clone());
                 return Poll::Pending;
--- a/tests/testsuite/software_versions.rs
+++ b/tests/testsuite/software_versions.rs
@@ -1,6 +1,8 @@
 //! Streams of numbered events while endpoints of several software versions serve side by side: a
 //! stream goes on only at the version that began it.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -311,6 +313,33 @@
         })
     }
 
+    /// Begins streams at entry box 0, kills it as soon as half of them have their first event, and
+    /// takes up, at entry box 1, those that have one.
+    fn streams_of_a_box_killed_at_their_first_events(&mut self) -> Vec<StreamCaller> {
+        self.behave(Behaviour::PauseAfter(1));
+        let entry = self.entry(0).listen();
+        let process = RefCell::new(self.entries[0].take());
+        let begun = Cell::new(0);
+        block_on(async {
+            let mut streams: Vec<_> =
+                (0..STREAMS).map(|n| stream(&format!("stream-{n}"))).collect();
+            let each = streams.iter_mut().map(async |stream| {
+                stream.send(entry).await;
+                stream.read_until(1).await;
+                begun.set(begun.get() + stream.last_number());
+                if begun.get() as usize >= STREAMS / 2
+                    && let Some(process) = process.take()
+                {
+                    process.kill();
+                }
+            });
+            join_all(each).await;
+            streams.retain(|stream| stream.last_number() > 0);
+            self.take_up(&mut streams, 1).await;
+            streams
+        })
+    }
+
     /// Takes streams up at entry box `i`, where the endpoints send all further events.
     async fn take_up(&self, streams: &mut [StreamCaller], i: usize) {
         self.behave(Behaviour::Respond);
@@ -428,6 +457,22 @@
     assert_half_go_on(&streams);
 }
 
+/// Guards against a stream that is refused because its box was killed after the caller had the first
+/// event, but before a control box was sent where the stream began.
+#[test]
+fn stream_of_a_box_killed_at_its_first_event_goes_on() {
+    let mut refused = Vec::new();
+    for _ in 0..ROUNDS {
+        let mut setup = Setup::start(2, &TWO_OF_EACH);
+        let streams = setup.streams_of_a_box_killed_at_their_first_events();
+        assert_one_version_each(&streams);
+        let complete = streams.iter().filter(|stream| stream.is_complete()).count();
+        refused.push((streams.len() - complete, streams.len()));
+    }
+    println!("streams that don't go on, of all that have an event: {refused:?}");
+    assert!(refused.iter().all(|(refused, _)| *refused == 0), "{refused:?}");
+}
+
 /// Guards against a stream that is taken up at another version when it is taken up a second time:
 /// its caller still names the first attempt, which reached neither of the boxes that are left.
 #[test]
