--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -69,6 +69,7 @@
 use crate::core::quarantine;
 use crate::core::quarantine::Placement;
 use crate::core::queue_limit;
+use crate::core::stream_origins::REPORT_TIMEOUT;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
 use crate::util::logline::Line;
@@ -195,7 +196,12 @@
                     running = Some(Running { attempt, endpoint, started_at, items });
                 }
                 Action::Detach { .. } | Action::Cancel { .. } => running = None,
-                action => call.perform(action),
+                action => {
+                    if matches!(action, Action::Emit { .. }) {
+                        call.report_origin().await;
+                    }
+                    call.perform(action);
+                }
             }
         }
         call.events.open.request().record_state(&call.relay);
@@ -334,8 +340,20 @@
         }
     }
 
-    /// Records which software version began the stream, before the caller has its first event, and
-    /// again while it goes on, so that it isn't forgotten.
+    /// Records which software version began the stream, and waits until that is reported before the
+    /// caller has its first event: it may take the stream up at another box as soon as it has one.
+    async fn report_origin(&mut self) {
+        let is_first = self.origin_recorded_at.is_none();
+        self.record_origin();
+        if is_first && self.origin_recorded_at.is_some() {
+            let until = clock::now() + REPORT_TIMEOUT;
+            // Late reports leave the stream unknown if this box is lost before.
+            let _in_time = self.entry.timers.timeout_at(until, self.entry.origins.reported()).await;
+        }
+    }
+
+    /// Records which software version began the stream, and again while it goes on, so that it isn't
+    /// forgotten.
     fn record_origin(&mut self) {
         let software = self.software.get_or_insert_with(|| self.responding_software.clone());
         let Some(stream) = self.request.stream else { return };
@@ -469,7 +487,6 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
-                self.record_origin();
                 let limit = self.entry.settings.limits.stream_bytes;
                 if self.relay.splice().sent_tokens() <= 1 {
                     let taken = clock::elapsed(self.received_at).as_secs_f64();
@@ -568,12 +585,35 @@
             // A response that has begun is truncated, since its outbox is dropped unfinished.
             (Some(failure), _) => {
                 self.events.log_failure(&self.request.id, failure, self.relay.counts().attempts);
+                self.log_not_resumed(failure);
                 let error = self.error_for(failure);
                 self.reply.send(Err(error));
             }
         }
     }
 
+    /// Logs which endpoints of the required software version this box knew when a stream that a
+    /// caller takes up has failed.
+    fn log_not_resumed(&self, failure: Failure) {
+        let Some(software) = self.request.software.as_deref() else { return };
+        let query =
+            Query { service: self.request.service, software: Some(software), ..Query::default() };
+        let counts = self.entry.count_fitting(query);
+        Line::new("stream_not_resumed")
+            .with("request", &self.request.id)
+            .with("code", failure.kind.code())
+            .with("software", software)
+            .with("events", self.relay.splice().sent_tokens())
+            .with("cut_off", self.entry.paths.is_cut_off(self.request.service))
+            .with("known", counts.known)
+            .with("staying", counts.staying)
+            .with("exited", counts.exited)
+            .with("available", counts.available)
+            .with("within_limit", counts.within_limit)
+            .with("with_room", counts.with_room)
+            .info();
+    }
+
     /// The error for the caller. While all endpoints have requested back-off, a retry before the
     /// first back-off ends is useless.
     fn error_for(&self, failure: Failure) -> ApiError {
--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -35,6 +35,10 @@
 /// Maximum wait for the answers of control boxes: a round trip between regions.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum wait until what is reported to control boxes is written to their connections. The
+/// operating system takes it at once, unless a control box doesn't read.
+pub const REPORT_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Age of the last message of a control box up to which this box counts as connected. Control boxes
 /// answer pings more often.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_500);
@@ -51,8 +55,6 @@
     ControlBox,
     /// Another entry box.
     Neighbour,
-    /// Nobody that could be asked.
-    Nobody,
 }
 
 impl KnownBy {
@@ -62,7 +64,37 @@
             Self::OwnBox => "own_box",
             Self::ControlBox => "control_box",
             Self::Neighbour => "neighbour",
-            Self::Nobody => "nobody",
+        }
+    }
+}
+
+/// Why it isn't known where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unknown {
+    /// This box knows that its origins contradict each other.
+    Contradictory,
+    /// No connected control box knows it, or knows it without contradiction.
+    Unrecorded,
+    /// No control box is connected, and no neighbour knows it.
+    NotAsked,
+    /// Not all control boxes that were asked have answered in time, and no neighbour knows it.
+    NotAnswered,
+    /// The caller doesn't name its first request, and there may be several versions.
+    Unnamed,
+    /// The route no longer leads to the service that began it.
+    OtherService,
+}
+
+impl Unknown {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Contradictory => "contradictory",
+            Self::Unrecorded => "unrecorded",
+            Self::NotAsked => "not_asked",
+            Self::NotAnswered => "not_answered",
+            Self::Unnamed => "unnamed",
+            Self::OtherService => "other_service",
         }
     }
 }
@@ -97,6 +129,12 @@
     sender: RefCell<Option<Waker>>,
     /// Woken when there are streams to report.
     reporter: RefCell<Option<Waker>>,
+    /// Number of records so far.
+    recorded: Cell<u64>,
+    /// Number of these that have been reported.
+    reported: Cell<u64>,
+    /// Woken when more have been reported.
+    unreported: RefCell<Vec<Waker>>,
     last_contact: Cell<Option<Instant>>,
 }
 
@@ -110,6 +148,7 @@
     pub fn record(&self, key: StreamKey, endpoint: EndpointId, origin: &Origin) {
         let now = clock::now();
         self.known.borrow_mut().record(now, key, origin);
+        self.recorded.update(|count| count + 1);
         wake(&self.reporter);
         let mut recent = self.recent.borrow_mut();
         while recent.front().is_some_and(|first| first.at + RECENT_RETENTION < now) {
@@ -131,15 +170,36 @@
         wake(&self.reporter);
     }
 
-    /// Waits until streams are recorded that no earlier call has returned, and returns them.
-    pub async fn next_updates(&self) -> Vec<OriginRecord> {
+    /// Waits until everything recorded so far has been reported to the control boxes, so that it is
+    /// known if this box is lost. Doesn't wait if none is connected.
+    pub async fn reported(&self) {
+        let count = self.recorded.get();
+        poll_fn(|cx| {
+            if self.reported.get() >= count || !self.is_connected() {
+                return Poll::Ready(());
+            }
+            self.unreported.borrow_mut().push(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Records that the first `count` records have been reported.
+    pub fn record_reported(&self, count: u64) {
+        self.reported.set(count);
+        self.unreported.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// Waits until streams are recorded that no earlier call has returned, and returns them with the
+    /// number of records so far.
+    pub async fn next_updates(&self) -> (u64, Vec<OriginRecord>) {
         poll_fn(|cx| {
             let updates = self.known.borrow_mut().take_updates(clock::now());
             if updates.is_empty() {
                 *self.reporter.borrow_mut() = Some(cx.waker().clone());
                 return Poll::Pending;
             }
-            Poll::Ready(updates)
+            Poll::Ready((self.recorded.get(), updates))
         })
         .await
     }
@@ -253,24 +313,26 @@
 }
 
 /// Finds out where a stream began.
-pub async fn find(entry: &Entry, key: StreamKey) -> (Option<Origin>, KnownBy) {
+///
+/// # Errors
+///
+/// Why it isn't known.
+pub async fn find(entry: &Entry, key: StreamKey) -> Result<(Origin, KnownBy), Unknown> {
     if let Some(origin) = entry.origins.get(key) {
-        return (Some(origin), KnownBy::OwnBox);
+        return Ok((origin, KnownBy::OwnBox));
     }
     if entry.origins.is_uncertain(key) {
-        return (None, KnownBy::Nobody);
+        return Err(Unknown::Contradictory);
     }
     let mut lookup = entry.origins.look_up(key);
     let answer = entry.timers.timeout_at(clock::now() + LOOKUP_TIMEOUT, &mut lookup.rx).await;
     drop(lookup);
-    match answer {
-        Some(Ok(Some(origin))) => return (Some(origin), KnownBy::ControlBox),
-        Some(Ok(None)) => return (None, KnownBy::Nobody),
-        // No control box could be asked, or not all have answered.
-        Some(Err(oneshot::Canceled)) | None => {}
-    }
-    match neighbours::origins::ask(entry, key).await {
-        Some(origin) => (Some(origin), KnownBy::Neighbour),
-        None => (None, KnownBy::Nobody),
-    }
+    let unknown = match answer {
+        Some(Ok(Some(origin))) => return Ok((origin, KnownBy::ControlBox)),
+        Some(Ok(None)) => return Err(Unknown::Unrecorded),
+        Some(Err(oneshot::Canceled)) => Unknown::NotAsked,
+        None => Unknown::NotAnswered,
+    };
+    let origin = neighbours::origins::ask(entry, key).await;
+    origin.map(|origin| (origin, KnownBy::Neighbour)).ok_or(unknown)
 }
