--- a/crates/vaneway-test-support/src/soak/taken_up.rs
+++ b/crates/vaneway-test-support/src/soak/taken_up.rs
@@ -59,7 +59,7 @@
     taken_up.map(describe).collect()
 }
 
-/// Streams taken up at boxes in touch while [`MIN_SERVING`] endpoints of their version serve, and
+/// Streams taken up at boxes in touch while two endpoints of their version serve, and
 /// new ones at boxes in touch.
 #[derive(Debug, Clone, Copy)]
 pub struct Shares {
