--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -10,6 +10,7 @@
 //! [`ConnectionBody::into_connection`] returns the connection for the next request. Dropping either
 //! closes the connection.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -48,6 +49,8 @@
     driver: Pin<Box<HttpConnection>>,
     /// Whether `driver` has completed.
     closed: bool,
+    /// Whether the last read of the socket found no data.
+    drained: Rc<Cell<bool>>,
 }
 
 impl Connection {
@@ -57,14 +60,16 @@
     ///
     /// If hyper's handshake fails.
     pub async fn open(stream: SocketStream) -> hyper::Result<Self> {
+        let drained = stream.drained();
         let (sender, driver) =
             http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
-        Ok(Self { sender, driver: Box::pin(driver), closed: false })
+        Ok(Self { sender, driver: Box::pin(driver), closed: false, drained })
     }
 
-    /// Whether another request can be sent. Polls the socket, to detect that the endpoint closed
-    /// the idle connection before a request is lost on it.
+    /// Whether another request can be sent. Reads the socket, to detect that the endpoint closed
+    /// the idle connection before a request is lost on it, though the event loop has not run since.
     pub fn is_ready(&mut self) -> bool {
+        self.drained.set(false);
         self.drive(&mut Context::from_waker(Waker::noop()));
         !self.closed && self.sender.is_ready()
     }
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -5,6 +5,7 @@
 //! every byte. [`SocketStream`] waits for readiness and then reads into and writes from hyper's
 //! buffers directly. docs/EXPERIMENTS.md has measurements of both.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::io;
 use std::net::Shutdown;
@@ -32,7 +33,7 @@
     fd: PollFd<Socket>,
     /// Whether the last read found no data. The next one then waits for readiness before it makes a
     /// system call, since hyper polls for reads each time it writes.
-    drained: bool,
+    drained: Rc<Cell<bool>>,
     /// Notified whenever bytes are received for hyper. It also says how the connection must end.
     activity: Option<Rc<Activity>>,
     /// Whether the connection will be reset when it is closed.
@@ -170,7 +171,7 @@
     fn new(socket: Socket) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
-        Ok(Self { fd: PollFd::new(socket)?, drained: false, activity: None, resets: false })
+        Ok(Self { fd: PollFd::new(socket)?, drained: Rc::default(), activity: None, resets: false })
     }
 }
 
@@ -188,6 +189,12 @@
         })
     }
 
+    /// Whether the last read found no data, shared with the socket: with `false`, the next read asks
+    /// the operating system at once instead of the event loop, which may not have run since.
+    pub fn drained(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.drained)
+    }
+
     /// Waits until there may be bytes to read.
     pub fn poll_recv_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.fd.poll_read_ready(cx)
@@ -254,16 +261,16 @@
 
 impl hyper::rt::Read for SocketStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         // SAFETY: `recv` only writes initialized bytes into the slice.
         let free = unsafe { buf.as_mut() };
         loop {
-            if self.drained {
+            if self.drained.get() {
                 std::task::ready!(self.fd.poll_read_ready(cx))?;
-                self.drained = false;
+                self.drained.set(false);
             }
             match self.fd.recv(free) {
                 Ok(count) => {
@@ -274,7 +281,7 @@
                     unsafe { buf.advance(count) };
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.drained = true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.drained.set(true),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
--- a/tests/testsuite/silent_endpoints.rs
+++ b/tests/testsuite/silent_endpoints.rs
@@ -1,13 +1,21 @@
 //! Sound endpoints that fall silent for a second or so and go on.
 
+use std::io::Read as _;
+use std::io::Write as _;
 use std::path::Path;
 use std::time::Duration;
 
 use futures_util::future::join;
+use http_body_util::Full;
 use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use vaneway_server::core::endpoints::upstream::ConnectionPool;
 use vaneway_server::core::endpoints::upstream::PEER_TIMEOUT;
+use vaneway_server::util::clock;
 use vaneway_server::util::socket;
 use vaneway_server::util::socket::PeerTimeouts;
+use vaneway_server::util::timers::Timers;
 use vaneway_test_support::Caller;
 use vaneway_test_support::ControlGroup;
 use vaneway_test_support::Proxy;
@@ -24,6 +32,9 @@
 /// How long a sound endpoint may be silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// A whole response without a body, after which the connection may be used again.
+const EMPTY_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
 /// Guards against requests that are broken off, or sent to another endpoint, because their endpoint
 /// is silent for a second or so.
 #[test]
@@ -79,3 +90,41 @@
     assert!(first_probe + probe_interval > SILENCE, "{timeouts:?}");
     assert!(user_timeout >= first_probe + probe_interval, "a lost probe is repeated: {timeouts:?}");
 }
+
+/// Guards against a request that is written to an idle connection which its endpoint had closed
+/// before, so that nobody knows whether it has run: the event loop had not run since.
+#[test]
+fn connection_that_was_closed_while_the_event_loop_stood_still_is_not_used() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let (closed, is_closed) = std::sync::mpsc::channel();
+    let server = std::thread::spawn(move || {
+        for _ in 0..2 {
+            let (mut connection, _) = listener.accept().expect("a connection");
+            let mut request = [0; 1_024];
+            let length = connection.read(&mut request).expect("a request");
+            assert!(length > 0, "the connection ended without a request");
+            connection.write_all(EMPTY_ANSWER).expect("the answer is sent");
+            // Time for the answer to be read, after which the connection is idle.
+            std::thread::sleep(Duration::from_millis(50));
+            drop(connection);
+            closed.send(()).expect("the test waits");
+        }
+    });
+    let statuses = block_on(async {
+        let (timers, pool) = (Timers::spawn(), ConnectionPool::default());
+        let send = async || {
+            let req = Request::post("/").header("host", "h").body(Full::default());
+            let until = clock::now() + Duration::from_secs(2);
+            let answer = pool.exchange(&timers, address, req.expect("a request"), 0, until);
+            answer.await.map(|(status, _)| status)
+        };
+        let first = send().await;
+        assert_eq!(pool.idle(), 1);
+        // Blocks the thread of the event loop.
+        is_closed.recv().expect("the connection is closed");
+        [first, send().await]
+    });
+    assert_eq!(statuses, [Ok(StatusCode::OK), Ok(StatusCode::OK)]);
+    server.join().expect("the endpoint got two requests");
+}
