--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -59,3 +59,4 @@
 mod support;
 mod telling;
 mod turns;
+mod update_log;
