--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -147,8 +147,7 @@
         self.by_endpoint.keys().filter_map(|endpoint| self.limit_of(endpoint.clone())).collect()
     }
 
-    /// The known limit of an endpoint, for another box.
-    pub fn limit_of(&self, endpoint: InstanceId) -> Option<EndpointLimit> {
+    fn limit_of(&self, endpoint: InstanceId) -> Option<EndpointLimit> {
         let limit = *self.by_endpoint.get(&endpoint)?;
         Some(EndpointLimit { endpoint, limit })
     }
--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -151,15 +151,6 @@
     },
 }
 
-/// What a [`QuarantineRecord`] is about; a later record about the same replaces an earlier one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub enum RecordKey {
-    /// The exit of an endpoint.
-    Exit(Incarnation),
-    /// A request.
-    Case(Fingerprint),
-}
-
 impl Case {
     /// Whether the verdict has not expired.
     fn is_valid(&self, now: EpochTime) -> bool {
@@ -168,14 +159,6 @@
 }
 
 impl QuarantineRecord {
-    /// What the record is about.
-    pub fn key(&self) -> RecordKey {
-        match self {
-            Self::EndpointExited { endpoint, .. } => RecordKey::Exit(endpoint.clone()),
-            Self::Case { fingerprint, .. } => RecordKey::Case(*fingerprint),
-        }
-    }
-
     /// Whether the record has not expired.
     fn is_valid(&self, now: EpochTime) -> bool {
         match self {
@@ -291,29 +274,6 @@
         exits.chain(cases).filter(|record| record.is_valid(now)).collect()
     }
 
-    /// Whether there is a record about something.
-    pub fn contains(&self, key: &RecordKey) -> bool {
-        match key {
-            RecordKey::Exit(endpoint) => self.exits.contains_key(endpoint),
-            RecordKey::Case(fingerprint) => self.cases.contains_key(fingerprint),
-        }
-    }
-
-    /// The present record about something, unless there is none or it has expired.
-    pub fn valid_record(&self, now: EpochTime, key: &RecordKey) -> Option<QuarantineRecord> {
-        let record = match key {
-            RecordKey::Exit(endpoint) => {
-                let at = *self.exits.get(endpoint)?;
-                QuarantineRecord::EndpointExited { endpoint: endpoint.clone(), at }
-            }
-            RecordKey::Case(fingerprint) => {
-                let case = self.cases.get(fingerprint)?.clone();
-                QuarantineRecord::Case { fingerprint: *fingerprint, case }
-            }
-        };
-        record.is_valid(now).then_some(record)
-    }
-
     /// Merges the time at which an endpoint exited. Returns whether that is new or earlier than
     /// recorded.
     fn merge_exit(&mut self, endpoint: &Incarnation, at: EpochTime) -> bool {
--- a/crates/vaneway-server/src/core/cached_parts.rs
+++ b/crates/vaneway-server/src/core/cached_parts.rs
@@ -74,19 +74,9 @@
         self.reported_at.retain(|_, parts| !parts.is_empty());
     }
 
-    /// All known parts, by endpoint.
+    /// All known parts, for an entry box that has just subscribed.
     pub fn all(&self) -> CachedParts {
         let all = self.reported_at.iter();
         all.map(|(instance, parts)| (instance.clone(), parts.keys().copied().collect())).collect()
     }
-
-    /// The parts known at an endpoint; none if there are none.
-    pub fn parts_at(&self, instance: &InstanceId) -> Option<Vec<PartId>> {
-        self.reported_at.get(instance).map(|parts| parts.keys().copied().collect())
-    }
-
-    /// Whether parts are known at an endpoint.
-    pub fn contains(&self, instance: &InstanceId) -> bool {
-        self.reported_at.contains_key(instance)
-    }
 }
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -64,7 +64,6 @@
 use crate::util::hash;
 use crate::util::logline::Line;
 use crate::util::send_queue::BufferedBytes;
-use crate::util::send_queue::MAX_QUEUED_BYTES_OF_FEW;
 use crate::util::send_queue::SendQueue;
 use crate::util::socket;
 
@@ -218,7 +217,6 @@
 
     async fn run(self: &Rc<Self>, address: SocketAddr, stream: socket::SocketStream) {
         let outgoing = SendQueue::new(&self.buffered);
-        outgoing.set_max_queued(MAX_QUEUED_BYTES_OF_FEW);
         let link = ControlLink::new(outgoing.clone());
         link.send(self.hello());
         self.open.borrow_mut().insert(address, link);
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -97,15 +97,6 @@
 /// follow it.
 pub const SNAPSHOT_TOPIC: Topic = Topic(3);
 
-/// For an entry box: the control boxes.
-pub const CONTROL_BOXES_TOPIC: Topic = Topic(4);
-
-/// For an entry box: its number among the entry boxes.
-pub const BOX_NUMBER_TOPIC: Topic = Topic(5);
-
-/// For an entry box: its neighbours.
-pub const NEIGHBOURS_TOPIC: Topic = Topic(6);
-
 /// A message of an entry box to a control box.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FromEntry {
--- a/crates/vaneway-server/src/core/control/dissemination.rs
+++ b/crates/vaneway-server/src/core/control/dissemination.rs
@@ -16,8 +16,8 @@
 use vaneway_registry::Report;
 
 use crate::core::cluster::wire::BetweenControl;
-use crate::core::control::delivery;
-use crate::core::control::delivery::Kind;
+use crate::core::cluster::wire::ToEntry;
+use crate::core::control::links;
 use crate::core::control::peers;
 use crate::core::control::state::Control;
 use crate::util::clock;
@@ -157,9 +157,7 @@
             .info();
     }
     control.forwarded.count(UpdateKind::Registrations, updates.len());
-    let changed = updates.iter().map(|report| report.instance.clone());
-    control.update_logs.registrations.borrow_mut().record_all(changed);
-    delivery::deliver_to_all(control, &[Kind::Registrations]);
+    links::send_to_entries(control, &ToEntry::Registry(updates.clone()));
     if source != Source::Control {
         peers::send_to_all(control, BetweenControl::Registry(updates));
     }
@@ -178,9 +176,7 @@
         return;
     }
     control.forwarded.count(UpdateKind::QuarantineRecords, updates.len());
-    let changed = updates.iter().map(QuarantineRecord::key);
-    control.update_logs.quarantine_records.borrow_mut().record_all(changed);
-    delivery::deliver_to_all(control, &[Kind::QuarantineRecords]);
+    links::send_to_load_subscribers(control, &ToEntry::QuarantineRecords(updates.clone()));
     if source != Source::Control {
         peers::send_to_all(control, BetweenControl::QuarantineRecords(updates));
     }
--- a/crates/vaneway-server/src/core/control/entry_updates.rs
+++ b/crates/vaneway-server/src/core/control/entry_updates.rs
@@ -16,7 +16,6 @@
 use vaneway_quota::Sharers;
 use vaneway_quota::Slot;
 
-use crate::core::cluster::wire::BOX_NUMBER_TOPIC;
 use crate::core::cluster::wire::BetweenControl;
 use crate::core::cluster::wire::LOAD_REPORT_INTERVAL;
 use crate::core::cluster::wire::LOAD_UPDATES_PER_FULL;
@@ -25,8 +24,6 @@
 use crate::core::cluster::wire::USAGE_REPORT_INTERVAL;
 use crate::core::cluster::wire::USAGE_REPORTS_PER_FULL;
 use crate::core::cluster::wire::Wanted;
-use crate::core::control::delivery;
-use crate::core::control::delivery::Kind;
 use crate::core::control::links;
 use crate::core::control::links::EntryLink;
 use crate::core::control::neighbours;
@@ -54,7 +51,7 @@
         round += 1;
         let current_boxes = links::control_boxes(&control);
         if boxes != current_boxes {
-            links::send_control_boxes(&control, current_boxes.clone());
+            links::send_to_entries(&control, &ToEntry::ControlBoxes(current_boxes.clone()));
         }
         boxes = current_boxes;
         send_usage(&control, round.is_multiple_of(USAGE_REPORTS_PER_FULL)).await;
@@ -109,23 +106,13 @@
     } else {
         control.usage_ledger.borrow_mut().quotas().first_slot_to_send(SLOTS_PER_REPORT)
     };
-    let update = QuotaUpdate::of(control);
+    let update = QuotaUpdate::of(control, first);
     for link in links {
         control.turns.next().await;
-        link.delivery.require_usage(first);
-        if !link.outgoing.has_room(Kind::Usage.max_queued()) {
-            link.outgoing.request_room();
-        } else if let Some(first) = link.delivery.take_usage_due() {
-            link.outgoing.send(&update.for_entry(control, &link.incarnation, first));
-        }
+        link.outgoing.send(&update.for_entry(control, &link.incarnation));
     }
 }
 
-/// The others' usage for an entry box from the slot `first` on.
-pub(super) fn usage(control: &Control, link: &EntryLink, first: Slot) -> ToEntry {
-    QuotaUpdate::of(control).for_entry(control, &link.incarnation, first)
-}
-
 /// Connections of the entry boxes for whose subscription `selects` is true.
 pub(super) fn subscribers(
     control: &Control,
@@ -143,9 +130,6 @@
         control.timers.sleep(LOAD_REPORT_INTERVAL).await;
         round += 1;
         let full = round.is_multiple_of(LOAD_UPDATES_PER_FULL);
-        if full {
-            compact_update_logs(&control);
-        }
         send_parts(&control, full).await;
         send_limits(&control).await;
         let loads = {
@@ -157,12 +141,11 @@
             continue;
         }
         let message = EncodedFrame::new(&ToEntry::Loads { is_full: full, loads });
-        control.update_logs.full_loads.replace(full.then(|| message.clone()));
         for link in subscribers(&control, |subscription| subscription.loads) {
             control.turns.next().await;
             // An entry box with a queued update gets the next full one instead of a backlog of old
             // ones.
-            if !link.outgoing.has_queued() && !link.delivery.is_loads_due() {
+            if !link.outgoing.has_queued() {
                 link.outgoing.send_encoded(&message);
             }
         }
@@ -178,30 +161,18 @@
         }
         parts.take_updates()
     };
-    if updates.is_empty() {
-        return;
+    if !updates.is_empty() {
+        send_to_load_subscribers_in_turns(control, &ToEntry::Parts(updates)).await;
     }
-    {
-        let mut log = control.update_logs.parts.borrow_mut();
-        let before = log.latest();
-        log.record_all(updates.iter().map(|(instance, _)| instance.clone()));
-        // An entry box that has been sent everything before needs the new parts only.
-        log.keep_encoded(before, EncodedFrame::new(&ToEntry::Parts(updates)));
-    }
-    delivery::deliver_to_load_subscribers(control, &[Kind::Parts]).await;
 }
 
-/// Removes what is no longer known from the logs of changes.
-fn compact_update_logs(control: &Control) {
-    let logs = &control.update_logs;
-    let registry = control.registry.borrow();
-    logs.registrations.borrow_mut().retain(|id| registry.get(id).is_some());
-    let quarantine = control.quarantine.borrow();
-    logs.quarantine_records.borrow_mut().retain(|key| quarantine.contains(key));
-    let limits = control.limits.borrow();
-    logs.limits.borrow_mut().retain(|id| limits.get(id).is_some());
-    let parts = control.cached_parts.borrow();
-    logs.parts.borrow_mut().retain(|id| parts.contains(id));
+/// Sends a message to the entry boxes that have subscribed to loads at this box, each in a turn.
+async fn send_to_load_subscribers_in_turns(control: &Control, message: &ToEntry) {
+    let message = EncodedFrame::new(message);
+    for link in subscribers(control, |subscription| subscription.loads) {
+        control.turns.next().await;
+        link.outgoing.send_encoded(&message);
+    }
 }
 
 /// Sends new limits that endpoints advertise to the subscribed entry boxes, and those reported here
@@ -223,17 +194,14 @@
     if !for_peers.is_empty() {
         peers::send_to_all(control, BetweenControl::Limits(for_peers));
     }
-    let changed = updates.into_iter().map(|update| update.endpoint);
-    control.update_logs.limits.borrow_mut().record_all(changed);
-    delivery::deliver_to_load_subscribers(control, &[Kind::Limits]).await;
+    send_to_load_subscribers_in_turns(control, &ToEntry::Limits(updates)).await;
 }
 
 /// Sends entry boxes their changed numbers among all entry boxes that may be running.
 async fn send_box_numbers(control: &Control) {
     for (link, number) in changed_box_numbers(control) {
         control.turns.next().await;
-        let message = EncodedFrame::new(&ToEntry::BoxNumber(number));
-        link.outgoing.send_newest(BOX_NUMBER_TOPIC, &message);
+        link.outgoing.send(&ToEntry::BoxNumber(number));
     }
 }
 
@@ -256,15 +224,24 @@
     let Some(link) = control.entry_links.borrow().get(&link).cloned() else { return };
     let before = link.subscription.replace(subscription);
     if subscription.quotas && !before.quotas {
-        link.delivery.require_usage(0);
+        link.outgoing.send(&QuotaUpdate::of(control, 0).for_entry(control, &link.incarnation));
     }
     if subscription.loads && !before.loads {
-        link.delivery.require_loads();
+        let loads = control.usage_ledger.borrow_mut().loads().all();
+        link.outgoing.send(&ToEntry::Loads { is_full: true, loads });
+        link.outgoing.send(&ToEntry::Parts(control.cached_parts.borrow().all()));
+        let records = control.quarantine.borrow().valid_records(control.time());
+        if !records.is_empty() {
+            link.outgoing.send(&ToEntry::QuarantineRecords(records));
+        }
+        let limits = control.limits.borrow().all();
+        if !limits.is_empty() {
+            link.outgoing.send(&ToEntry::Limits(limits));
+        }
         // From now on the entry box uses the number that this box sends, so the next one is sent
         // even if it is the same as before.
         link.box_number.set(None);
     }
-    delivery::deliver(control, &link, &Kind::ALL);
 }
 
 /// Quota usage and the boxes that share the quotas, the same for all receivers of an update.
@@ -274,24 +251,26 @@
     /// Cluster time up to which the usage of all of them is known.
     as_of: Option<Duration>,
     known: u32,
+    /// The first slot in the update.
+    first: Slot,
 }
 
 impl QuotaUpdate {
-    fn of(control: &Control) -> Self {
+    /// An update from the slot `first` on.
+    fn of(control: &Control, first: Slot) -> Self {
         let Sharers { known, .. } = sharers(control);
         let report_times =
             control.known_time().map(|now| last_report_times(control, now)).unwrap_or_default();
         let as_of = report_times.values().min().copied();
-        Self { reporting: report_times.into_keys().collect(), as_of, known }
+        Self { reporting: report_times.into_keys().collect(), as_of, known, first }
     }
 
-    /// The message for one entry box, from the slot `first` on. The sums are those of now, not of
-    /// when the update began: the entry box may have reported more since, and its own usage is
-    /// subtracted from them.
-    fn for_entry(&self, control: &Control, entry: &EntryIncarnation, first: Slot) -> ToEntry {
+    /// The message for one entry box. The sums are those of now, not of when the update began: the
+    /// entry box may have reported more since, and its own usage is subtracted from them.
+    fn for_entry(&self, control: &Control, entry: &EntryIncarnation) -> ToEntry {
         let time = control.time();
         let mut ledger = control.usage_ledger.borrow_mut();
-        let quotas = ledger.quotas().others(time, first, entry);
+        let quotas = ledger.quotas().others(time, self.first, entry);
         let as_of = self.as_of.filter(|_| self.reporting.contains(entry));
         let reporting = self.reporting.len() as u32;
         ToEntry::OthersUsage { as_of, reporting, known: self.known, quotas }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -15,7 +15,6 @@
 use crate::core::cluster::wire::BetweenControl;
 use crate::core::cluster::wire::CONFIGURATION_TOPIC;
 use crate::core::cluster::wire::CONFIGURATION_VERSION_TOPIC;
-use crate::core::cluster::wire::CONTROL_BOXES_TOPIC;
 use crate::core::cluster::wire::FromEntry;
 use crate::core::cluster::wire::HOST_IDLE_TIMEOUT;
 use crate::core::cluster::wire::Neighbour;
@@ -24,21 +23,18 @@
 use crate::core::cluster::wire::ToEntry;
 use crate::core::cluster::wire::Wanted;
 use crate::core::configuration::Version;
-use crate::core::control::delivery;
-use crate::core::control::delivery::DeliveryState;
-use crate::core::control::delivery::Kind;
 use crate::core::control::dissemination;
 use crate::core::control::dissemination::Source;
 use crate::core::control::entry_updates;
 use crate::core::control::group;
 use crate::core::control::peers;
+use crate::core::control::remembered;
 use crate::core::control::state::Control;
 use crate::util::clock;
 use crate::util::frames;
 use crate::util::frames::EncodedFrame;
 use crate::util::frames::IdleTimeouts;
 use crate::util::logline::Line;
-use crate::util::send_queue::MAX_QUEUED_BYTES_OF_FEW;
 use crate::util::send_queue::SendQueue;
 use crate::util::socket::SocketListener;
 use crate::util::socket::SocketStream;
@@ -60,8 +56,6 @@
     /// Its neighbours as last sent.
     pub(super) neighbours_sent: RefCell<Option<Vec<Neighbour>>>,
     configuration_delivery: Cell<ConfigurationDelivery>,
-    /// What it has been sent of the other state.
-    pub(super) delivery: DeliveryState,
 }
 
 /// How an entry box receives configurations.
@@ -83,11 +77,21 @@
     }
 }
 
-/// Sends the addresses of the control boxes to every connected entry box.
-pub(super) fn send_control_boxes(control: &Control, boxes: Vec<SocketAddr>) {
-    let message = EncodedFrame::new(&ToEntry::ControlBoxes(boxes));
+/// Sends a message to every connected entry box.
+pub(super) fn send_to_entries(control: &Control, message: &ToEntry) {
+    let message = EncodedFrame::new(message);
     for entry in control.entry_links.borrow().values() {
-        entry.outgoing.send_newest(CONTROL_BOXES_TOPIC, &message);
+        entry.outgoing.send_encoded(&message);
+    }
+}
+
+/// Sends a message to the entry boxes that have subscribed to loads at this box.
+pub(super) fn send_to_load_subscribers(control: &Control, message: &ToEntry) {
+    let message = EncodedFrame::new(message);
+    for entry in
+        control.entry_links.borrow().values().filter(|entry| entry.subscription.get().loads)
+    {
+        entry.outgoing.send_encoded(&message);
     }
 }
 
@@ -276,7 +280,7 @@
 /// Registers an entry box and sends it the state that it needs; `initial_version` is the version of
 /// the configuration that it has.
 fn admit_entry(
-    control: &Rc<Control>,
+    control: &Control,
     outgoing: &SendQueue,
     incarnation: EntryIncarnation,
     initial_version: Version,
@@ -286,8 +290,13 @@
     Line::new("entry_connected").with("entry", &incarnation.0).with("boot", incarnation.1).info();
     let availability_zone = control.settings.availability_zone.clone();
     outgoing.send(&ToEntry::Hello { availability_zone });
-    let control_boxes = EncodedFrame::new(&ToEntry::ControlBoxes(control_boxes(control)));
-    outgoing.send_newest(CONTROL_BOXES_TOPIC, &control_boxes);
+    outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
+    let reports = control.registry.borrow().reports(clock::now());
+    outgoing.send(&ToEntry::Registry(reports));
+    if let Some(remaining) = remembered::remaining(control) {
+        let endpoints = control.remembered.borrow().clone();
+        outgoing.send(&ToEntry::Remembered { endpoints, left_ms: remaining.as_millis() as u64 });
+    }
     let subscription = Cell::default();
     let entry = EntryLink {
         incarnation: incarnation.clone(),
@@ -298,12 +307,8 @@
         listens: RefCell::default(),
         neighbours_sent: RefCell::default(),
         configuration_delivery: Cell::new(ConfigurationDelivery::Unknown),
-        delivery: DeliveryState::default(),
     };
-    let entry = Rc::new(entry);
-    control.entry_links.borrow_mut().insert(link, Rc::clone(&entry));
-    delivery::deliver(control, &entry, &Kind::ALL);
-    compio::runtime::spawn(delivery::deliver_when_room(Rc::clone(control), entry)).detach();
+    control.entry_links.borrow_mut().insert(link, Rc::new(entry));
     Sender::Entry { link, incarnation }
 }
 
@@ -324,7 +329,6 @@
 ) {
     if let BetweenControl::Hello { node } = message {
         *sender = Sender::Control { node };
-        outgoing.set_max_queued(MAX_QUEUED_BYTES_OF_FEW);
         // The peer may have missed updates while there was no connection.
         for message in dissemination::full_state(control) {
             outgoing.send(&message);
--- a/crates/vaneway-server/src/core/control/neighbours.rs
+++ b/crates/vaneway-server/src/core/control/neighbours.rs
@@ -8,12 +8,10 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::cluster::wire::NEIGHBOURS_TOPIC;
 use crate::core::cluster::wire::Neighbour;
 use crate::core::cluster::wire::ToEntry;
 use crate::core::control::entry_updates;
 use crate::core::control::state::Control;
-use crate::util::frames::EncodedFrame;
 use crate::util::hash;
 
 /// Number of neighbours in the box's own availability zone, to which traffic is cheap.
@@ -35,8 +33,7 @@
         }
         link.neighbours_sent.replace(Some(neighbours.clone()));
         control.turns.next().await;
-        let message = EncodedFrame::new(&ToEntry::Neighbours(neighbours));
-        link.outgoing.send_newest(NEIGHBOURS_TOPIC, &message);
+        link.outgoing.send(&ToEntry::Neighbours(neighbours));
     }
 }
 
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -31,7 +31,6 @@
 use crate::util::frames::IdleTimeouts;
 use crate::util::hash;
 use crate::util::logline::Line;
-use crate::util::send_queue::MAX_QUEUED_BYTES_OF_FEW;
 use crate::util::send_queue::SendQueue;
 use crate::util::send_queue::Topic;
 use crate::util::socket::SocketStream;
@@ -140,7 +139,6 @@
 
 async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
     let outgoing = SendQueue::new(&control.buffered);
-    outgoing.set_max_queued(MAX_QUEUED_BYTES_OF_FEW);
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
     send(ping(control));
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -20,7 +20,6 @@
 use vaneway_agreement::Node;
 use vaneway_agreement::NodeId;
 
-use crate::core::control::delivery::UpdateLogs;
 use crate::core::control::dissemination::ForwardedCounts;
 use crate::core::control::duties;
 use crate::core::control::entry_updates;
@@ -117,7 +116,6 @@
     let raft_node = Node::start(config, stored.durable, clock::now());
     let control = Rc::new(state(settings, timers.clone(), write_queue, raft_node, machine));
     let Remembered { endpoints, entries } = remembered::load(&control);
-    control.update_logs.remembered.borrow_mut().record_all(0..endpoints.len());
     control.remembered.replace(endpoints);
     control.reported_entry_count.set(entries);
     let persisted = Rc::clone(&control);
@@ -202,7 +200,6 @@
         quarantine: RefCell::default(),
         limits: RefCell::default(),
         limits_for_peers: RefCell::default(),
-        update_logs: UpdateLogs::default(),
         forwarded: ForwardedCounts::default(),
         clock: RefCell::default(),
         connections: ConnectionPool::reset_on_close(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -34,7 +34,6 @@
 use crate::core::cluster::wire::Wanted;
 use crate::core::control::changes::ConfigurationHistory;
 use crate::core::control::clock::ClusterClock;
-use crate::core::control::delivery::UpdateLogs;
 use crate::core::control::dissemination::ForwardedCounts;
 use crate::core::control::entry_updates;
 use crate::core::control::links::EntryLink;
@@ -148,8 +147,6 @@
     /// Endpoints whose limits entry boxes reported here and that must be forwarded to the other
     /// control boxes.
     pub(crate) limits_for_peers: RefCell<BTreeSet<InstanceId>>,
-    /// Changes of the state that entry boxes are sent.
-    pub(crate) update_logs: UpdateLogs,
     /// Number of forwarded updates.
     pub(crate) forwarded: ForwardedCounts,
     /// The cluster clock.
--- a/crates/vaneway-server/src/util/send_queue.rs
+++ b/crates/vaneway-server/src/util/send_queue.rs
@@ -6,17 +6,14 @@
 //! - Messages that a newer one of the same kind replaces are sent with a [`Topic`]; only the newest
 //!   message of a topic is queued.
 //! - A message to several peers is encoded once, and its frame is shared by their queues.
-//! - Updates of state are only made while there is room in the queue ([`SendQueue::has_room`]),
-//!   from the state that is present then; [`SendQueue::room`] waits for room.
-//! - If too many bytes of other messages are queued for a peer, nothing is dropped silently: its
-//!   connection is closed, and the next connection begins with the full current state.
+//! - If too many bytes are still queued for a peer, nothing is dropped silently: its connection is
+//!   closed, and the next connection begins with the full current state.
 //!
 //! [`BufferedBytes`] counts the bytes in all queues of a box.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
 use std::task::Context;
@@ -32,16 +29,8 @@
 use crate::util::logline::Line;
 use crate::util::socket::SocketStream;
 
-/// Number of queued bytes, not counting messages with a topic, from which on the connection of one
-/// of hundreds of peers is closed when another message is queued. For all entry boxes of a large
-/// fleet together it is about half of the memory of a control box.
-const MAX_QUEUED_BYTES: usize = 512 << 10;
-
-/// The same for one of a handful of peers, which are sent full state in one message.
-pub const MAX_QUEUED_BYTES_OF_FEW: usize = 4 << 20;
-
-/// Number of queued bytes up to which there is room for further updates.
-const ROOM_BYTES: usize = 64 << 10;
+/// Maximum number of bytes queued for one peer, not counting messages with a topic.
+const MAX_QUEUED_BYTES: usize = 4 << 20;
 
 /// Minimum length of frames that are shared between queues, in bytes. Shorter frames are copied, so
 /// that many of them are sent by one system call.
@@ -103,13 +92,8 @@
     queued: usize,
     /// Bytes received of an incomplete frame.
     partial: usize,
-    /// Number of queued bytes from which on the connection is closed.
-    max_queued: usize,
     closed: bool,
     waker: Option<Waker>,
-    /// Whether more updates are due once there is room.
-    room_requested: bool,
-    room_waker: Option<Waker>,
     buffered: Rc<BufferedBytes>,
 }
 
@@ -160,20 +144,6 @@
             self.chunks.pop_front();
             self.first_chunk_begun = false;
         }
-        if self.is_room_due() {
-            self.wake_for_room();
-        }
-    }
-
-    /// Whether there is room, and it was requested.
-    fn is_room_due(&self) -> bool {
-        self.room_requested && self.queued < ROOM_BYTES
-    }
-
-    fn wake_for_room(&mut self) {
-        if let Some(waker) = self.room_waker.take() {
-            waker.wake();
-        }
     }
 
     fn wake(&mut self) {
@@ -182,14 +152,9 @@
         }
     }
 
-    /// Closes the queue and discards what is queued, which is not sent any more.
     fn close(&mut self) {
         self.closed = true;
-        self.chunks.clear();
-        self.buffered.queued.update(|sum| sum - self.queued);
-        self.queued = 0;
         self.wake();
-        self.wake_for_room();
     }
 }
 
@@ -205,20 +170,12 @@
             first_chunk_begun: false,
             queued: 0,
             partial: 0,
-            max_queued: MAX_QUEUED_BYTES,
             closed: false,
             waker: None,
-            room_requested: false,
-            room_waker: None,
             buffered: Rc::clone(buffered),
         })))
     }
 
-    /// Sets the number of queued bytes from which on the connection is closed.
-    pub fn set_max_queued(&self, bytes: usize) {
-        self.0.borrow_mut().max_queued = bytes;
-    }
-
     /// Queues a message.
     ///
     /// # Panics
@@ -236,7 +193,7 @@
             return;
         }
         let frame = message.frame();
-        if queue.queued >= queue.max_queued {
+        if queue.queued > 0 && queue.queued + frame.len() > MAX_QUEUED_BYTES {
             Line::new("peer_too_slow")
                 .with("bytes", frame.len())
                 .with("waiting", queue.queued)
@@ -257,39 +214,6 @@
         }
     }
 
-    /// Whether fewer than `max_queued` bytes are queued, and the queue is not closed.
-    pub fn has_room(&self, max_queued: usize) -> bool {
-        let queue = self.0.borrow();
-        !queue.closed && queue.queued < max_queued
-    }
-
-    /// Requests [`SendQueue::room`] to return.
-    pub fn request_room(&self) {
-        let mut queue = self.0.borrow_mut();
-        queue.room_requested = true;
-        if queue.is_room_due() {
-            queue.wake_for_room();
-        }
-    }
-
-    /// Waits until room was requested since the last call returned and there is room; returns false
-    /// once the queue is closed.
-    pub async fn room(&self) -> bool {
-        poll_fn(|cx| {
-            let mut queue = self.0.borrow_mut();
-            if queue.closed {
-                return Poll::Ready(false);
-            }
-            if queue.is_room_due() {
-                queue.room_requested = false;
-                return Poll::Ready(true);
-            }
-            queue.room_waker = Some(cx.waker().clone());
-            Poll::Pending
-        })
-        .await
-    }
-
     /// Whether any frame is queued.
     pub fn has_queued(&self) -> bool {
         !self.0.borrow().chunks.is_empty()
