--- a/crates/vaneway-limit/src/brittle.rs
+++ b/crates/vaneway-limit/src/brittle.rs
@@ -3,6 +3,9 @@
 //! Why: such an endpoint should be sent no request for which it has no place. What a box knows of
 //! the other boxes' requests there is outdated, so it may fill only half of the places by that. The
 //! other half is divided among the boxes in advance, so that all of them together can't take more.
+//!
+//! After a refusal, what a box knows of the others is not relied on for some seconds: all places are
+//! then divided in advance ([`share`]).
 
 use crate::BoxNumber;
 
@@ -26,7 +29,7 @@
 
 /// The part of `places` that belongs to a box: the same for each, and one more for as many boxes as
 /// there are places left, from a box on that differs from endpoint to endpoint.
-fn share(places: u32, key: u64, BoxNumber { number, of }: BoxNumber) -> u32 {
+pub fn share(places: u32, key: u64, BoxNumber { number, of }: BoxNumber) -> u32 {
     let of = of.max(1);
     let first = (key % u64::from(of)) as u32;
     let turn = (number % of + of - first) % of;
--- a/crates/vaneway-limit/src/gate.rs
+++ b/crates/vaneway-limit/src/gate.rs
@@ -77,6 +77,12 @@
         self.limit_at(now).is_some()
     }
 
+    /// Time since the limit ended, while the allowed rate still rises.
+    pub fn ramping_up_for(&self, now: EpochTime) -> Option<Duration> {
+        let ended = self.limit.filter(|limit| limit.lifted && self.is_limited(now))?;
+        Some(now.saturating_sub(ended.seen_at))
+    }
+
     /// Whether the box may send a request now.
     pub fn is_open(&self, sender: Sender) -> bool {
         let Some((interval, rate)) = self.limit_at(sender.now) else { return true };
--- a/crates/vaneway-limit/src/lib.rs
+++ b/crates/vaneway-limit/src/lib.rs
@@ -18,7 +18,8 @@
 //! the mean rate remains the same.
 //!
 //! Endpoints that fail when they refuse too many requests are sent only those for which they have a
-//! place ([`has_place`]).
+//! place ([`has_place`]). After a refusal ([`EndpointLimits::record_refusal`]) the boxes go by a low
+//! rate, and soon after by shares of the places ([`share`]).
 
 mod brittle;
 mod gate;
@@ -28,6 +29,7 @@
 
 pub use brittle::OpenRequests;
 pub use brittle::has_place;
+pub use brittle::share;
 pub use gate::BoxNumber;
 pub use gate::Gate;
 pub use gate::INTERVAL;
--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -45,6 +45,11 @@
     fn is_same_limit(&self, other: &Self) -> bool {
         (self.born, self.rate, self.lifted) == (other.born, other.rate, other.lifted)
     }
+
+    /// Whether both allow the same number of requests; that of a lifted one depends on when it ended.
+    fn allows_the_same(&self, other: &Self) -> bool {
+        self.is_same_limit(other) && (!self.lifted || self.seen_at == other.seen_at)
+    }
 }
 
 /// An endpoint's limit, as boxes send it to each other.
@@ -109,6 +114,29 @@
         Some(limit)
     }
 
+    /// Records that an endpoint's incarnation `born`, which can fail of refusals, refused a request
+    /// without advertising a limit: the boxes start again from `rate`, as if a limit had just ended.
+    /// A limit that it does advertise stays in force. Returns the new limit, if any.
+    pub fn record_refusal(
+        &mut self,
+        now: EpochTime,
+        endpoint: &str,
+        born: StartMillis,
+        rate: Rate,
+    ) -> Option<AdvertisedLimit> {
+        let known =
+            self.by_endpoint.get(endpoint).filter(|known| known.matches_incarnation(born)).copied();
+        if known.is_some_and(|known| !known.lifted) {
+            return None;
+        }
+        let born = known.map_or(born, |known| known.born.max(born));
+        let seen_at = known.map_or(now, |known| now.max(known.seen_at + Duration::from_micros(1)));
+        let limit = AdvertisedLimit { born, rate, lifted: true, seen_at };
+        self.by_endpoint.insert(endpoint.to_owned(), limit);
+        self.changed.insert(endpoint.to_owned());
+        Some(limit)
+    }
+
     /// Merges limits that other boxes sent, and returns those that changed the limit known here. One
     /// that is older than the retention and not known here is not learned: it may have been lifted,
     /// and that forgotten.
@@ -127,7 +155,7 @@
             return None;
         }
         self.by_endpoint.insert(received.endpoint.clone(), limit);
-        let is_changed = known.is_none_or(|known| !known.is_same_limit(&limit));
+        let is_changed = known.is_none_or(|known| !known.allows_the_same(&limit));
         is_changed.then(|| EndpointLimit { endpoint: received.endpoint.clone(), limit })
     }
 
--- a/crates/vaneway-limit/src/rate.rs
+++ b/crates/vaneway-limit/src/rate.rs
@@ -18,10 +18,10 @@
 pub struct Rate(u64);
 
 impl Rate {
-    /// Half of the rate.
+    /// A quarter of the rate.
     #[must_use]
-    pub fn half(self) -> Self {
-        Self(self.0 / 2)
+    pub fn quarter(self) -> Self {
+        Self(self.0 / 4)
     }
 
     /// The rate in requests per second.
--- a/crates/vaneway-route/src/endpoint.rs
+++ b/crates/vaneway-route/src/endpoint.rs
@@ -115,6 +115,14 @@
 /// Maximum duration of a suspension, so that an endpoint that recovered soon gets requests again.
 const MAX_SUSPENSION: Duration = Duration::from_secs(5);
 
+/// Time after a refusal of a brittle endpoint in which the box that was refused doesn't use its
+/// share of the places: some are taken by requests that the boxes don't know of.
+const REFUSAL_HOLD: Duration = Duration::from_secs(1);
+
+/// Time after a refusal of a brittle endpoint until the boxes know of the requests that were open
+/// there: one report to a control box, one from it, and network delay.
+const REFUSAL_SETTLE_TIME: Duration = Duration::from_millis(250);
+
 /// Maximum replaced instances that are remembered: more than a platform's list can lag behind.
 const MAX_RETIRED_INSTANCES: usize = 16;
 
@@ -272,12 +280,38 @@
 
     /// Whether the sender may open one more request there, as far as refusals could make the
     /// endpoint fail.
-    pub(crate) fn has_place_for(&self, sender: Sender) -> bool {
+    pub(crate) fn has_place_for(&self, now: Instant, sender: Sender) -> bool {
+        if let Some(has_own_place) = self.has_own_place(now, sender) {
+            return has_own_place;
+        }
         let open = OpenRequests { own: self.open, others: self.others_load.requests };
         let has_place = |places| vaneway_limit::has_place(places, open, self.key, sender.number);
         self.brittle_places.is_none_or(has_place)
     }
 
+    /// Whether the endpoint's limit, or what its refusals allow, lets the sender open one more
+    /// request there.
+    pub(crate) fn is_within_limit(&self, now: Instant, sender: Sender) -> bool {
+        self.has_own_place(now, sender).unwrap_or_else(|| self.gate.is_open(sender))
+    }
+
+    /// Whether a brittle endpoint whose limit has just ended, or that has just refused a request, has
+    /// a place that only the sender may take. None if the sender has no such places, or can't rely on
+    /// them: another request may be in them of which the boxes don't know, or don't know yet.
+    fn has_own_place(&self, now: Instant, sender: Sender) -> Option<bool> {
+        let places = self.brittle_places?;
+        let share = vaneway_limit::share(places, self.key, sender.number?);
+        let is_settled = self.gate.ramping_up_for(sender.now)? >= REFUSAL_SETTLE_TIME;
+        let is_full = self.open.saturating_add(self.others_load.requests) >= places;
+        let applies = is_settled && !self.has_refused_recently(now) && share > 0;
+        applies.then_some(self.open < share && !is_full)
+    }
+
+    /// Whether it refused a request of this box so recently that this box goes by the allowed rate.
+    fn has_refused_recently(&self, now: Instant) -> bool {
+        self.refused_at.is_some_and(|at| now < at + REFUSAL_HOLD)
+    }
+
     /// Whether an instance was replaced before.
     pub fn is_retired(&self, instance: &str) -> bool {
         self.retired.iter().any(|retired| retired == instance)
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -376,8 +376,8 @@
             let fits = query.fits(endpoint)
                 && endpoint.takes_work(now)
                 && endpoint.has_room()
-                && endpoint.has_place_for(query.sender)
-                && endpoint.gate.is_open(query.sender);
+                && endpoint.has_place_for(now, query.sender)
+                && endpoint.is_within_limit(now, query.sender);
             if fits && preferred(endpoint, query.avoid.contains(&id), query) {
                 self.candidates.push(id);
             }
@@ -442,7 +442,8 @@
         let fitting = self.endpoints.iter().filter(|endpoint| query.fits(endpoint));
         let mut takes_work = fitting.filter(|endpoint| endpoint.takes_work(now)).peekable();
         if takes_work.peek().is_some() {
-            let is_limited = takes_work.all(|endpoint| !endpoint.gate.is_open(query.sender));
+            let is_limited =
+                takes_work.all(|endpoint| !endpoint.is_within_limit(now, query.sender));
             return if is_limited { Choice::Limited } else { Choice::Full };
         }
         let usable = || self.usable(query.service).map(|id| self.get(id));
@@ -460,9 +461,10 @@
         let staying = || self.usable(query.service).map(|id| self.get(id));
         let staying = || staying().filter(|endpoint| query.fits(endpoint));
         let available = || fitting().filter(|endpoint| endpoint.takes_work(now));
-        let within_limit = || available().filter(|endpoint| endpoint.gate.is_open(query.sender));
+        let is_within_limit = |endpoint: &&Endpoint| endpoint.is_within_limit(now, query.sender);
+        let within_limit = || available().filter(is_within_limit);
         let has_room =
-            |endpoint: &&Endpoint| endpoint.has_room() && endpoint.has_place_for(query.sender);
+            |endpoint: &&Endpoint| endpoint.has_room() && endpoint.has_place_for(now, query.sender);
         FittingCounts {
             known: fitting().count(),
             staying: staying().count(),
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -5,10 +5,9 @@
 //! The pool's gates apply the limits whenever an endpoint is chosen.
 //!
 //! An endpoint may also state how many refusals a second make it fail. It is then sent only requests
-//! for which it has a place ([`vaneway_limit::has_place`]), and one that refuses nevertheless is
-//! limited to half as many requests as it may refuse, as if it had advertised that.
-
-use std::time::Duration;
+//! for which it has a place ([`vaneway_limit::has_place`]). After one that it refuses nevertheless,
+//! all boxes start again from a quarter as many requests a second as it may refuse, as if it had
+//! advertised that as a limit and lifted it; soon after, each box uses its share of all places.
 
 use vaneway_limit::EndpointLimit;
 use vaneway_limit::NumberError;
@@ -20,7 +19,6 @@
 use vaneway_route::EndpointState;
 
 use crate::core::entry::Entry;
-use crate::util::clock;
 use crate::util::logline::Line;
 
 /// What the head of a response states about its endpoint's limit.
@@ -42,40 +40,45 @@
     pub max_refusals: Result<Option<Rate>, NumberError>,
 }
 
-/// Time after a refusal of a brittle endpoint before which a successful response does not lift its
-/// limit: responses to requests that were there before still arrive.
-const BRITTLE_HOLD: Duration = Duration::from_secs(1);
-
 /// Records what the head of a response states.
 ///
 /// A successful response without a limit lifts the previous one. A refusal or a failure may come
 /// from a component of the endpoint that doesn't know the limit, so its absence there changes
-/// nothing.
+/// nothing; a refusal of a brittle endpoint then makes all boxes start again from a low rate.
 pub fn observe_response(entry: &Entry, observation: &LimitObservation<'_>) {
-    let LimitObservation { endpoint, request, service, succeeded, .. } = *observation;
+    let LimitObservation { endpoint, succeeded, advertised, .. } = *observation;
     observe_brittleness(entry, observation);
-    let advertised = effective_limit(observation);
-    let lifts = succeeded && !is_held(entry, observation) && !entry.limits.borrow().is_empty();
-    if advertised == Ok(None) && !lifts {
-        return;
-    }
-    let name = entry.pool.borrow().get(endpoint).spec.name.clone();
+    let name = || entry.pool.borrow().get(endpoint).spec.name.clone();
     let rate = match advertised {
         Ok(rate) => rate,
-        Err(error) => return log_unreadable(entry, &name, observation, error),
+        Err(error) => return log_unreadable(entry, &name(), observation, error),
     };
+    let lifts = succeeded && !entry.limits.borrow().is_empty();
+    let refusal_rate = rate_after_refusal(observation).filter(|_| rate.is_none());
+    if rate.is_none() && !lifts && refusal_rate.is_none() {
+        return;
+    }
+    let name = name();
     let Some(born) = incarnation(entry, &name, endpoint) else { return };
     let now = entry.cluster_time();
-    let changed = entry.limits.borrow_mut().record_response(now, &name, born, rate);
+    let changed = match refusal_rate {
+        Some(rate) => entry.limits.borrow_mut().record_refusal(now, &name, born, rate),
+        None => entry.limits.borrow_mut().record_response(now, &name, born, rate),
+    };
     let Some(limit) = changed else { return };
     entry.pool.borrow_mut().set_limit(endpoint, limit);
-    let change = if rate.is_some() { "named" } else { "ended" };
-    entry.metrics.limits.with_label_values(&[service, change]).inc();
+    let (change, given) = match (refusal_rate, rate) {
+        (Some(_), _) => ("refused", refusal_rate),
+        (None, Some(_)) => ("named", rate),
+        (None, None) => ("ended", None),
+    };
+    entry.metrics.limits.with_label_values(&[observation.service, change]).inc();
     Line::new("endpoint_limit")
         .with("replica", name)
         .with("born", born)
-        .with("request", request)
-        .with("a_second", rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string()))
+        .with("request", observation.request)
+        .with("change", change)
+        .with("a_second", given.map_or_else(|| "none".to_owned(), |rate| rate.to_string()))
         .info();
 }
 
@@ -105,21 +108,12 @@
     Some(registry.get(name)?.details.as_ref()?.slots)
 }
 
-/// The limit that follows from a response: the advertised one, or that for a brittle endpoint that
-/// refused, whichever is lower.
-fn effective_limit(observation: &LimitObservation<'_>) -> Result<Option<Rate>, NumberError> {
-    let LimitObservation { advertised, max_refusals, refused, .. } = *observation;
-    let of_refusals = max_refusals.ok().flatten().filter(|_| refused).map(Rate::half);
-    let advertised = advertised?;
-    Ok(advertised.into_iter().chain(of_refusals).min())
-}
-
-/// Whether a brittle endpoint has refused a request of this box just before.
-fn is_held(entry: &Entry, observation: &LimitObservation<'_>) -> bool {
-    let pool = entry.pool.borrow();
-    let refused_at = pool.get(observation.endpoint).refused_at;
-    let is_brittle = matches!(observation.max_refusals, Ok(Some(_)));
-    is_brittle && refused_at.is_some_and(|at| clock::elapsed(at) < BRITTLE_HOLD)
+/// The rate from which the boxes start again after a response that is a refusal of a brittle
+/// endpoint: a quarter of what it may refuse in a second, since the rate doubles in the next
+/// interval, and a second covers parts of two intervals.
+fn rate_after_refusal(observation: &LimitObservation<'_>) -> Option<Rate> {
+    let LimitObservation { max_refusals, refused, .. } = *observation;
+    max_refusals.ok().flatten().filter(|_| refused).map(Rate::quarter)
 }
 
 /// Merges limits that endpoints advertised in responses to other boxes.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod agreement;
 mod agreement_snapshots;
 mod brittle_endpoints;
+mod brittle_fleet;
 mod broken_off_answers;
 mod capacity;
 mod capacity_plan;
