--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -39,6 +39,7 @@
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::endpoints::protocol::ResponseKind;
 use crate::core::endpoints::registered;
+use crate::core::endpoints::upstream::Reuse;
 use crate::core::endpoints::upstream::SendError;
 use crate::core::endpoints::upstream::StartedResponse;
 use crate::core::entry::Entry;
@@ -213,9 +214,12 @@
             protocol.request(&request, Dispatch { endpoint: &spec, time_left, resume_after: after })
         };
         let head_deadline = clock::now() + limits.head_timeout;
-        let new_connection = entry.settings.routing.fresh_for_at_most_once && !request.repeatable;
-        let sent =
-            entry.connections.send(&entry.timers, spec.address, req, new_connection, head_deadline);
+        let reuse = match request.repeatable {
+            true => Reuse::Any,
+            false if entry.settings.routing.fresh_for_at_most_once => Reuse::Never,
+            false => Reuse::Rested,
+        };
+        let sent = entry.connections.send(&entry.timers, spec.address, req, reuse, head_deadline);
         let sent = unless_unresponsive(&entry, endpoint, request.repeatable, sent).await;
         let StartedResponse { response, attempt } = match sent {
             Some(Ok(started)) => started,
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -57,6 +57,7 @@
 use crate::core::endpoints::upstream::AttemptItem;
 use crate::core::endpoints::upstream::ConnectionPool;
 use crate::core::endpoints::upstream::ModelAttempt;
+use crate::core::endpoints::upstream::Reuse;
 use crate::core::endpoints::upstream::model_attempt;
 use crate::core::entry::Entry;
 use crate::core::limits;
@@ -339,7 +340,7 @@
             timers: self.entry.timers.clone(),
             addr: self.entry.address(endpoint),
             req: self.request.to_engine_request(&self.id, attempt, how, self.relay.splice().text()),
-            new_connection: !plan.repeatable,
+            reuse: if plan.repeatable { Reuse::Any } else { Reuse::Never },
             stall_timeout: self.entry.settings.services[self.request.service].stall_timeout,
             head_deadline: plan.deadline,
         }
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -49,6 +49,11 @@
 /// should arrive is closed: longer than the second or so for which a sound endpoint may be silent.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a connection has rested before a request that may run once is sent over it. An
+/// endpoint may close a connection after a response without announcing it, and its close arrives
+/// after the response.
+pub const MIN_REST: Duration = Duration::from_millis(100);
+
 /// Maximum idle connections kept for one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -88,10 +93,32 @@
     pub attempt: Attempt,
 }
 
+/// Which idle connections a request may be sent over; without one, a new connection is opened.
+///
+/// The endpoint may be closing an idle connection at this moment, which would needlessly leave the
+/// outcome of a request that may run once unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any: the request can be repeated.
+    Any,
+    /// Those that have rested so long that a close which followed the last response has arrived.
+    Rested,
+    /// None.
+    Never,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    /// When its last response ended.
+    since: Instant,
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
-    idle: RefCell<BTreeMap<SocketAddr, Vec<Connection>>>,
+    /// The latest used ones last.
+    idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     reset_on_close: bool,
 }
 
@@ -104,9 +131,6 @@
 
     /// Sends `req` to `addr` and waits for the head of the response until `head_deadline`.
     ///
-    /// With `new_connection`, no idle connection is used: the endpoint may be closing it at this
-    /// moment, which would needlessly leave the outcome of a non-repeatable request unknown.
-    ///
     /// # Errors
     ///
     /// [`SendError`], whose outcome says whether the endpoint may have run the request.
@@ -115,14 +139,14 @@
         timers: &Timers,
         addr: SocketAddr,
         req: EndpointRequest,
-        new_connection: bool,
+        reuse: Reuse,
         head_deadline: Instant,
     ) -> Result<StartedResponse, SendError> {
         let mut req = req;
-        let mut new_connection = new_connection;
+        let mut reuse = reuse;
         loop {
             let mut attempt = Attempt::new();
-            let idle = if new_connection { None } else { self.take_idle(addr) };
+            let idle = self.take_idle(addr, reuse);
             let reused = idle.is_some();
             let connection = match idle {
                 Some(connection) => connection,
@@ -139,7 +163,7 @@
                     // The endpoint closed the idle connection: retry on a new one.
                     Some(returned) if reused => {
                         req = returned;
-                        new_connection = true;
+                        reuse = Reuse::Never;
                     }
                     returned => {
                         let event = match returned {
@@ -189,7 +213,7 @@
         until: Instant,
     ) -> Result<(response::Parts, Bytes), SendError> {
         let StartedResponse { response, mut attempt } =
-            self.send(timers, addr, req, false, until).await?;
+            self.send(timers, addr, req, Reuse::Any, until).await?;
         let (head, mut body) = response.into_parts();
         let mut buffer = BytesMut::new();
         let cause = match timers.timeout_at(until, body.read_into(&mut buffer, limit)).await {
@@ -228,10 +252,18 @@
             .map_err(|error| ended(attempt, AttemptEvent::Returned, error))
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+    /// Takes the latest used idle connection that a request may be sent over.
+    fn take_idle(&self, addr: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let min_rest = match reuse {
+            Reuse::Any => Duration::ZERO,
+            Reuse::Rested => MIN_REST,
+            Reuse::Never => return None,
+        };
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&addr)?;
-        while let Some(mut connection) = connections.pop() {
+        let has_rested = |idle: &IdleConnection| clock::elapsed(idle.since) >= min_rest;
+        while let Some(latest) = connections.iter().rposition(has_rested) {
+            let mut connection = connections.remove(latest).connection;
             if connection.is_ready() {
                 return Some(connection);
             }
@@ -245,11 +277,11 @@
         if !body.framing().shows_end() {
             return;
         }
-        let connection = body.into_connection();
+        let released = IdleConnection { connection: body.into_connection(), since: clock::now() };
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(addr).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(connection);
+            connections.push(released);
         }
     }
 
@@ -339,8 +371,8 @@
     pub addr: SocketAddr,
     /// The request.
     pub req: EndpointRequest,
-    /// Whether to open a new connection instead of using an idle one.
-    pub new_connection: bool,
+    /// Which idle connections it may be sent over.
+    pub reuse: Reuse,
     /// Maximum time between two events before the attempt counts as broken.
     pub stall_timeout: Duration,
     /// Deadline for the head of the response.
@@ -385,16 +417,9 @@
 where
     C: std::ops::Deref<Target = ConnectionPool>,
 {
-    let ModelAttempt {
-        connections,
-        timers,
-        addr,
-        req,
-        new_connection,
-        stall_timeout,
-        head_deadline,
-    } = attempt;
-    let sent = connections.send(&timers, addr, req, new_connection, head_deadline).await;
+    let ModelAttempt { connections, timers, addr, req, reuse, stall_timeout, head_deadline } =
+        attempt;
+    let sent = connections.send(&timers, addr, req, reuse, head_deadline).await;
     let started = match sent {
         Ok(started) => started,
         Err(SendError { outcome, cause, .. }) => {
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -284,9 +284,10 @@
     pub policy: Policy,
     /// Seed of the policy's random numbers, combined with the name of the box.
     pub seed: u64,
-    /// Whether a request that may run at most once is sent over a new connection. The endpoint may
-    /// be closing an idle connection at that moment, which would leave the request's outcome
-    /// unknown without need; a new connection costs time.
+    /// Whether a request that may run at most once is always sent over a new connection. The
+    /// endpoint may be closing an idle connection at that moment, which would leave the request's
+    /// outcome unknown without need; a new connection costs time. Otherwise it may be sent over one
+    /// that has rested.
     pub fresh_for_at_most_once: bool,
 }
 
