--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -329,6 +329,7 @@
 ) {
     if let BetweenControl::Hello { node } = message {
         *sender = Sender::Control { node };
+        outgoing.keep_open();
         // The peer may have missed updates while there was no connection.
         for message in dissemination::full_state(control) {
             outgoing.send(&message);
--- a/crates/vaneway-server/src/core/control/peers.rs
+++ b/crates/vaneway-server/src/core/control/peers.rs
@@ -139,6 +139,7 @@
 
 async fn run_peer(control: &Rc<Control>, address: SocketAddr, stream: SocketStream) {
     let outgoing = SendQueue::new(&control.buffered);
+    outgoing.keep_open();
     let send = |message: BetweenControl| outgoing.send(&ToControl::Control(message));
     send(BetweenControl::Hello { node: control.node.borrow().id() });
     send(ping(control));
--- a/crates/vaneway-server/src/util/send_queue.rs
+++ b/crates/vaneway-server/src/util/send_queue.rs
@@ -7,7 +7,9 @@
 //!   message of a topic is queued.
 //! - A message to several peers is encoded once, and its frame is shared by their queues.
 //! - If too many bytes are still queued for a peer, nothing is dropped silently: its connection is
-//!   closed, and the next connection begins with the full current state.
+//!   closed, and the next connection begins with the full current state. The same happens to the
+//!   peer with the longest queue if too many bytes are queued for all peers together, before the
+//!   process exceeds its memory and all connections end.
 //!
 //! [`BufferedBytes`] counts the bytes in all queues of a box.
 
@@ -17,6 +19,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
@@ -33,6 +36,14 @@
 /// Maximum number of bytes queued for one peer, not counting messages with a topic.
 const MAX_QUEUED_BYTES: usize = 4 << 20;
 
+/// Maximum number of bytes queued for all peers together, not counting messages with a topic: five
+/// eighths of the memory of a control box, of which the rest is for its state.
+const MAX_TOTAL_QUEUED_BYTES: usize = 160 << 20;
+
+/// Length from which on a buffer of copied frames doesn't grow further, in bytes. A buffer has up to
+/// twice the room that it needs.
+const MAX_COPIED_BYTES: usize = 64 << 10;
+
 /// Minimum length of frames that are shared between queues, in bytes. Shorter frames are copied, so
 /// that many of them are sent by one system call.
 const MIN_SHARED_BYTES: usize = 16 << 10;
@@ -46,6 +57,7 @@
 pub struct BufferedBytes {
     queued: Cell<usize>,
     partial: Cell<usize>,
+    queues: RefCell<Vec<Weak<RefCell<Queue>>>>,
 }
 
 impl BufferedBytes {
@@ -58,6 +70,28 @@
     pub fn partial(&self) -> usize {
         self.partial.get()
     }
+
+    fn add(&self, queue: &Rc<RefCell<Queue>>) {
+        let mut queues = self.queues.borrow_mut();
+        queues.retain(|queue| queue.strong_count() > 0);
+        queues.push(Rc::downgrade(queue));
+    }
+
+    /// Closes the longest queues until no more bytes are queued than allowed.
+    fn close_longest(&self) {
+        while self.queued.get() > MAX_TOTAL_QUEUED_BYTES {
+            let queues = self.queues.borrow();
+            let open = queues.iter().filter_map(Weak::upgrade);
+            let open = open.filter(|queue| !queue.borrow().is_kept);
+            let longest = open.max_by_key(|queue| queue.borrow().queued);
+            let Some(longest) = longest.filter(|queue| queue.borrow().queued > 0) else { return };
+            Line::new("peer_too_slow")
+                .with("waiting", longest.borrow().queued)
+                .with("waiting_for_all", self.queued.get())
+                .warn();
+            longest.borrow_mut().close();
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -93,6 +127,8 @@
     queued: usize,
     /// Bytes received of an incomplete frame.
     partial: usize,
+    /// Whether it is kept open however many bytes are queued for all peers.
+    is_kept: bool,
     closed: bool,
     waker: Option<Waker>,
     /// Woken when nothing is queued any longer.
@@ -115,7 +151,9 @@
             _ if frame.len() >= MIN_SHARED_BYTES => {
                 self.chunks.push_back(Chunk::Shared { frame: frame.clone(), topic: None });
             }
-            Some(Chunk::Copied(bytes)) => bytes.extend_from_slice(frame),
+            Some(Chunk::Copied(bytes)) if bytes.len() < MAX_COPIED_BYTES => {
+                bytes.extend_from_slice(frame);
+            }
             _ => self.chunks.push_back(Chunk::Copied(BytesMut::from(&**frame))),
         }
     }
@@ -155,8 +193,12 @@
         }
     }
 
+    /// Closes the queue and discards what is queued, which is not sent any more.
     fn close(&mut self) {
         self.closed = true;
+        self.chunks.clear();
+        self.buffered.queued.update(|sum| sum - self.queued);
+        self.queued = 0;
         self.wake();
         self.wake_emptied();
     }
@@ -175,16 +217,25 @@
 impl SendQueue {
     /// Creates an empty queue, whose bytes are counted in `buffered`.
     pub fn new(buffered: &Rc<BufferedBytes>) -> Self {
-        Self(Rc::new(RefCell::new(Queue {
+        let queue = Rc::new(RefCell::new(Queue {
             chunks: VecDeque::new(),
             first_chunk_begun: false,
             queued: 0,
             partial: 0,
+            is_kept: false,
             closed: false,
             waker: None,
             emptied: None,
             buffered: Rc::clone(buffered),
-        })))
+        }));
+        buffered.add(&queue);
+        Self(queue)
+    }
+
+    /// Keeps the connection open however many bytes are queued for all peers together. For a control
+    /// box, of which there are few, and without which the others can't agree.
+    pub fn keep_open(&self) {
+        self.0.borrow_mut().is_kept = true;
     }
 
     /// Queues a message.
@@ -197,7 +248,7 @@
     }
 
     /// Queues an encoded message. If too many bytes are already queued for the peer, its connection
-    /// is closed instead.
+    /// is closed instead; if too many are for all peers, the one with the longest queue is closed.
     pub fn send_encoded(&self, message: &EncodedFrame) {
         let mut queue = self.0.borrow_mut();
         if queue.closed {
@@ -214,6 +265,9 @@
         }
         queue.push(frame);
         queue.wake();
+        let buffered = Rc::clone(&queue.buffered);
+        drop(queue);
+        buffered.close_longest();
     }
 
     /// Queues a message in place of the queued one of the same topic, if there is one.
--- a/crates/vaneway-test-support/src/slow_readers.rs
+++ b/crates/vaneway-test-support/src/slow_readers.rs
@@ -1,5 +1,6 @@
 //! Simulated entry boxes that read the messages of a control box slowly.
 
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::io::Read as _;
 use std::io::Write as _;
@@ -18,6 +19,8 @@
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
+use vaneway_registry::InstanceId;
+use vaneway_registry::Report;
 use vaneway_server::core::cluster::wire::FromEntry;
 use vaneway_server::core::cluster::wire::ToControl;
 use vaneway_server::core::cluster::wire::ToEntry;
@@ -59,6 +62,10 @@
     version: AtomicU64,
     /// Readers that the control box has admitted.
     admitted: AtomicUsize,
+    /// The lowest of the highest heartbeat numbers that the readers know.
+    sequence: AtomicU64,
+    /// The lowest number of endpoints of which any reader knows its highest heartbeat number.
+    endpoints: AtomicUsize,
     /// Bytes that each reads at most in a `READ_INTERVAL`.
     read_bytes: AtomicUsize,
     stop: AtomicBool,
@@ -111,6 +118,23 @@
         let lowest = || self.shared.version.load(Ordering::Relaxed);
         wait(&format!("all readers have received version {version}"), || lowest() >= version);
     }
+
+    /// Waits until each reader knows the heartbeat `sequence`, which is the latest, of `endpoints`
+    /// endpoints.
+    ///
+    /// # Panics
+    ///
+    /// If that takes longer than the timeout.
+    pub fn wait_for_endpoints(&self, endpoints: usize, sequence: u64) {
+        let known = || {
+            (
+                self.shared.endpoints.load(Ordering::Relaxed),
+                self.shared.sequence.load(Ordering::Relaxed),
+            )
+        };
+        let what = format!("all readers know heartbeat {sequence} of {endpoints} endpoints");
+        wait(&what, || known() == (endpoints, sequence));
+    }
 }
 
 impl Drop for SlowReaders {
@@ -145,6 +169,10 @@
     shared.version.store(versions.min().unwrap_or_default(), Ordering::Relaxed);
     let admitted = readers.iter().filter(|reader| reader.admitted).count();
     shared.admitted.store(admitted, Ordering::Relaxed);
+    let sequences = readers.iter().map(|reader| reader.latest);
+    let endpoints = readers.iter().map(|reader| reader.endpoints_at_latest);
+    shared.sequence.store(sequences.min().unwrap_or_default(), Ordering::Relaxed);
+    shared.endpoints.store(endpoints.min().unwrap_or_default(), Ordering::Relaxed);
 }
 
 #[derive(Debug)]
@@ -155,6 +183,12 @@
     box_version: BoxVersion,
     /// The configuration version that it has.
     version: u64,
+    /// Number of the latest heartbeat known of each endpoint.
+    sequences: BTreeMap<InstanceId, u64>,
+    /// The highest of these numbers.
+    latest: u64,
+    /// Number of endpoints with that number.
+    endpoints_at_latest: usize,
     admitted: bool,
     pinged: Instant,
 }
@@ -171,6 +205,9 @@
             partial: BytesMut::new(),
             box_version,
             version: known_version,
+            sequences: BTreeMap::new(),
+            latest: 0,
+            endpoints_at_latest: 0,
             admitted: false,
             pinged: Instant::now(),
         };
@@ -220,7 +257,27 @@
             ToEntry::Configuration(configuration) => {
                 self.version = self.version.max(configuration.version);
             }
+            ToEntry::Registry(reports) => {
+                for report in reports {
+                    self.record(report);
+                }
+            }
             _ => {}
         }
     }
+
+    fn record(&mut self, report: Report) {
+        let known = self.sequences.entry(report.instance).or_default();
+        if report.sequence <= *known {
+            return;
+        }
+        *known = report.sequence;
+        if report.sequence > self.latest {
+            self.latest = report.sequence;
+            self.endpoints_at_latest = 0;
+        }
+        if report.sequence == self.latest {
+            self.endpoints_at_latest += 1;
+        }
+    }
 }
--- a/tests/testsuite/control_memory.rs
+++ b/tests/testsuite/control_memory.rs
@@ -1,5 +1,7 @@
 //! Memory of control boxes while entry boxes read updates slowly.
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 
@@ -11,13 +13,19 @@
 use vaneway_agreement::Message;
 use vaneway_agreement::Payload;
 use vaneway_agreement::Snapshot;
+use vaneway_registry::Details;
+use vaneway_registry::Lifecycle;
+use vaneway_registry::Report;
+use vaneway_server::core::cluster::wire::FromEntry;
 use vaneway_server::core::control::memory::strip_writes;
 use vaneway_server::util::frames::EncodedFrame;
 use vaneway_server::util::send_queue::BufferedBytes;
 use vaneway_server::util::send_queue::SendQueue;
 use vaneway_test_support::ControlGroup;
 use vaneway_test_support::SlowReaders;
+use vaneway_test_support::WireEntry;
 use vaneway_test_support::configurations::with_routes;
+use vaneway_test_support::control_group::empty_configuration;
 use vaneway_test_support::slow_readers::BoxVersion;
 
 /// Number of entry boxes, a part of a large fleet.
@@ -54,6 +62,63 @@
     configuration_burst(BoxVersion::Earlier);
 }
 
+/// Number of endpoints of a large deployment.
+const ENDPOINTS: usize = 2_000;
+
+/// Number of times that all endpoints change, so often that the updates of one entry box exceed
+/// what a control box may queue for it.
+const ENDPOINT_CHANGES: u64 = 96;
+
+/// Number of endpoints in a message; the updates that follow from it are too short to be shared by
+/// queues.
+const ENDPOINTS_PER_MESSAGE: usize = 100;
+
+/// Guards against updates of endpoints that are queued for each entry box as they arise, and exceed
+/// the memory of a control box together.
+#[test]
+fn burst_of_endpoint_changes_stays_within_memory_and_reaches_all_entry_boxes() {
+    let group = ControlGroup::start(Path::new(env!("CARGO_BIN_EXE_vaneway")), 1);
+    group.configure(&empty_configuration(1));
+    let control = group.cluster_address(0);
+    let readers =
+        SlowReaders::connect(control, READERS, SLOW_BYTES_A_SECOND, BoxVersion::Present, 1);
+
+    let mut sender = WireEntry::connect(control, "sender");
+    for sequence in 1..=ENDPOINT_CHANGES {
+        for reports in reports(sequence).chunks(ENDPOINTS_PER_MESSAGE) {
+            sender.send(FromEntry::Leaving(reports.to_vec()));
+        }
+        sender.ping();
+    }
+    let peak = group.process(0).peak_resident_bytes();
+    println!("{peak} bytes resident at most");
+    assert!(peak <= MAX_MEMORY, "{peak} bytes resident, {MAX_MEMORY} allowed");
+
+    readers.set_rate(FAST_BYTES_A_SECOND);
+    readers.wait_for_endpoints(ENDPOINTS, ENDPOINT_CHANGES);
+}
+
+/// Reports of all endpoints with their heartbeat `sequence`, each of which changes the endpoint.
+fn reports(sequence: u64) -> Vec<Report> {
+    let report = |i: usize| Report {
+        instance: format!("endpoint-of-a-large-deployment-{i}"),
+        born: 1,
+        sequence,
+        lifecycle: Lifecycle::Ready,
+        ends_in_ms: None,
+        age_ms: 0,
+        details: Some(Details {
+            service: "service".to_owned(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            availability_zone: "zone".to_owned(),
+            slots: sequence as u32,
+            reclaimable: false,
+            software: "v1".to_owned(),
+        }),
+    };
+    (0..ENDPOINTS).map(report).collect()
+}
+
 /// Number of entry boxes in a large fleet.
 const ENTRY_BOXES: usize = 295;
 
