--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -45,11 +45,6 @@
     fn is_same_limit(&self, other: &Self) -> bool {
         (self.born, self.rate, self.lifted) == (other.born, other.rate, other.lifted)
     }
-
-    /// Whether both allow the same number of requests; that of a lifted one depends on when it ended.
-    fn allows_the_same(&self, other: &Self) -> bool {
-        self.is_same_limit(other) && (!self.lifted || self.seen_at == other.seen_at)
-    }
 }
 
 /// An endpoint's limit, as boxes send it to each other.
@@ -117,6 +112,9 @@
     /// Records that an endpoint's incarnation `born`, which can fail of refusals, refused a request
     /// without advertising a limit: the boxes start again from `rate`, as if a limit had just ended.
     /// A limit that it does advertise stays in force. Returns the new limit, if any.
+    ///
+    /// Boxes pass a limit on only if it differs from the one that they know, so the rate is a little
+    /// lower where that of the refusal before is still known.
     pub fn record_refusal(
         &mut self,
         now: EpochTime,
@@ -131,6 +129,8 @@
         }
         let born = known.map_or(born, |known| known.born.max(born));
         let seen_at = known.map_or(now, |known| now.max(known.seen_at + Duration::from_micros(1)));
+        let is_known = known.is_some_and(|known| known.rate == rate);
+        let rate = if is_known { rate.next_lower() } else { rate };
         let limit = AdvertisedLimit { born, rate, lifted: true, seen_at };
         self.by_endpoint.insert(endpoint.to_owned(), limit);
         self.changed.insert(endpoint.to_owned());
@@ -155,7 +155,7 @@
             return None;
         }
         self.by_endpoint.insert(received.endpoint.clone(), limit);
-        let is_changed = known.is_none_or(|known| !known.allows_the_same(&limit));
+        let is_changed = known.is_none_or(|known| !known.is_same_limit(&limit));
         is_changed.then(|| EndpointLimit { endpoint: received.endpoint.clone(), limit })
     }
 
--- a/crates/vaneway-limit/src/rate.rs
+++ b/crates/vaneway-limit/src/rate.rs
@@ -24,6 +24,12 @@
         Self(self.0 / 4)
     }
 
+    /// The highest rate below this one.
+    #[must_use]
+    pub fn next_lower(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+
     /// The rate in requests per second.
     pub fn per_second(self) -> f64 {
         self.0 as f64 / UNITS_PER_REQUEST
--- a/tests/testsuite/news_between_boxes.rs
+++ b/tests/testsuite/news_between_boxes.rs
@@ -193,6 +193,35 @@
     }
 }
 
+/// Limits that follow from refusals of brittle endpoints.
+struct Refusals(EndpointLimits);
+
+impl Disseminated for Refusals {
+    type Record = EndpointLimit;
+
+    fn new() -> Self {
+        Self(EndpointLimits::default())
+    }
+
+    fn observe(&mut self, now: Now, number: u64) -> Vec<EndpointLimit> {
+        let rate = "1.5".parse().expect("a rate");
+        self.0.record_refusal(now.cluster, &format!("i-{}", number % 10), number / 20, rate);
+        self.0.take_updates()
+    }
+
+    fn receive(&mut self, now: Now, received: &[EndpointLimit]) -> Vec<EndpointLimit> {
+        self.0.receive(now, received)
+    }
+
+    fn full_state(&self, _now: Now) -> Vec<EndpointLimit> {
+        self.0.all()
+    }
+
+    fn drop_expired(&mut self, now: Now) {
+        self.0.drop_expired(now);
+    }
+}
+
 /// An event at a box.
 #[derive(Debug)]
 enum Event<P> {
@@ -490,3 +519,23 @@
 fn advertised_limit_is_forwarded_once_whatever_its_age() {
     (1..=4).for_each(Simulation::<EndpointLimits>::run);
 }
+
+/// Guards against refusals that are forwarded again and again because each box knows another time of
+/// them.
+#[test]
+fn refusal_of_a_brittle_endpoint_is_forwarded_once_whatever_its_age() {
+    (1..=4).for_each(Simulation::<Refusals>::run);
+}
+
+/// Guards against boxes that hear only of the first of several refusals.
+#[test]
+fn each_refusal_of_a_brittle_endpoint_changes_what_other_boxes_know() {
+    let (mut refused, mut other) = (EndpointLimits::default(), EndpointLimits::default());
+    for second in 0..3 {
+        let now = START + Duration::from_secs(second);
+        refused.record_refusal(now, "i-1", 1, "1".parse().expect("a rate"));
+        let updates = refused.take_updates();
+        assert_eq!(other.merge(now, &updates), updates, "refusal after {second} s");
+        assert_eq!(updates.len(), 1);
+    }
+}
