--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -199,6 +199,13 @@
         &self.cases
     }
 
+    /// Number of crashes in the case of a request that are not counted because they have a common
+    /// cause with others.
+    pub fn common_cause_crashes(&self, fingerprint: Fingerprint) -> usize {
+        let Some(case) = self.cases.get(&fingerprint) else { return 0 };
+        case.crashes.keys().filter(|endpoint| self.has_common_cause(endpoint)).count()
+    }
+
     /// Records that the last endpoint of `crashes` crashed while running a request of this box; the
     /// others crashed while running it earlier. Returns the verdict on the request.
     pub fn record_crash(
--- a/crates/vaneway-server/src/core/quarantine.rs
+++ b/crates/vaneway-server/src/core/quarantine.rs
@@ -27,6 +27,7 @@
 use vaneway_relay::FailureKind;
 use vaneway_route::EndpointId;
 use vaneway_route::EndpointState;
+use vaneway_route::Work;
 
 use crate::core::callers::api_error::ApiError;
 use crate::core::endpoints::protocol::CallRequest;
@@ -282,6 +283,8 @@
         .with("fingerprint", format!("{fingerprint:016x}"))
         .with("organisation", &request.organisation)
         .with("service", &request.service_name)
+        .with("place", place(request))
+        .with("parts", part_list(request))
         .with(
             "replica",
             crashes.last().map_or_else(String::new, |(endpoint, _)| endpoint.to_string()),
@@ -290,10 +293,31 @@
         .with("verdict", verdict.name())
         .with("ended_here", crashes.len())
         .with("ended_in_all", crash_count(entry, fingerprint))
+        .with("common_cause", entry.quarantine.borrow().common_cause_crashes(fingerprint))
         .warn();
     verdict
 }
 
+/// Maximum number of prompt parts named in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Maximum length of a path in a log line, in characters.
+const MAX_LOGGED_PATH: usize = 80;
+
+/// Where a request was sent, for logs: host and path, without the query.
+fn place(request: &CallRequest) -> String {
+    let path = request.path.split('?').next().unwrap_or_default();
+    let path: String = path.chars().take(MAX_LOGGED_PATH).collect();
+    format!("{}{path}", request.addressed_to)
+}
+
+/// The prompt parts that a request shares with others, for logs.
+fn part_list(request: &CallRequest) -> String {
+    let shared = request.work.as_ref().map_or(&[][..], Work::shared);
+    let ids = shared.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
+}
+
 fn crash_count(entry: &Entry, fingerprint: Fingerprint) -> usize {
     let quarantine = entry.quarantine.borrow();
     quarantine.cases().get(&fingerprint).map_or(0, |case| case.crashes.len())
@@ -314,6 +338,7 @@
         Line::new("request_cleared")
             .with("request", &request.id)
             .with("fingerprint", format!("{fingerprint:016x}"))
+            .with("parts", part_list(request))
             .with("ended_in_all", crashes)
             .info();
     }
