--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -120,6 +120,8 @@
     crash: Option<oneshot::Sender<()>>,
     /// When it began to crash: the connection of the request breaks now.
     broke_at: Option<Instant>,
+    /// The part of a prompt that makes it crash, in hexadecimal digits.
+    deadly_part: Option<String>,
 }
 
 impl State {
@@ -254,7 +256,13 @@
         lock(&self.state).received.clone()
     }
 
-    /// Whether a request with [`CRASH_HEADER`] has made it crash.
+    /// Crashes as soon as it begins to respond to a request with this part, given in hexadecimal
+    /// digits, in its prompt; the part that is a request's own doesn't count.
+    pub fn crash_on_part(&self, part: &str) {
+        lock(&self.state).deadly_part = Some(part.to_owned());
+    }
+
+    /// Whether a request has made it crash.
     pub fn has_crashed(&self) -> bool {
         lock(&self.state).crash.is_none()
     }
@@ -360,6 +368,7 @@
     let is_stream = headers.contains_key("x-token-usage");
     let after = headers.get("last-event-id").and_then(|after| after.parse().ok()).unwrap_or(0);
     let crash_mode = headers.get(CRASH_HEADER).cloned();
+    let prompt = headers.get("x-prompt-prefix").cloned().unwrap_or_default();
     let (behaviour, announcements, author, run) = {
         let shared = &state;
         let mut state = lock(shared);
@@ -393,6 +402,9 @@
         crash(state, &mode).await;
         return break_connection();
     }
+    if lock(&state).deadly_part.as_ref().is_some_and(|part| has_shared_part(&prompt, part)) {
+        return respond(StatusCode::OK, &id, &instance, crash_in_first_event(state));
+    }
     let mut response = match behaviour {
         Behaviour::Refuse => {
             let body = ResponseBody::full(Bytes::new());
@@ -450,6 +462,27 @@
     response
 }
 
+/// Whether a prompt has this part, other than as its last one.
+fn has_shared_part(prompt: &str, part: &str) -> bool {
+    let mut ids = prompt.split(',').filter_map(|part| part.split(':').next());
+    let _own = ids.next_back();
+    ids.any(|id| id.trim() == part)
+}
+
+/// A stream that begins its first event, whereupon the endpoint crashes.
+fn crash_in_first_event(state: Arc<Mutex<State>>) -> ResponseBody {
+    let (tx, rx) = outbox(STREAM_BYTES);
+    tx.push(b"id: 1\n");
+    compio::runtime::spawn(async move {
+        // Time for the response's head to arrive.
+        compio::time::sleep(EVENT_INTERVAL).await;
+        drop(lock(&state).crash.take());
+        drop(tx);
+    })
+    .detach();
+    ResponseBody::Streamed(rx)
+}
+
 /// Crashes the endpoint. Returns in the mode `late`, in which the request's connection breaks first.
 async fn crash(state: Arc<Mutex<State>>, mode: &str) {
     lock(&state).broke_at = Some(Instant::now());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod control_memory;
 mod control_overload;
 mod cut_off_boxes;
+mod deadly_parts;
 mod deadly_requests;
 mod decisions;
 mod decisions_of_control;
