--- a/crates/vaneway-quarantine/src/lib.rs
+++ b/crates/vaneway-quarantine/src/lib.rs
@@ -241,6 +241,11 @@
         self.parts.verdict(now, service, parts)
     }
 
+    /// What is held against a part of prompts if no other part explains its crashes.
+    pub fn verdict_on_part(&self, now: EpochTime, key: PartKey) -> PartVerdict {
+        self.parts.verdict_on(now, key)
+    }
+
     /// Records that an endpoint of `service` crashed while it ran a request with `parts`, which it
     /// had not begun to respond to, or just before.
     pub fn record_crash_with_parts(
--- a/crates/vaneway-quarantine/src/parts.rs
+++ b/crates/vaneway-quarantine/src/parts.rs
@@ -217,6 +217,17 @@
         suspected.map_or(PartVerdict::Sound, |(_, key)| PartVerdict::Suspected(key))
     }
 
+    /// What is held against a part if no other part explains its crashes.
+    pub(crate) fn verdict_on(&self, now: EpochTime, key: PartKey) -> PartVerdict {
+        let Some(case) = self.cases.get(&key) else { return PartVerdict::Sound };
+        let hold = case.hold(case.crashes.values(), self.crashes_needed(now, key));
+        match hold {
+            Some(hold) if now <= hold.until => PartVerdict::Condemned(key),
+            _ if case.crashes.is_empty() => PartVerdict::Sound,
+            _ => PartVerdict::Suspected(key),
+        }
+    }
+
     /// The crashes in a case that no other part explains, one that is not in `parts`.
     fn unexplained<'a>(
         &'a self,
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -46,6 +46,7 @@
 use crate::core::neighbours::Neighbours;
 use crate::core::occupancy::Occupancy;
 use crate::core::path_watch::PathWatch;
+use crate::core::prompt_parts;
 use crate::core::queue_limit::Inflow;
 use crate::core::quotas::Quotas;
 use crate::core::route_table::RouteTable;
@@ -558,6 +559,12 @@
                 "verdict": case.verdict.name(),
                 "ended": case.crashes.keys().collect::<Vec<_>>(),
             })).collect::<Vec<_>>(),
+            "quarantined_parts": prompt_parts::list_held(self).iter().map(|held| json!({
+                "part": format!("{:016x}", held.part),
+                "service": held.service,
+                "verdict": held.verdict.name(),
+                "ended": held.crashed,
+            })).collect::<Vec<_>>(),
             "box_number": self.box_number.get(),
             "cut_off_from": self.paths.cut_off().into_iter().map(|service| self.service_name(service))
                 .collect::<Vec<_>>(),
--- a/crates/vaneway-server/src/core/operators.rs
+++ b/crates/vaneway-server/src/core/operators.rs
@@ -27,6 +27,7 @@
 use vaneway_route::Endpoint;
 
 use crate::core::entry::Entry;
+use crate::core::prompt_parts;
 use crate::core::quarantine;
 use crate::core::settings::OperatorToken;
 use crate::core::settings::ServiceKind;
@@ -220,8 +221,17 @@
         fingerprint: format!("{fingerprint:016x}"),
         verdict: case.verdict.name().to_owned(),
         endpoints: case.crashes.keys().map(ToString::to_string).collect(),
+        kind: "request".to_owned(),
+        service: String::new(),
     };
-    quarantine.cases().iter().map(describe).collect()
+    let parts = prompt_parts::list_held(entry).into_iter().map(|held| v1::QuarantinedRequest {
+        fingerprint: format!("{:016x}", held.part),
+        verdict: held.verdict.name().to_owned(),
+        endpoints: held.crashed.iter().map(ToString::to_string).collect(),
+        kind: "part".to_owned(),
+        service: held.service,
+    });
+    quarantine.cases().iter().map(describe).chain(parts).collect()
 }
 
 #[tonic::async_trait]
--- a/crates/vaneway-server/src/core/prompt_parts.rs
+++ b/crates/vaneway-server/src/core/prompt_parts.rs
@@ -6,6 +6,7 @@
 //! ([`cancel_condemned`]). Records travel with those of requests
 //! ([`quarantine`]).
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use vaneway_quarantine::Incarnation;
@@ -138,11 +139,40 @@
     )
 }
 
+/// A part against which something is held, for operators.
+#[derive(Debug)]
+pub struct HeldPart {
+    /// The part.
+    pub part: PartId,
+    /// The service; empty if this box doesn't know it.
+    pub service: String,
+    /// The verdict if no other part explains the crashes.
+    pub verdict: PartVerdict,
+    /// Endpoints that crashed while they ran requests with it.
+    pub crashed: Vec<Incarnation>,
+}
+
+/// The parts against which something is held.
+pub fn list_held(entry: &Entry) -> Vec<HeldPart> {
+    let quarantine = entry.quarantine.borrow();
+    let now = entry.cluster_time();
+    let names = entry.services().into_iter().map(|id| entry.service_name(id));
+    let names: BTreeMap<_, _> = names.map(|name| (service_hash(&name), name)).collect();
+    let held = quarantine.part_cases().iter().filter(|(_, case)| !case.crashes.is_empty());
+    held.map(|(key, case)| HeldPart {
+        part: key.part,
+        service: names.get(&key.service).cloned().unwrap_or_default(),
+        verdict: quarantine.verdict_on_part(now, *key),
+        crashed: case.crashes.keys().cloned().collect(),
+    })
+    .collect()
+}
+
 /// Logs what another box has reported on a part.
 pub fn log_told(entry: &Entry, key: PartKey) {
     let quarantine = entry.quarantine.borrow();
     let case = quarantine.part_cases().get(&key);
-    let verdict = quarantine.part_verdict(entry.cluster_time(), key.service, &[key.part]);
+    let verdict = quarantine.verdict_on_part(entry.cluster_time(), key);
     Line::new("prompt_part_told")
         .with("part", format!("{:x}", key.part))
         .with("verdict", verdict.name())
--- a/crates/vaneway-server/src/ops/quarantine.rs
+++ b/crates/vaneway-server/src/ops/quarantine.rs
@@ -1,4 +1,4 @@
-//! `vanectl quarantine` and `vanectl release`: requests that crashed endpoints.
+//! `vanectl quarantine` and `vanectl release`: requests, and parts of prompts, that crashed endpoints.
 
 use serde_json::json;
 
@@ -7,7 +7,7 @@
 use crate::ops::table;
 use crate::proto::v1;
 
-/// Returns the list of quarantined requests as text for the terminal, or as JSON.
+/// Returns the list of quarantined requests and parts as text for the terminal, or as JSON.
 ///
 /// # Errors
 ///
@@ -20,7 +20,7 @@
     Ok(table::format_list(
         &listed,
         json,
-        &["fingerprint", "verdict", "crashed endpoints"],
+        &["kind", "fingerprint", "service", "verdict", "crashed endpoints"],
         to_row,
         to_json,
     ))
@@ -28,22 +28,31 @@
 
 fn to_json(request: &v1::QuarantinedRequest) -> serde_json::Value {
     json!({
+        "kind": request.kind,
         "fingerprint": request.fingerprint,
+        "service": request.service,
         "verdict": request.verdict,
         "endpoints": request.endpoints,
     })
 }
 
 fn to_row(request: &v1::QuarantinedRequest) -> Vec<String> {
-    vec![request.fingerprint.clone(), request.verdict.clone(), request.endpoints.join(" ")]
+    vec![
+        request.kind.clone(),
+        request.fingerprint.clone(),
+        request.service.clone(),
+        request.verdict.clone(),
+        request.endpoints.join(" "),
+    ]
 }
 
-/// Releases a request from quarantine, so that it is run again if its caller sends it.
+/// Releases a request, or a part of prompts, from quarantine, so that it is run again if a caller
+/// sends it.
 ///
 /// # Errors
 ///
 /// If the process can't be reached or rejects the call, or if nothing is recorded against a request
-/// with this fingerprint.
+/// or part with this fingerprint.
 pub async fn release(target: &Target, fingerprint: String) -> eyre::Result<String> {
     let mut client = client::connect(target).await?;
     let text = format!("released {fingerprint}; the other entry boxes will be notified\n");
--- a/crates/vaneway-server/src/proto/v1.rs
+++ b/crates/vaneway-server/src/proto/v1.rs
@@ -110,15 +110,21 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct QuarantinedRequest {
-    /// Fingerprint of the request's content, in hexadecimal digits.
+    /// Fingerprint of the request's content, or the id of a part of prompts, in hexadecimal digits.
     #[prost(string, tag = "1")]
     pub fingerprint: ::prost::alloc::string::String,
     /// `cleared`, `suspected` or `condemned`.
     #[prost(string, tag = "2")]
     pub verdict: ::prost::alloc::string::String,
-    /// Endpoints that crashed while running it.
+    /// Endpoints that crashed while running it, or requests with the part.
     #[prost(string, repeated, tag = "3")]
     pub endpoints: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// `request` or `part`.
+    #[prost(string, tag = "4")]
+    pub kind: ::prost::alloc::string::String,
+    /// Service that the part's requests were sent to; empty for a request.
+    #[prost(string, tag = "5")]
+    pub service: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReleaseRequestRequest {
--- a/crates/vaneway-test-support/src/wire_endpoint.rs
+++ b/crates/vaneway-test-support/src/wire_endpoint.rs
@@ -262,6 +262,11 @@
         lock(&self.state).deadly_part = Some(part.to_owned());
     }
 
+    /// No longer crashes on any part of a prompt.
+    pub fn survive_part(&self) {
+        lock(&self.state).deadly_part = None;
+    }
+
     /// Whether a request has made it crash.
     pub fn has_crashed(&self) -> bool {
         lock(&self.state).crash.is_none()
--- a/src/bin/vanectl/commands/mod.rs
+++ b/src/bin/vanectl/commands/mod.rs
@@ -28,8 +28,8 @@
   endpoints [SERVICE]   List the endpoints in the state that the process knows
   status                Show the status of the process
   dump                  Show the complete state of the process as JSON
-  quarantine            List the requests that crashed endpoints
-  release FINGERPRINT   Release such a request from quarantine
+  quarantine            List the requests and prompt parts that crashed endpoints
+  release FINGERPRINT   Release such a request or part from quarantine
   apply FILE            Apply a configuration (address of a control box)
   config                Show the newest configuration (address of a control box)
 
