--- a/crates/vaneway-quarantine/src/parts.rs
+++ b/crates/vaneway-quarantine/src/parts.rs
@@ -44,7 +44,7 @@
 const MAX_ANSWERED: usize = 4_096;
 
 /// Maximum number of parts of one request that count.
-const MAX_PARTS_PER_REQUEST: usize = 16;
+const MAX_PARTS_PER_REQUEST: usize = 64;
 
 /// Time by which a response must be newer than the last one known to be told to other boxes if it
 /// disproves nothing.
--- a/crates/vaneway-server/src/core/calls/answer_end.rs
+++ b/crates/vaneway-server/src/core/calls/answer_end.rs
@@ -11,7 +11,7 @@
 
 use crate::core::endpoints::framing::Framing;
 use crate::core::entry::Entry;
-use crate::core::quarantine;
+use crate::core::exit_check;
 
 /// What has arrived of an answer at its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,7 +77,7 @@
     if entry.pool.borrow().get(sender.endpoint).is_neighbour() {
         return Err(BrokenOff::WithoutFraming);
     }
-    if quarantine::is_running(entry, sender.endpoint, sender.born).await {
+    if exit_check::is_running(entry, sender.endpoint, sender.born).await {
         Ok(())
     } else {
         Err(BrokenOff::EndpointNotRunning)
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -43,6 +43,7 @@
 use crate::core::endpoints::upstream::SendError;
 use crate::core::endpoints::upstream::StartedResponse;
 use crate::core::entry::Entry;
+use crate::core::exit_check;
 use crate::core::limits;
 use crate::core::limits::LimitObservation;
 use crate::core::neighbours::wire;
@@ -137,7 +138,7 @@
         let is_neighbour = entry.pool.borrow().get(endpoint).is_neighbour();
         let crashed = outcome == Outcome::Unknown
             && !is_neighbour
-            && quarantine::endpoint_has_exited(entry, &request.id, endpoint).await;
+            && exit_check::endpoint_has_exited(entry, &request.id, endpoint).await;
         let observation = if crashed {
             EndpointObservation::Crashed(progress)
         } else {
@@ -549,7 +550,7 @@
         .with("cause", cause)
         .info();
     entry.apply_event(endpoint, EndpointEvent::Failed);
-    if !spec.is_neighbour() && quarantine::endpoint_has_exited(entry, &request.id, endpoint).await {
+    if !spec.is_neighbour() && exit_check::endpoint_has_exited(entry, &request.id, endpoint).await {
         let incarnation = Incarnation::new(&spec.name, born);
         quarantine::record_exit(entry, endpoint, &incarnation);
         quarantine::record_crash(entry, request, &[(incarnation, Progress::Answering)]);
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod endpoints;
 pub mod entry;
+pub mod exit_check;
 pub mod limits;
 pub mod metrics;
 pub mod neighbours;
--- a/crates/vaneway-server/src/core/neighbours/probe.rs
+++ b/crates/vaneway-server/src/core/neighbours/probe.rs
@@ -12,9 +12,9 @@
 use vaneway_route::EndpointId;
 
 use crate::core::entry::Entry;
+use crate::core::exit_check;
+use crate::core::exit_check::ConnectionTest;
 use crate::core::neighbours::exchange;
-use crate::core::quarantine;
-use crate::core::quarantine::ConnectionTest;
 use crate::util::body::ResponseBody;
 use crate::util::clock;
 use crate::util::frames;
@@ -69,8 +69,8 @@
 /// What this box finds of an address. It can't tell if it is refused while it reaches no other
 /// endpoint: it may be cut off and not have noticed yet.
 async fn test(entry: &Entry, address: SocketAddr) -> ConnectionTest {
-    match quarantine::test_connection(entry, address).await {
-        ConnectionTest::Refused if !quarantine::reaches_another(entry, address).await => {
+    match exit_check::test_connection(entry, address).await {
+        ConnectionTest::Refused if !exit_check::reaches_another(entry, address).await => {
             ConnectionTest::Unknown
         }
         test => test,
