--- a/crates/vaneway-test-support/src/soak/callers.rs
+++ b/crates/vaneway-test-support/src/soak/callers.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use vaneway_server::util::hash;
 
 use crate::Caller;
 use crate::caller::ReceivedResponse;
@@ -49,8 +50,19 @@
     Fixed,
     /// The same, from endpoints that convey the end of a stream only by closing the connection.
     Unframed,
+    /// A stream that may be repeated, from endpoints that crash on [`DEADLY_PART`] of a prompt.
+    Parts,
 }
 
+/// The part of prompts on which some endpoints crash.
+pub const DEADLY_PART: &str = "0badcafe";
+
+/// Share of the requests to these endpoints that have the part.
+const DEADLY_SHARE: f64 = 0.2;
+
+/// Number of concurrent callers that send to these endpoints.
+const PARTS_CALLERS: u64 = 3;
+
 impl Kind {
     const ALL: [Self; 5] =
         [Self::Repeatable, Self::Once, Self::Resumable, Self::Fixed, Self::Unframed];
@@ -62,17 +74,18 @@
             Self::Resumable => "/stream/x",
             Self::Fixed => "/fixed/x",
             Self::Unframed => "/unframed/x",
+            Self::Parts => "/parts/x",
         }
     }
 
     /// Whether the response is a stream.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Resumable | Self::Fixed | Self::Unframed)
+        matches!(self, Self::Resumable | Self::Fixed | Self::Unframed | Self::Parts)
     }
 
     /// Whether the request may run more than once.
     pub fn may_repeat(self) -> bool {
-        matches!(self, Self::Repeatable | Self::Resumable)
+        matches!(self, Self::Repeatable | Self::Resumable | Self::Parts)
     }
 }
 
@@ -83,6 +96,8 @@
     pub id: String,
     /// Whether it may be repeated, and whether it is a stream.
     pub kind: Kind,
+    /// Whether its prompt has [`DEADLY_PART`].
+    pub is_deadly: bool,
     /// The request that brought the first event of the stream: this one, unless it takes a stream
     /// up.
     pub first: String,
@@ -135,6 +150,16 @@
     format!("body of {id}")
 }
 
+/// The parts of a request's prompt. Those for endpoints that crash on a part are never alike.
+fn prompt_of(kind: Kind, id: &str, is_deadly: bool) -> String {
+    if kind != Kind::Parts {
+        return "5c1e07a2:800,91bd3f06:410,e4402b7d:250".to_owned();
+    }
+    let own = hash::of(id);
+    let deadly = if is_deadly { format!("{DEADLY_PART}:300,") } else { String::new() };
+    format!("5c1e07a2:800,91bd3f06:410,{deadly}{own:x}:250")
+}
+
 /// Running callers.
 #[derive(Debug)]
 pub struct Callers {
@@ -162,6 +187,17 @@
         Self::start_with(seed, entries, numbers, &[Kind::Resumable])
     }
 
+    /// Starts callers that send requests which are never alike, some of them with a part on which
+    /// endpoints crash.
+    ///
+    /// # Panics
+    ///
+    /// If a caller's event loop can't be started.
+    pub fn start_parts(seed: u64, entries: &EntryAddresses) -> Self {
+        let first = CALLERS + STREAM_CALLERS;
+        Self::start_with(seed, entries, first..first + PARTS_CALLERS, &[Kind::Parts])
+    }
+
     fn start_with(
         seed: u64,
         entries: &EntryAddresses,
@@ -217,7 +253,8 @@
             None => kinds[rng.random_range(0..kinds.len())],
         };
         let id = format!("{seed:x}-{number}-{}", requests.len());
-        let request = send(address, entry, kind, id, interrupted.as_ref()).await;
+        let is_deadly = kind == Kind::Parts && rng.random_bool(DEADLY_SHARE);
+        let request = send(address, entry, kind, id, is_deadly, interrupted.as_ref()).await;
         interrupted = request.interrupted(interrupted.map_or(1, |stream| stream.tries + 1));
         requests.push(request);
     }
@@ -230,8 +267,10 @@
     entry: usize,
     kind: Kind,
     id: String,
+    is_deadly: bool,
     interrupted: Option<&Interrupted>,
 ) -> CallerRequest {
+    let prompt = prompt_of(kind, &id, is_deadly);
     let after = interrupted.map_or(0, |stream| stream.last);
     let last = after.to_string();
     let mut headers = vec![("x-request-id", id.as_str()), ("x-deadline-ms", "3000")];
@@ -239,7 +278,7 @@
         headers.extend([
             ("x-model", "m"),
             ("x-token-usage", "1460,80"),
-            ("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+            ("x-prompt-prefix", &*prompt),
         ]);
     }
     if let Some(stream) = interrupted {
@@ -258,6 +297,7 @@
         after,
         events: received.map(|response| StreamEvent::all_in(&response.body)).unwrap_or_default(),
         kind,
+        is_deadly,
         entry,
         sent,
         ended: Instant::now(),
--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -10,6 +10,7 @@
 //! callers, quotas, leader duties.
 
 pub mod callers;
+pub mod deadly_part;
 pub mod plan;
 pub mod promises;
 pub mod taken_up;
@@ -41,6 +42,8 @@
     pub taken_up: Vec<TakenUp>,
     /// The streams taken up under the conditions under which they must go on.
     pub judged: Shares,
+    /// Number of endpoints that crashed on a part of prompts.
+    pub crashed_on_part: usize,
     /// Number of requests by kind and status; status 0 stands for no complete response.
     pub outcomes: BTreeMap<(String, u16), usize>,
     /// Log of each process, with the process's name.
@@ -72,24 +75,31 @@
     steps.extend(plan::configurations(seed, time));
     steps.extend(plan::unframed(seed, time));
     steps.extend(plan::kills(seed, time));
+    steps.extend(plan::mortal(seed, time));
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
     let callers = Callers::start(seed, world.entry_addresses());
+    let parts = Callers::start_parts(seed, world.entry_addresses());
     execute(&mut world, &steps);
     world.heal();
     world.wait_until_configured();
     // All entry boxes must keep the limits only after `BINDING_DELAY`; one window more is counted.
     std::thread::sleep(limits::BINDING_DELAY + limits::COUNTING_WINDOW);
     let streams = Callers::start_streams(seed, world.entry_addresses());
-    execute(&mut world, &plan::kills_of_one_box(seed, ONE_BOX_TIME));
+    let mut steps = plan::kills_of_one_box(seed, ONE_BOX_TIME);
+    steps.extend(plan::mortal(seed, ONE_BOX_TIME));
+    steps.sort_by_key(|step| step.at);
+    execute(&mut world, &steps);
     world.heal();
     let mut requests = callers.finish();
     requests.extend(streams.finish());
+    requests.extend(parts.finish());
     let evidence = Evidence { requests: &requests, world: &world };
     let taken_up = taken_up::taken_up(&evidence);
     let judged = Shares::of(&evidence, &taken_up);
     let mut violations = promises::violations(&evidence);
     violations.extend(judged.violation());
+    violations.extend(deadly_part::violations(&evidence));
     let mut outcomes = BTreeMap::new();
     for request in &requests {
         let status = request.response.as_ref().map_or(0, |response| response.status);
@@ -98,6 +108,7 @@
     Report {
         outcomes,
         judged,
+        crashed_on_part: world.crashed_on_part(),
         violations,
         requests: requests.len(),
         taken_up,
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -63,6 +63,8 @@
     /// Starts an endpoint that responds to this many requests with whole streams, and then crashes
     /// inside the event after this one.
     StartUnframed(usize, u32),
+    /// Starts an endpoint that crashes on a part of prompts.
+    StartMortal,
     /// Makes an endpoint request a back-off of this many seconds in its refusals from now on, or
     /// none.
     RequestBackOff(usize, Option<&'static str>),
@@ -229,6 +231,22 @@
     steps
 }
 
+/// Separates the random numbers of endpoints that crash on a part from those of faults.
+const MORTAL_STREAM: u64 = 0x4D4F_5254_414C_0000;
+
+/// The endpoints of a seed within `time` that crash on a part of prompts: one starts at the beginning
+/// and another one every 0.1 to 0.5 s.
+pub fn mortal(seed: u64, time: Duration) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ MORTAL_STREAM);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < time {
+        steps.push(Step { at, action: Action::StartMortal });
+        at += Duration::from_millis(rng.random_range(100..500));
+    }
+    steps
+}
+
 /// Separates the random numbers of kills from those of faults.
 const KILLS_STREAM: u64 = 0x4B49_4C4C_5300;
 
--- a/crates/vaneway-test-support/src/soak/promises.rs
+++ b/crates/vaneway-test-support/src/soak/promises.rs
@@ -78,7 +78,7 @@
     let body = String::from_utf8_lossy(&response.body);
     let is_expected = match request.kind {
         Kind::Repeatable | Kind::Once => body == request.body(),
-        Kind::Unframed => body == events(0),
+        Kind::Unframed | Kind::Parts => body == events(0),
         Kind::Resumable | Kind::Fixed => {
             let received: String = request.events.iter().flatten().map(StreamEvent::text).collect();
             let expected = EVENTS_PER_STREAM.saturating_sub(request.after);
