--- a/crates/vaneway-quarantine/src/parts.rs
+++ b/crates/vaneway-quarantine/src/parts.rs
@@ -120,7 +120,7 @@
             let key = PartKey { part, service };
             let crashes = BTreeMap::from([(endpoint.clone(), crash)]);
             let reported = PartCase { crashes, answered_at: self.answered.get(&key).copied() };
-            if self.merge(key, &reported) && self.cases.contains_key(&key) {
+            if self.merge(key, &reported) {
                 self.unsent.insert(key);
             }
         }
@@ -173,7 +173,8 @@
         }
         self.report_own_answer(key);
         self.evict_oldest();
-        has_changed
+        // It may have been evicted itself.
+        has_changed && self.cases.contains_key(&key)
     }
 
     /// Adds this box's own response to a case, if that says more than what is known.
@@ -314,10 +315,10 @@
         }
     }
 
-    /// Forgets responses beyond the maximum: the old ones, and if there are still too many, all that
-    /// disprove nothing any more.
+    /// Forgets responses beyond the maximum: the old ones; if there are still too many, those that
+    /// disprove nothing any more, and then all.
     fn limit_answered(&mut self, now: EpochTime) {
-        for retention in [ANSWER_RETENTION, ANSWER_VALIDITY] {
+        for retention in [ANSWER_RETENTION, ANSWER_VALIDITY, Duration::ZERO] {
             if self.answered.len() > MAX_ANSWERED {
                 self.answered.retain(|_, at| now < *at + retention);
             }
--- a/tests/testsuite/deadly_parts.rs
+++ b/tests/testsuite/deadly_parts.rs
@@ -410,6 +410,25 @@
     assert!(ledger.is_condemned_at(OTHER_SERVICE, &[FIRST, DEADLY]));
 }
 
+/// Guards against cases of parts that are evicted as soon as they are merged, and are forwarded
+/// nevertheless, each time that they are sent.
+#[test]
+fn part_that_exceeds_the_capacity_is_not_forwarded() {
+    const MAX_CASES: u64 = 4_096;
+    let mut ledger = Ledger::default();
+    for part in 0..=MAX_CASES {
+        let endpoint = Incarnation::new("i-1", part + 1);
+        ledger.record(&endpoint, part, SERVICE, &[part]);
+        ledger.wait(Duration::from_millis(1));
+    }
+    let mut oldest = Ledger::default();
+    oldest.record(&Incarnation::new("i-1", 1), 0, SERVICE, &[0]);
+    let records = oldest.quarantine.take_updates();
+    assert_eq!(records.len(), 1);
+    assert_eq!(ledger.quarantine.merge(ledger.now, &records), []);
+    assert_eq!(ledger.quarantine.part_cases().len() as u64, MAX_CASES);
+}
+
 /// Guards against a box that refuses a part which a response at another box has cleared, or the
 /// other way round, in whichever order it hears of both.
 #[test]
