--- a/crates/vaneway-quarantine/src/part_case.rs
+++ b/crates/vaneway-quarantine/src/part_case.rs
@@ -26,7 +26,7 @@
 /// requests of a busy part meet their responses.
 pub(crate) const ANSWER_VALIDITY: Duration = Duration::from_secs(2);
 
-/// How long a response is remembered.
+/// How long a box remembers a response that nobody has asked for.
 pub(crate) const ANSWER_RETENTION: Duration = Duration::from_mins(1);
 
 /// How long a crash counts, and a case without a hold is kept.
@@ -177,7 +177,8 @@
     /// When the case expires. After a hold, one more crash renews it, for as long as it lasted.
     pub(crate) fn expires_at(&self) -> EpochTime {
         let last_crash = self.crashes.values().map(|crash| crash.at + CRASH_RETENTION).max();
-        let answer = self.answered_at.map(|at| at + ANSWER_RETENTION);
+        // A box that was cut off may still hold what the response has disproved.
+        let answer = self.answered_at.map(|at| at + FIRST_HOLD);
         let hold = self.hold(self.crashes.values(), CRASHES_TO_HOLD);
         let hold = hold.map(|hold| hold.until + hold.duration);
         last_crash.max(answer).max(hold).unwrap_or_default()
