--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -16,6 +16,7 @@
 mod policy;
 mod pool;
 mod service_path;
+mod shortage;
 mod silence;
 
 pub use endpoint::DecayingSum;
@@ -40,8 +41,9 @@
 pub use pool::NeighbourQuery;
 pub use pool::Pool;
 pub use pool::Query;
-pub use pool::QueueLimit;
 pub use service_path::PathAction;
 pub use service_path::ServicePaths;
 pub use service_path::path_chart;
+pub use shortage::QueueLimit;
+pub use shortage::Standing;
 pub use silence::UNRESPONSIVE_THRESHOLD;
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -25,6 +25,9 @@
 use crate::expected;
 use crate::expected::CACHED_PART_MAX_AGE;
 use crate::policy::Chooser;
+use crate::shortage;
+use crate::shortage::QueueFilter;
+use crate::shortage::QueueLimit;
 use crate::silence::UnresponsiveZones;
 
 /// Requirements of a request for the endpoint to be chosen.
@@ -76,18 +79,6 @@
     pub without_version: &'a [EndpointId],
 }
 
-/// Decides whether an engine's queue is short enough for a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct QueueLimit {
-    /// Seconds that an engine takes to process one prompt token.
-    pub seconds_per_token: f64,
-    /// Maximum time for the work queued before the request. The request's own prompt does not
-    /// count, because it takes as long at any endpoint.
-    pub max_wait: Duration,
-    /// Prompt tokens that all boxes together send before they receive each other's load updates.
-    pub unreported_tokens: f64,
-}
-
 /// The result of a [`Query`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -158,11 +149,6 @@
 /// that is still gone delays a request and causes a retry at another endpoint.
 const EXIT_SUSPENSION: Duration = Duration::from_secs(10);
 
-/// Minimum ratio of the free queue capacity of all endpoints to [`QueueLimit::unreported_tokens`]
-/// for each box to choose the endpoint that is best for its request. Below it, boxes draw at random
-/// (see [`Pool::filter_by_queue`]).
-const AMPLE_CAPACITY_RATIO: f64 = 4.0;
-
 /// Weight of a refusal in the recent failures, where a failure counts 1.
 const REFUSAL_WEIGHT: f64 = 0.5;
 
@@ -349,8 +335,11 @@
         for preferred in preferences.into_iter().skip(usize::from(is_distance_in_cost)) {
             self.collect_candidates(now, &query, preferred);
             if let Some(queue_limit) = query.queue_limit.filter(|_| !self.candidates.is_empty()) {
-                match self.filter_by_queue(now, queue_limit, query.sender) {
-                    QueueFilter::Filtered => {}
+                let rooms = shortage::rooms(&self.endpoints, &self.candidates, now, queue_limit);
+                let is_limited =
+                    |id: EndpointId| self.endpoints[id as usize].gate.is_limited(query.sender.now);
+                match shortage::filter(rooms, queue_limit, is_limited, &mut self.chooser) {
+                    QueueFilter::Filtered(ids) => self.candidates = ids,
                     QueueFilter::Drawn(id) => return Choice::Endpoint(id),
                     QueueFilter::Rejected => return Choice::QueuesTooLong,
                 }
@@ -384,59 +373,6 @@
         }
     }
 
-    /// Removes candidates whose queues are too long for the request. If their free capacity is
-    /// scarce compared with the unreported tokens, decides by a random draw instead.
-    ///
-    /// What a box knows of an endpoint's queue is outdated. If all boxes sent to the endpoints that
-    /// seem to have free capacity, these would be overloaded before any box received an update. A
-    /// box therefore uses no more than its share of the free capacity, and draws an endpoint with
-    /// a probability proportional to the endpoint's free capacity.
-    ///
-    /// A box's share of an advertised limit is used by no other box, so endpoints with a limit need
-    /// no draw.
-    fn filter_by_queue(
-        &mut self,
-        now: Instant,
-        queue_limit: QueueLimit,
-        sender: Sender,
-    ) -> QueueFilter {
-        let max_tokens = queue_limit.max_wait.as_secs_f64() / queue_limit.seconds_per_token;
-        let queued =
-            |id: EndpointId| expected::outstanding_tokens(&self.endpoints[id as usize], now);
-        let free = |id: EndpointId| max_tokens - queued(id) as f64;
-        let free_tokens: Vec<f64> = self.candidates.iter().map(|id| free(*id)).collect();
-        let total_free: f64 = free_tokens.iter().map(|free| free.max(0.0)).sum();
-        if total_free > AMPLE_CAPACITY_RATIO * queue_limit.unreported_tokens {
-            let mut free_tokens = free_tokens.iter();
-            self.candidates.retain(|_| free_tokens.next().is_some_and(|free| *free > 0.0));
-            return QueueFilter::Filtered;
-        }
-        let is_limited = |id: EndpointId| self.endpoints[id as usize].gate.is_limited(sender.now);
-        let with_free = self.candidates.iter().zip(&free_tokens).filter(|(_, free)| **free > 0.0);
-        let limited: Vec<EndpointId> =
-            with_free.map(|(id, _)| *id).filter(|id| is_limited(*id)).collect();
-        if !limited.is_empty() {
-            self.candidates = limited;
-            return QueueFilter::Filtered;
-        }
-        if self.chooser.random_fraction() * queue_limit.unreported_tokens.max(total_free)
-            >= total_free
-        {
-            return QueueFilter::Rejected;
-        }
-        let mut left = self.chooser.random_fraction() * total_free;
-        let mut drawn = None;
-        for (id, free) in self.candidates.iter().zip(&free_tokens).filter(|(_, free)| **free > 0.0)
-        {
-            drawn = Some(*id);
-            left -= free;
-            if left <= 0.0 {
-                break;
-            }
-        }
-        drawn.map_or(QueueFilter::Rejected, QueueFilter::Drawn)
-    }
-
     /// Determines the result of a query that no endpoint can serve at present.
     fn no_endpoint(&self, now: Instant, query: &Query<'_>) -> Choice {
         let fitting = self.endpoints.iter().filter(|endpoint| query.fits(endpoint));
@@ -624,13 +560,3 @@
         endpoint.others_load_at = Some(now);
     }
 }
-
-/// Result of [`Pool::filter_by_queue`].
-enum QueueFilter {
-    /// The remaining candidates meet the limit, and any of them may be chosen.
-    Filtered,
-    /// Capacity is scarce, and this endpoint was drawn.
-    Drawn(EndpointId),
-    /// No candidate meets the limit, or capacity is scarce and the draw rejected the request.
-    Rejected,
-}
--- a/crates/vaneway-server/src/core/queue_limit.rs
+++ b/crates/vaneway-server/src/core/queue_limit.rs
@@ -71,5 +71,6 @@
         seconds_per_token,
         max_wait: by.saturating_duration_since(now).mul_f64(MAX_QUEUE_SHARE),
         unreported_tokens: entry.inflow.rate(now, service) * boxes * LOAD_UPDATE_AGE.as_secs_f64(),
+        standing: None,
     })
 }
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -229,6 +229,7 @@
                 seconds_per_token: 0.001,
                 max_wait: Duration::from_millis(500),
                 unreported_tokens: 1_000_000.0,
+                standing: None,
             }),
             sender: Sender { now, number },
         };
--- a/tests/testsuite/simulated_shortage.rs
+++ b/tests/testsuite/simulated_shortage.rs
@@ -270,6 +270,7 @@
                 left.mul_f64(share)
             },
             unreported_tokens: self.inflow * EXCHANGE_INTERVAL.as_secs_f64(),
+            standing: None,
         });
         let query = Query {
             software: None,
