--- a/crates/vaneway-quarantine/src/parts.rs
+++ b/crates/vaneway-quarantine/src/parts.rs
@@ -67,8 +67,8 @@
 pub enum PartVerdict {
     /// Nothing.
     Sound,
-    /// Endpoints crashed that may have done so because of this part.
-    Suspected(PartKey),
+    /// Endpoints crashed that may have done so because of one of them.
+    Suspected,
     /// This part crashes endpoints; the request must not run.
     Condemned(PartKey),
 }
@@ -78,7 +78,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Sound => "sound",
-            Self::Suspected(_) => "suspected",
+            Self::Suspected => "suspected",
             Self::Condemned(_) => "condemned",
         }
     }
@@ -200,7 +200,7 @@
         service: ServiceHash,
         parts: &[PartId],
     ) -> PartVerdict {
-        let mut suspected: Option<(usize, PartKey)> = None;
+        let mut is_suspected = false;
         for part in parts.iter().take(MAX_PARTS_PER_REQUEST) {
             let key = PartKey { part: *part, service };
             let Some(case) = self.cases.get(&key) else { continue };
@@ -210,12 +210,9 @@
             if hold.is_some_and(|hold| now <= hold.until) {
                 return PartVerdict::Condemned(key);
             }
-            let candidate = (unexplained.len(), key);
-            if !unexplained.is_empty() && suspected.is_none_or(|before| candidate > before) {
-                suspected = Some(candidate);
-            }
+            is_suspected |= !unexplained.is_empty();
         }
-        suspected.map_or(PartVerdict::Sound, |(_, key)| PartVerdict::Suspected(key))
+        if is_suspected { PartVerdict::Suspected } else { PartVerdict::Sound }
     }
 
     /// What is held against a part if no other part explains its crashes.
@@ -225,7 +222,7 @@
         match hold {
             Some(hold) if now <= hold.until => PartVerdict::Condemned(key),
             _ if case.crashes.is_empty() => PartVerdict::Sound,
-            _ => PartVerdict::Suspected(key),
+            _ => PartVerdict::Suspected,
         }
     }
 
