--- a/crates/vaneway-limit/src/named.rs
+++ b/crates/vaneway-limit/src/named.rs
@@ -87,11 +87,8 @@
         born: StartMillis,
         rate: Option<Rate>,
     ) -> Option<AdvertisedLimit> {
-        let known =
-            self.by_endpoint.get(endpoint).filter(|known| known.matches_incarnation(born)).copied();
-        let born = known.map_or(born, |known| known.born.max(born));
-        // Later than the known one, even if that was seen by a box whose clock is ahead.
-        let seen_at = known.map_or(now, |known| now.max(known.seen_at + Duration::from_micros(1)));
+        let known = self.known_of(endpoint, born);
+        let (born, seen_at) = succeed(now, born, known);
         let limit = match (rate, known) {
             (Some(rate), _) => AdvertisedLimit { born, rate, lifted: false, seen_at },
             (None, Some(known)) => AdvertisedLimit { born, lifted: true, seen_at, ..known },
@@ -122,13 +119,11 @@
         born: StartMillis,
         rate: Rate,
     ) -> Option<AdvertisedLimit> {
-        let known =
-            self.by_endpoint.get(endpoint).filter(|known| known.matches_incarnation(born)).copied();
+        let known = self.known_of(endpoint, born);
         if known.is_some_and(|known| !known.lifted) {
             return None;
         }
-        let born = known.map_or(born, |known| known.born.max(born));
-        let seen_at = known.map_or(now, |known| now.max(known.seen_at + Duration::from_micros(1)));
+        let (born, seen_at) = succeed(now, born, known);
         let is_known = known.is_some_and(|known| known.rate == rate);
         let rate = if is_known { rate.next_lower() } else { rate };
         let limit = AdvertisedLimit { born, rate, lifted: true, seen_at };
@@ -137,6 +132,11 @@
         Some(limit)
     }
 
+    /// The known limit of an endpoint's incarnation `born`.
+    fn known_of(&self, endpoint: &str, born: StartMillis) -> Option<AdvertisedLimit> {
+        self.by_endpoint.get(endpoint).filter(|known| known.matches_incarnation(born)).copied()
+    }
+
     /// Merges limits that other boxes sent, and returns those that changed the limit known here. One
     /// that is older than the retention and not known here is not learned: it may have been lifted,
     /// and that forgotten.
@@ -188,3 +188,14 @@
         });
     }
 }
+
+/// The incarnation and the time of an observation of incarnation `born` that replaces `known`: later
+/// than it, even if that was seen by a box whose clock is ahead.
+fn succeed(
+    now: EpochTime,
+    born: StartMillis,
+    known: Option<AdvertisedLimit>,
+) -> (StartMillis, EpochTime) {
+    let Some(known) = known else { return (born, now) };
+    (known.born.max(born), now.max(known.seen_at + Duration::from_micros(1)))
+}
