--- a/crates/vaneway-test-support/src/fleet.rs
+++ b/crates/vaneway-test-support/src/fleet.rs
@@ -84,13 +84,18 @@
         wait_for(&self.shared.version, version, "version of the configuration in force everywhere");
     }
 
-    /// Waits until `requests` requests have been simulated since the start.
+    /// Waits until `requests` requests have been simulated since the start, however slowly.
     ///
     /// # Panics
     ///
-    /// If that takes longer than the timeout.
+    /// If none is simulated for as long as the timeout.
     pub fn wait_for_requests(&self, requests: u64) {
-        wait_for(&self.shared.requests, requests, "requests");
+        let mut simulated = 0;
+        while simulated < requests {
+            simulated += 1;
+            wait_for(&self.shared.requests, simulated, "requests");
+            simulated = self.shared.requests.load(Ordering::Relaxed);
+        }
     }
 }
 
