--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -30,7 +30,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Serialize;
+pub use forecast::Callers;
+pub use forecast::Objective;
+pub use policy::InTime;
+pub use policy::Policy;
+pub use sizing::Bound;
+pub use sizing::Decision;
+
+use crate::sizing::Sizing;
+
+mod forecast;
+mod policy;
+mod sizing;
 
 /// Name of an availability zone.
 pub type ZoneName = String;
@@ -97,43 +108,6 @@
     Unknown,
 }
 
-/// Trade-off between cost and spare capacity.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
-pub struct Policy {
-    /// Target utilisation of the fleet, from 0 to 1. Reclaimable replicas are cheap, so this can
-    /// leave much spare capacity.
-    pub busy_most: f64,
-    /// Target utilisation while on-demand replicas replace reclaimable ones.
-    pub busy_scarce: f64,
-    /// Number of on-demand replicas that are always kept.
-    pub on_demand_least: u32,
-    /// Share of the demand that on-demand replicas must be able to serve while reclaimable ones are
-    /// refused or were just reclaimed, in case all reclaimable replicas are lost.
-    pub last_share: f64,
-    /// Period over which the maximum demand is taken.
-    pub demand_kept: Duration,
-    /// Period over which the maximum demand is taken for on-demand replicas that replace
-    /// reclaimable ones. It is shorter because they are expensive.
-    pub scarce_kept: Duration,
-    /// Time after a refusal or a reclaim during which no new reclaimable replicas are counted on in
-    /// that zone.
-    pub distrust: Duration,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            busy_most: 0.5,
-            busy_scarce: 0.9,
-            on_demand_least: 2,
-            last_share: 0.0,
-            demand_kept: Duration::from_secs(20),
-            scarce_kept: Duration::from_secs(6),
-            distrust: Duration::from_secs(3),
-        }
-    }
-}
-
 /// Time after which an order without a definite result is repeated.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -166,6 +140,8 @@
     sent: BTreeMap<(ZoneName, Kind), SentOrder>,
     /// When reclaimable replicas were last refused or reclaimed in each zone.
     last_shortage: BTreeMap<ZoneName, Instant>,
+    /// The size by what callers get, if it is chosen by that.
+    sizing: Option<Sizing>,
 }
 
 /// Target number of replicas of each kind in one zone.
@@ -205,6 +181,7 @@
             initial_reclaimable: None,
             sent: BTreeMap::new(),
             last_shortage: BTreeMap::new(),
+            sizing: policy.in_time.map(Sizing::new),
         }
     }
 
@@ -213,6 +190,22 @@
     pub fn observe(&mut self, now: Instant, input: &Input) {
         self.sent.clear();
         self.record_demand(now, input);
+        // So that the size goes on from the other planner's when this one takes over.
+        let demand = self.max_demand(now, input, self.policy.demand_kept);
+        self.preferred(now, input, demand);
+    }
+
+    /// Records what callers ask for and get. Without [`Policy::in_time`] it has no effect.
+    pub fn observe_callers(&mut self, callers: Option<Callers>) {
+        if let Some(sizing) = &mut self.sizing {
+            sizing.observe(callers);
+        }
+    }
+
+    /// What determined the size of the fleet at the latest [`Planner::plan`], for the log; none
+    /// without [`Policy::in_time`].
+    pub fn decision(&self) -> Option<Decision> {
+        self.sizing.as_ref().map(Sizing::decision)
     }
 
     /// Records a lower bound of a demand that is known only in part. [`Input::demand`] is none in
@@ -233,7 +226,7 @@
         let with_substitutes =
             |count: u32| count + (input.lost_to_limits.round() as u32).min(count);
         let need = Need {
-            preferred: with_substitutes(replicas(demand, self.policy.busy_most)),
+            preferred: with_substitutes(self.preferred(now, input, demand)),
             minimum: with_substitutes(replicas(recent, self.policy.busy_scarce)),
             on_demand_reserve: (recent * self.policy.last_share).ceil() as u32,
         };
@@ -272,6 +265,14 @@
         orders
     }
 
+    fn preferred(&mut self, now: Instant, input: &Input, demand: f64) -> u32 {
+        let by_utilisation = replicas(demand, self.policy.busy_most);
+        match &mut self.sizing {
+            Some(sizing) => sizing.preferred(now, input, demand, by_utilisation),
+            None => by_utilisation,
+        }
+    }
+
     /// Records the result of an order.
     pub fn record_answer(&mut self, now: Instant, order: &Order, answer: Answer) {
         if answer == Answer::Refused && order.kind == Kind::Reclaimable {
--- a/crates/vaneway-ledger/src/lib.rs
+++ b/crates/vaneway-ledger/src/lib.rs
@@ -13,6 +13,8 @@
 //! The counts of one [`EntryIncarnation`] only grow, so merging a report twice changes nothing.
 //! Usage is divided by cluster time ([`ClusterNow`]) into accounting windows and quota slots.
 
+mod caller_ledger;
+mod caller_times;
 mod cluster_time;
 mod entry_incarnation;
 mod load_ledger;
@@ -23,6 +25,9 @@
 mod usage_ledger;
 mod usage_report;
 
+pub use caller_ledger::CallerLedger;
+pub use caller_times::CallerTimes;
+pub use caller_times::ObjectiveCounts;
 pub use cluster_time::ClusterNow;
 pub use cluster_time::ClusterTime;
 pub use cluster_time::Window;
--- a/crates/vaneway-ledger/src/local_usage.rs
+++ b/crates/vaneway-ledger/src/local_usage.rs
@@ -12,6 +12,7 @@
 use vaneway_engine::Run;
 use vaneway_engine::Speeds;
 
+use crate::caller_times::CallerTimes;
 use crate::cluster_time::ClusterTime;
 use crate::cluster_time::Window;
 use crate::usage_report::Counts;
@@ -30,6 +31,8 @@
     early: Vec<(Instant, String)>,
     /// Measurements of each service's engines.
     engines: BTreeMap<String, Observer>,
+    /// What callers of each service's engines get.
+    callers: BTreeMap<String, CallerTimes>,
 }
 
 /// Most requests that are held in [`LocalUsage::early`].
@@ -67,6 +70,17 @@
     /// Counts a run that is sent to an engine of a service.
     pub fn begin_run(&mut self, service: &str, prompt_tokens: u64, uncached_tokens: u64) {
         self.engine(service).begin(prompt_tokens, uncached_tokens);
+        self.callers.entry(service.to_owned()).or_default().begin_run(uncached_tokens);
+    }
+
+    /// Counts a request for a service's engines that has ended or yielded its first event.
+    pub fn record_caller(&mut self, service: &str, objective: Duration, in_time: bool) {
+        self.callers.entry(service.to_owned()).or_default().record(objective, in_time);
+    }
+
+    /// What callers of each service's engines get, for the report to control boxes.
+    pub fn callers(&self) -> Vec<(String, CallerTimes)> {
+        self.callers.iter().map(|(service, times)| (service.clone(), times.clone())).collect()
     }
 
     /// Records the measurements of a run.
--- a/crates/vaneway-ledger/src/usage_ledger.rs
+++ b/crates/vaneway-ledger/src/usage_ledger.rs
@@ -11,6 +11,7 @@
 use vaneway_engine::Totals;
 use vaneway_quota::Slot;
 
+use crate::caller_ledger::CallerLedger;
 use crate::cluster_time::ClusterNow;
 use crate::cluster_time::MAX_AHEAD;
 use crate::cluster_time::Window;
@@ -37,6 +38,8 @@
     work: BTreeMap<EntryIncarnation, BTreeMap<String, EngineUsage>>,
     /// Work reported in the latest slots, by service.
     arrived_work: BTreeMap<Slot, BTreeMap<String, Totals>>,
+    /// What callers get.
+    callers: CallerLedger,
 }
 
 /// Number of windows that a control box retains.
@@ -81,10 +84,11 @@
         if std::mem::replace(&mut self.expired_in, now.slot) == now.slot {
             return;
         }
-        let Self { report_tracker, work, quotas, .. } = self;
+        let Self { report_tracker, work, quotas, callers, .. } = self;
         report_tracker.expire(now.slot);
         work.retain(|entry, _| report_tracker.contains(entry));
         quotas.expire(|entry| report_tracker.contains(entry));
+        callers.expire(|entry| report_tracker.contains(entry));
     }
 
     /// Records that an incarnation of an entry box has sent its final report.
@@ -147,6 +151,11 @@
         vaneway_engine::merge(&reports.map(|engine_usage| engine_usage.speeds).collect::<Vec<_>>())
     }
 
+    /// What callers of the entry boxes get.
+    pub fn callers(&mut self) -> &mut CallerLedger {
+        &mut self.callers
+    }
+
     /// What entry boxes have open at endpoints.
     pub fn loads(&mut self) -> &mut LoadLedger {
         &mut self.loads
--- a/crates/vaneway-server/src/core/callers/mod.rs
+++ b/crates/vaneway-server/src/core/callers/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod api_error;
+pub mod caller_wait;
 pub mod front;
 pub mod native;
 pub mod protocol;
--- a/crates/vaneway-server/src/core/callers/routed.rs
+++ b/crates/vaneway-server/src/core/callers/routed.rs
@@ -23,6 +23,7 @@
 use vaneway_relay::WaitPolicy;
 
 use crate::core::callers::api_error::ApiError;
+use crate::core::callers::caller_wait::CallerWait;
 use crate::core::callers::native;
 use crate::core::callers::protocol::CallerHead;
 use crate::core::callers::protocol::CallerProtocol;
@@ -106,12 +107,17 @@
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, ApiError> {
     let received = clock::now();
-    let (request, limits, units) = match admit_routed(entry, head, req, received).await {
+    let admitted = match admit_routed(entry, head, req, received).await {
         Ok(admitted) => admitted,
         Err(error) => return Err(refused(entry, &head.id, error)),
     };
+    let Admitted { request, limits, units, objective } = admitted;
     let organisation = request.organisation.clone();
+    let wait = CallerWait::begin(entry, &request, received, objective);
     let result = call::call(Rc::clone(entry), protocol.endpoints(), request, limits).await;
+    if let Some(wait) = wait {
+        wait.end(&result);
+    }
     result.map_err(|mut error| {
         if error.run == RunState::NotRun {
             entry.quotas.refund(entry.cluster_time(), &organisation, units);
@@ -128,14 +134,23 @@
     after.mul_f64(start + fraction * (end - start))
 }
 
-/// Checks a request, reads its body and charges the quota of its organisation. Also returns the
-/// units charged.
+/// A request that may be sent to an endpoint.
+struct Admitted {
+    request: CallRequest,
+    limits: CallLimits,
+    /// Units charged to the quota of its organisation.
+    units: u64,
+    /// Latency objective of its route.
+    objective: Duration,
+}
+
+/// Checks a request, reads its body and charges the quota of its organisation.
 async fn admit_routed(
     entry: &Rc<Entry>,
     head: &CallerHead,
     req: Request<Incoming>,
     received: Instant,
-) -> Result<(CallRequest, CallLimits, u64), ApiError> {
+) -> Result<Admitted, ApiError> {
     let table = entry.table().ok_or_else(|| {
         ApiError::temporarily_refused("no_configuration", "this entry box has no configuration yet")
     })?;
@@ -179,7 +194,8 @@
     let units = quota_units(organisation, head.work.as_ref());
     let charged = entry.quotas.charge(entry.cluster_time(), &head.id, name, units);
     charged.map_err(|wait| over_quota(name, wait))?;
-    Ok((request, call_limits(route, head.timeout, received), units))
+    let limits = call_limits(route, head.timeout, received);
+    Ok(Admitted { request, limits, units, objective: route.objective })
 }
 
 /// The key of the stream to which the response belongs, if it may be resumed.
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -48,6 +48,7 @@
 use crate::core::cluster::wire::ToControl;
 use crate::core::cluster::wire::ToEntry;
 use crate::core::cluster::wire::USAGE_REPORT_INTERVAL;
+use crate::core::cluster::wire::USAGE_REPORTS_PER_CALLER_TIMES;
 use crate::core::cluster::wire::USAGE_REPORTS_PER_FULL;
 use crate::core::cluster::wire::WINDOWS_PER_REPORT;
 use crate::core::cluster::wire::Wanted;
@@ -152,6 +153,10 @@
         round += 1;
         let report = follower.report(round.is_multiple_of(USAGE_REPORTS_PER_FULL));
         follower.send_to_all(FromEntry::Usage(report));
+        if round.is_multiple_of(USAGE_REPORTS_PER_CALLER_TIMES) {
+            let callers = follower.entry.usage.borrow().callers();
+            follower.send_to_all(FromEntry::CallerTimes(callers));
+        }
         if clock::elapsed(pinged_at) >= PING_INTERVAL {
             pinged_at = clock::now();
             let sent_us = follower.monotonic_us();
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vaneway_agreement::NodeId;
+use vaneway_ledger::CallerTimes;
 use vaneway_ledger::Loads;
 use vaneway_ledger::OthersQuotaUsage;
 use vaneway_ledger::UsageReport;
@@ -55,6 +56,10 @@
 /// that missed some: it repeats all retained slots, and a report also all retained windows.
 pub const USAGE_REPORTS_PER_FULL: u64 = 18;
 
+/// Every how many usage reports an entry box also reports what callers get: once a second, since
+/// replicas take several seconds to start.
+pub const USAGE_REPORTS_PER_CALLER_TIMES: u64 = 10;
+
 /// Time between two pings on a connection.
 pub const PING_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -162,6 +167,8 @@
         /// The stream.
         stream: StreamKey,
     },
+    /// What callers of each service's engines get since the box started.
+    CallerTimes(Vec<(String, CallerTimes)>),
 }
 
 /// A message of a control box to an entry box.
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -23,6 +23,7 @@
 use crate::core::control::cloud_calls::CallResult;
 use crate::core::control::entry_updates;
 use crate::core::control::protocol::CloudProtocol;
+use crate::core::control::sizing;
 use crate::core::control::state::Control;
 use crate::core::settings::CloudSettings;
 use crate::util::clock;
@@ -75,6 +76,7 @@
             let (input, observed) = self.input(control, service, spec);
             let planner = self.planner(control, service);
             record_lower_bound(planner, observed);
+            planner.observe_callers(sizing::callers(control, &service.name));
             for order in planner.plan(clock::now(), &input) {
                 if !cloud_calls::holds_duty(control) {
                     return;
@@ -87,6 +89,7 @@
                     .with("count", order.count)
                     .with("limited", format!("{:.2}", input.lost_to_limits))
                     .with("answer", format!("{answer:?}"));
+                let line = sizing::with_decision(line, planner.decision());
                 with_demand(line, observed, control).info();
                 planner.record_answer(clock::now(), &order, answer);
             }
@@ -111,6 +114,7 @@
             let (input, observed) = self.input(control, service, spec);
             let planner = self.planner(control, service);
             record_lower_bound(planner, observed);
+            planner.observe_callers(sizing::callers(control, &service.name));
             planner.observe(clock::now(), &input);
         }
     }
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -213,6 +213,12 @@
                 control.usage_ledger.borrow_mut().merge(now, incarnation, &report);
             }
         }
+        ToControl::Entry(FromEntry::CallerTimes(callers)) => {
+            if let Sender::Entry { incarnation, .. } = sender {
+                let slot = control.now().slot;
+                control.usage_ledger.borrow_mut().callers().merge(slot, incarnation, &callers);
+            }
+        }
         ToControl::Entry(FromEntry::Loads(loads)) => {
             if let Sender::Entry { incarnation, .. } = sender {
                 control.usage_ledger.borrow_mut().loads().update(incarnation, &loads);
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -39,5 +39,6 @@
 pub mod protocol;
 pub mod remembered;
 pub mod running;
+pub mod sizing;
 pub mod state;
 pub mod store;
--- a/crates/vaneway-server/src/core/settings/read/control.rs
+++ b/crates/vaneway-server/src/core/settings/read/control.rs
@@ -12,6 +12,9 @@
 use crate::core::settings::read::values::strings;
 use crate::util::findings::Fields;
 
+/// Default of the share of requests that are to be in time when fleets are sized by it.
+const DEFAULT_IN_TIME_TARGET: f64 = 0.95;
+
 /// Reads all sections.
 pub(super) fn read(mut fields: Fields<'_>) -> ControlSettings {
     fields.optional("role");
@@ -58,11 +61,26 @@
             default.scarce_kept.as_secs_f64(),
         )),
         distrust: Duration::from_secs_f64(fields.float("distrust_s", 0.0..=86_400.0, distrust)),
+        in_time: in_time(&mut fields),
     };
     fields.finish();
     policy
 }
 
+/// Reads by what fleets are sized; none for the utilisation alone.
+fn in_time(fields: &mut Fields<'_>) -> Option<vaneway_capacity::InTime> {
+    let target = fields.float("in_time_target", 0.5..=0.999, DEFAULT_IN_TIME_TARGET);
+    let sizing = fields.optional("sizing")?;
+    match sizing.string()?.as_str() {
+        "utilisation" => None,
+        "in_time" => Some(vaneway_capacity::InTime { target }),
+        _ => {
+            sizing.report("`capacity.sizing` must be `utilisation` or `in_time`");
+            None
+        }
+    }
+}
+
 fn cloud(mut fields: Fields<'_>) -> CloudSettings {
     let duties = strings(&mut fields, "duties");
     let settings = CloudSettings {
--- a/tests/testsuite/capacity_plan.rs
+++ b/tests/testsuite/capacity_plan.rs
@@ -20,6 +20,7 @@
     demand_kept: Duration::from_secs(20),
     scarce_kept: Duration::from_secs(6),
     distrust: Duration::from_secs(3),
+    in_time: None,
 };
 
 const STARTUP_TIME: Duration = Duration::from_secs(4);
