--- a/crates/vaneway-ledger/src/caller_times.rs
+++ b/crates/vaneway-ledger/src/caller_times.rs
@@ -77,7 +77,7 @@
             runs: self.runs.saturating_sub(before.runs),
             uncached_tokens: self.uncached_tokens.saturating_sub(before.uncached_tokens),
             squared_tokens: (self.squared_tokens - before.squared_tokens).max(0.0),
-            objectives: objectives.collect(),
+            objectives: objectives.filter(|counts| counts.requests > 0).collect(),
         }
     }
 
--- a/tests/testsuite/decisions_of_control.rs
+++ b/tests/testsuite/decisions_of_control.rs
@@ -9,6 +9,8 @@
 use serde_json::json;
 use vaneway_agreement::MemberChange;
 use vaneway_engine::Speeds;
+use vaneway_ledger::CallerLedger;
+use vaneway_ledger::CallerTimes;
 use vaneway_ledger::ClusterNow;
 use vaneway_ledger::ClusterTime;
 use vaneway_ledger::Counts;
@@ -408,3 +410,31 @@
         },
     );
 }
+
+/// Guards against requests that count twice, or that count although they were made before the
+/// control box started: the counts of an entry box only grow, and reports are lost and repeated.
+#[test]
+fn what_callers_get_counts_once_whatever_reports_are_lost_or_repeated() {
+    let second = std::time::Duration::from_secs(1);
+    let entry = ("entry".to_owned(), 1);
+    let mut ledger = CallerLedger::default();
+    let mut counted = CallerTimes::default();
+    let mut report = |slot, tokens: &[u64], in_time| {
+        for tokens in tokens {
+            counted.begin_run(*tokens);
+            counted.record(second, in_time);
+        }
+        ledger.merge(slot, &entry, &[("engine".to_owned(), counted.clone())]);
+        (ledger.retained(slot, "engine"), ledger.latest(slot, "engine"))
+    };
+    // Before the control box started.
+    assert_eq!(report(100, &[9_000; 9], false).0, CallerTimes::default());
+    let (all, _) = report(102, &[100, 300], true);
+    assert_eq!((all.runs, all.prompt_rest_tokens()), (2, 125.0));
+    assert_eq!(report(104, &[], true).0, all);
+    let (all, latest) = report(110, &[100, 300], false);
+    assert_eq!((all.in_time(4), all.in_time(5)), (Some(0.5), None));
+    assert_eq!(latest.in_time(1), Some(0.0));
+    // Outdated.
+    assert_eq!(report(200, &[], true).0, CallerTimes::default());
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -80,6 +80,34 @@
     );
 }
 
+#[test]
+fn sizing_of_fleets_is_checked() {
+    let with_capacity = |capacity: Value| {
+        let settings = json!({
+            "role": "control",
+            "name": "control-1",
+            "availability_zone": "a",
+            "listen": "127.0.0.1:8080",
+            "cluster_listen": "127.0.0.1:9080",
+            "seeds": ["127.0.0.1:9080"],
+            "data_folder": "/data",
+            "capacity": capacity,
+        });
+        let found = settings::read_process(&settings.to_string()).err();
+        let findings = found.map(|error| error.findings).unwrap_or_default();
+        findings.iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(with_capacity(json!({ "sizing": "in_time", "in_time_target": 0.9 })), [""; 0]);
+    assert_eq!(with_capacity(json!({ "sizing": "utilisation" })), [""; 0]);
+    assert_eq!(
+        with_capacity(json!({ "sizing": "callers", "in_time_target": 1.5 })),
+        [
+            "$.capacity.in_time_target: expected a number from 0.5 to 0.999, found `1.5`",
+            "$.capacity.sizing: `capacity.sizing` must be `utilisation` or `in_time`",
+        ]
+    );
+}
+
 #[test]
 fn check_fails_with_the_findings_and_code_1() {
     let folder = tempfile::tempdir().unwrap();
