--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -347,6 +347,7 @@
                 isolation_hash: None,
                 queue_limit: None,
                 sender: Sender::default(),
+                versions: None,
             };
             assert!(matches!(pool.choose(now, query), Choice::Endpoint(_)));
         }
--- a/crates/vaneway-rollout/src/lib.rs
+++ b/crates/vaneway-rollout/src/lib.rs
@@ -6,9 +6,10 @@
 //! Data flow: the steps of an order are agreed on and applied to [`Rollouts`]. Boxes try the target
 //! with a share of their requests ([`Share`]) and count the answers of both versions by route,
 //! availability zone and replica ([`Evidence`]). From the sum of all boxes, [`judge`] decides whether
-//! the target is bad.
+//! the target is bad, and [`Known::next`] the next step.
 
 mod evidence;
+mod plan;
 mod share;
 mod state;
 mod verdict;
@@ -17,6 +18,9 @@
 pub use evidence::CellKey;
 pub use evidence::Evidence;
 pub use evidence::Histogram;
+pub use plan::Known;
+pub use plan::MIN_ANSWERS;
+pub use plan::Next;
 pub use share::Share;
 pub use share::Turn;
 pub use state::Applied;
--- a/crates/vaneway-rollout/src/verdict.rs
+++ b/crates/vaneway-rollout/src/verdict.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt;
 
 use crate::Cell;
 use crate::Evidence;
@@ -84,6 +85,15 @@
     pub strength: f64,
 }
 
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { aspect, route, answers, bad, strength } = self;
+        let route = route.as_deref().unwrap_or("all");
+        let aspect = aspect.name();
+        write!(f, "{aspect}: {bad} of {answers} answers bad, route {route}, strength {strength:.1}")
+    }
+}
+
 /// Answers on trial of one replica in one stratum, and what is expected of them.
 #[derive(Debug, Clone, Copy)]
 struct Sample<'a> {
--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -41,6 +41,8 @@
 pub use pool::NeighbourQuery;
 pub use pool::Pool;
 pub use pool::Query;
+pub use pool::VersionFilter;
+pub use pool::VersionRule;
 pub use service_path::PathAction;
 pub use service_path::ServicePaths;
 pub use service_path::path_chart;
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -1,5 +1,12 @@
 //! The pool of endpoints that an entry box can use, and the choice among them.
 
+mod fitting;
+mod versions;
+
+pub use fitting::FittingCounts;
+pub use versions::VersionFilter;
+pub use versions::VersionRule;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -53,13 +60,17 @@
     pub queue_limit: Option<QueueLimit>,
     /// Determines this box's share of the limits that endpoints advertise.
     pub sender: Sender,
+    /// The versions that may be used; set by the pool.
+    pub versions: Option<VersionFilter<'a>>,
 }
 
 impl Query<'_> {
     /// Whether an endpoint is one that must respond, whatever its state.
     fn fits(&self, endpoint: &Endpoint) -> bool {
         let has_version = self.software.is_none_or(|software| endpoint.spec.software == software);
-        has_version && endpoint.spec.service == self.service
+        has_version
+            && endpoint.spec.service == self.service
+            && self.versions.is_none_or(|versions| versions.admits(endpoint))
     }
 }
 
@@ -100,24 +111,6 @@
     NoneLeft,
 }
 
-/// Numbers of the endpoints that fit a [`Query`]; each counts only endpoints of the one before it,
-/// except for `exited`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct FittingCounts {
-    /// Those that this box has ever known.
-    pub known: usize,
-    /// Those that are neither leaving nor gone.
-    pub staying: usize,
-    /// Of these, those whose process counts as exited.
-    pub exited: usize,
-    /// Those that are neither suspended nor have requested a back-off that isn't over.
-    pub available: usize,
-    /// Those of whose advertised limits this box has a share left.
-    pub within_limit: usize,
-    /// Those at which this box may open one more request.
-    pub with_room: usize,
-}
-
 /// Consequence of an endpoint's state change for the work that runs there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -158,6 +151,8 @@
     endpoints: Vec<Endpoint>,
     /// Software versions of all endpoints by service.
     software: BTreeMap<ServiceId, BTreeSet<String>>,
+    /// What may be sent to versions of services that are brought in.
+    gates: BTreeMap<ServiceId, versions::Gate>,
     chooser: Chooser,
     /// Candidates of the current choice; kept to reuse the allocation.
     candidates: Vec<EndpointId>,
@@ -172,6 +167,7 @@
         let mut pool = Self {
             endpoints: Vec::with_capacity(specs.len()),
             software: BTreeMap::new(),
+            gates: BTreeMap::new(),
             chooser: Chooser::new(policy, Pcg64Mcg::seed_from_u64(seed)),
             candidates: Vec::new(),
             new_parts: Vec::new(),
@@ -317,7 +313,7 @@
     /// before, else from all. The choice counts against the endpoint's advertised limit; all
     /// attempts are chosen here, including retries and those that resume a stream.
     pub fn choose(&mut self, now: Instant, query: Query<'_>) -> Choice {
-        let choice = self.choose_uncounted(now, query);
+        let choice = self.choose_by_version(now, query);
         if let Choice::Endpoint(id) = choice {
             self.endpoints[id as usize].gate.record_sent(query.sender);
         }
@@ -391,26 +387,6 @@
         Choice::Unavailable { until: first.and_then(Endpoint::available_from) }
     }
 
-    /// The numbers of endpoints that could respond to a query, in each respect.
-    pub fn count_fitting(&self, now: Instant, query: &Query<'_>) -> FittingCounts {
-        let fitting = || self.endpoints.iter().filter(|endpoint| query.fits(endpoint));
-        let staying = || self.usable(query.service).map(|id| self.get(id));
-        let staying = || staying().filter(|endpoint| query.fits(endpoint));
-        let available = || fitting().filter(|endpoint| endpoint.takes_work(now));
-        let is_within_limit = |endpoint: &&Endpoint| endpoint.is_within_limit(now, query.sender);
-        let within_limit = || available().filter(is_within_limit);
-        let has_room =
-            |endpoint: &&Endpoint| endpoint.has_room() && endpoint.has_place_for(now, query.sender);
-        FittingCounts {
-            known: fitting().count(),
-            staying: staying().count(),
-            exited: staying().filter(|endpoint| endpoint.has_exited(now)).count(),
-            available: available().count(),
-            within_limit: within_limit().count(),
-            with_room: within_limit().filter(has_room).count(),
-        }
-    }
-
     /// End of the back-off of the endpoint that becomes available first in a service. None if it has
     /// no back-off, or if its suspension ends later: a suspension is only this box's estimate.
     pub fn backoff_until(&self, service: ServiceId) -> Option<Instant> {
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::Stream;
+use futures_util::StreamExt as _;
 use futures_util::stream::unfold;
 use hyper::Response;
 use hyper::http::response;
@@ -33,6 +34,7 @@
 use crate::core::calls::events::LAST_EVENT_ID;
 use crate::core::calls::events::RawEvent;
 use crate::core::calls::events::is_event_stream;
+use crate::core::calls::rollout_sample::Sample;
 use crate::core::endpoints::link::ConnectionBody;
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::endpoints::protocol::Dispatch;
@@ -191,7 +193,8 @@
     /// The items of the result, in order. Dropping the stream closes the connection unless the
     /// response has ended.
     pub(super) fn items(self) -> impl Stream<Item = CallItem> + use<E> {
-        unfold(Stage::Sending(Box::new(self)), |stage| async move {
+        let mut sample = Sample::begin(&self.entry, self.endpoint, &self.request);
+        let items = unfold(Stage::Sending(Box::new(self)), |stage| async move {
             match stage {
                 // Boxed, so that its memory is freed before the response is read.
                 Stage::Sending(sending) => Some(Box::pin(sending.send()).await),
@@ -199,6 +202,11 @@
                 Stage::Complete(reader) => Some((complete(*reader), Stage::Over)),
                 Stage::Over => None,
             }
+        });
+        items.inspect(move |item| {
+            if let Some(sample) = &mut sample {
+                sample.observe(item);
+            }
         })
     }
 
--- a/crates/vaneway-server/src/core/calls/mod.rs
+++ b/crates/vaneway-server/src/core/calls/mod.rs
@@ -12,3 +12,4 @@
 pub mod model_request;
 pub mod open_requests;
 mod reply;
+mod rollout_sample;
--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -57,6 +57,7 @@
 use crate::core::limits;
 use crate::core::neighbours;
 use crate::core::quarantine;
+use crate::core::rollouts;
 use crate::core::settings::FollowSettings;
 use crate::core::stream_origins::REPORT_TIMEOUT;
 use crate::util::clock;
@@ -152,6 +153,9 @@
         round += 1;
         let report = follower.report(round.is_multiple_of(USAGE_REPORTS_PER_FULL));
         follower.send_to_all(FromEntry::Usage(report));
+        if round.is_multiple_of(rollouts::USAGE_REPORTS_PER_REPORT) {
+            follower.report_rollouts();
+        }
         if clock::elapsed(pinged_at) >= PING_INTERVAL {
             pinged_at = clock::now();
             let sent_us = follower.monotonic_us();
@@ -358,6 +362,11 @@
             ToEntry::StreamOrigin { stream, origin } => {
                 self.entry.origins.answered(stream, origin.as_ref());
             }
+            ToEntry::Rollouts { rollouts, confirmed } => {
+                if rollouts::apply(&self.entry, rollouts, confirmed) {
+                    self.report_rollouts();
+                }
+            }
             ToEntry::Parts(parts) => work_at_endpoints::apply_parts(&self.entry, &parts),
             ToEntry::OthersUsage { as_of, reporting, known, quotas } => {
                 self.entry.divide_retries(known);
@@ -367,6 +376,14 @@
         }
     }
 
+    /// Reports the answers of roll-outs that are not over.
+    fn report_rollouts(&self) {
+        let reports = self.entry.rollouts.reports();
+        if !reports.is_empty() {
+            self.send_to_all(FromEntry::RolloutReports(reports));
+        }
+    }
+
     /// Records the control boxes that one of them advertises; the list is empty if that one doesn't
     /// know them.
     fn record_control_boxes(self: &Rc<Self>, from: SocketAddr, advertised: &[SocketAddr]) {
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -24,6 +24,8 @@
 use vaneway_origins::StreamKey;
 use vaneway_quarantine::QuarantineRecord;
 use vaneway_registry::Report;
+use vaneway_rollout::Evidence;
+use vaneway_rollout::Rollout;
 
 use crate::core::cached_parts::CachedParts;
 use crate::core::configuration::Configuration;
@@ -162,6 +164,8 @@
         /// The stream.
         stream: StreamKey,
     },
+    /// Answers of the versions in roll-outs that are not over.
+    RolloutReports(Vec<RolloutReport>),
 }
 
 /// A message of a control box to an entry box.
@@ -238,6 +242,26 @@
         /// Where it began; none if the control box doesn't know it.
         origin: Option<Origin>,
     },
+    /// The last roll-out of each service.
+    Rollouts {
+        /// The roll-outs.
+        rollouts: Vec<Rollout>,
+        /// Whether the control box knows a leader, so that it would know an end of them.
+        confirmed: bool,
+    },
+}
+
+/// An entry box's answers of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// Name of the service.
+    pub service: String,
+    /// Number of the order.
+    pub number: u64,
+    /// Number of the last step that the entry box has carried out.
+    pub revision: u64,
+    /// All answers of this process.
+    pub evidence: Evidence,
 }
 
 /// An entry box that handles calls which other entry boxes forward.
--- a/crates/vaneway-server/src/core/control/capacity.rs
+++ b/crates/vaneway-server/src/core/control/capacity.rs
@@ -23,6 +23,7 @@
 use crate::core::control::cloud_calls::CallResult;
 use crate::core::control::entry_updates;
 use crate::core::control::protocol::CloudProtocol;
+use crate::core::control::rollouts;
 use crate::core::control::state::Control;
 use crate::core::settings::CloudSettings;
 use crate::util::clock;
@@ -216,6 +217,10 @@
         let Some(details) = record.details.as_ref().filter(|d| d.service == service) else {
             continue;
         };
+        // A version that is brought in is no surplus, and the end of the one before no reclaim.
+        if !rollouts::carries_load(control, details) {
+            continue;
+        }
         let is_alive = now.saturating_duration_since(record.last_report_at) < MAX_HEARTBEAT_AGE;
         let kind = if details.reclaimable { Kind::Reclaimable } else { Kind::OnDemand };
         let zone = details.availability_zone.clone();
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -26,6 +26,7 @@
 use crate::core::control::membership::MemberStatus;
 use crate::core::control::memory;
 use crate::core::control::peers;
+use crate::core::control::rollouts;
 use crate::core::control::state::Control;
 use crate::core::control::state::PendingProposal;
 use crate::core::control::state::ProposalOutcome;
@@ -109,6 +110,7 @@
     match StateMachine::decode(&snapshot.data) {
         Ok(machine) => {
             *control.machine.borrow_mut() = machine;
+            rollouts::publish(control);
             Line::new("snapshot_taken").with("index", snapshot.index).info();
         }
         Err(error) => {
@@ -199,9 +201,12 @@
 
 fn apply(control: &Rc<Control>, command: Command, index: u64) {
     let effect = control.machine.borrow_mut().apply(command);
-    if effect == Effect::Configured {
+    if matches!(effect, Effect::Configured | Effect::RolloutChanged) {
         store(control, Write::Committed(index));
     }
+    if effect == Effect::RolloutChanged {
+        rollouts::publish(control);
+    }
 }
 
 /// Queues a disk write.
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -29,6 +29,7 @@
 use crate::core::control::group;
 use crate::core::control::peers;
 use crate::core::control::remembered;
+use crate::core::control::rollouts;
 use crate::core::control::state::Control;
 use crate::util::clock;
 use crate::util::frames;
@@ -251,6 +252,11 @@
             let origin = origins.find(clock::now(), stream).cloned();
             outgoing.send(&ToEntry::StreamOrigin { stream, origin });
         }
+        ToControl::Entry(FromEntry::RolloutReports(reports)) => {
+            if let Sender::Entry { incarnation, .. } = sender {
+                rollouts::record(control, incarnation, reports);
+            }
+        }
         ToControl::Entry(FromEntry::Done) => {
             if let Sender::Entry { incarnation, .. } = sender {
                 control.usage_ledger.borrow_mut().mark_done(incarnation);
@@ -291,6 +297,10 @@
     let availability_zone = control.settings.availability_zone.clone();
     outgoing.send(&ToEntry::Hello { availability_zone });
     outgoing.send(&ToEntry::ControlBoxes(control_boxes(control)));
+    // Before the endpoints, so that none of a version on trial is taken for one in use.
+    if let Some(message) = rollouts::message(control) {
+        outgoing.send(&message);
+    }
     let reports = control.registry.borrow().reports(clock::now());
     outgoing.send(&ToEntry::Registry(reports));
     if let Some(remaining) = remembered::remaining(control) {
--- a/crates/vaneway-server/src/core/control/mod.rs
+++ b/crates/vaneway-server/src/core/control/mod.rs
@@ -38,6 +38,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod remembered;
+pub mod rollouts;
 pub mod running;
 pub mod state;
 pub mod store;
--- a/crates/vaneway-server/src/core/control/operations.rs
+++ b/crates/vaneway-server/src/core/control/operations.rs
@@ -99,7 +99,8 @@
         .info();
 }
 
-fn require_leader(control: &Control, call: &str) -> Result<(), Refusal> {
+/// Refuses a call unless this box is the leader.
+pub(super) fn require_leader(control: &Control, call: &str) -> Result<(), Refusal> {
     let node = control.node.borrow();
     if node.role() == Role::Leader {
         return Ok(());
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -33,6 +33,7 @@
 use crate::core::control::protocol::ControlProtocol;
 use crate::core::control::remembered;
 use crate::core::control::remembered::Remembered;
+use crate::core::control::rollouts;
 use crate::core::control::state::Control;
 use crate::core::control::state::FIRST_INCARNATION;
 use crate::core::control::state::node_id;
@@ -150,6 +151,7 @@
         task::spawn_until_dropped(group::maintain(Rc::clone(&control))),
         task::spawn_until_dropped(remembered::write_changes(Rc::clone(&control))),
         task::spawn_until_dropped(duties::run(Rc::clone(&control), cloud)),
+        task::spawn_until_dropped(rollouts::run(Rc::clone(&control))),
     ];
     Line::new("started")
         .with("role", "control")
@@ -200,6 +202,7 @@
         quarantine: RefCell::default(),
         limits: RefCell::default(),
         limits_for_peers: RefCell::default(),
+        rollout_reports: RefCell::default(),
         forwarded: ForwardedCounts::default(),
         clock: RefCell::default(),
         connections: ConnectionPool::reset_on_close(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -40,6 +40,7 @@
 use crate::core::control::machine::StateMachine;
 use crate::core::control::peers::PeerLink;
 use crate::core::control::protocol::Holder;
+use crate::core::control::rollouts::RolloutReports;
 use crate::core::control::store::Write;
 use crate::core::endpoints::upstream::ConnectionPool;
 use crate::core::settings::ControlSettings;
@@ -147,6 +148,8 @@
     /// Endpoints whose limits entry boxes reported here and that must be forwarded to the other
     /// control boxes.
     pub(crate) limits_for_peers: RefCell<BTreeSet<InstanceId>>,
+    /// Answers of roll-outs that are not over, by the entry box that reported them.
+    pub(crate) rollout_reports: RefCell<RolloutReports>,
     /// Number of forwarded updates.
     pub(crate) forwarded: ForwardedCounts,
     /// The cluster clock.
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -21,6 +21,7 @@
 
 use crate::core::entry::Entry;
 use crate::core::limits;
+use crate::core::rollouts;
 use crate::util::clock;
 use crate::util::logline::Line;
 
@@ -210,7 +211,11 @@
         max_open: details.slots.saturating_mul(1 + MAX_QUEUED_PER_SLOT),
         software: details.software.clone(),
     };
+    let is_held = rollouts::is_new_version(entry, &spec);
     let endpoint = entry.update_pool(|pool, _, _| pool.add(spec));
+    if is_held {
+        entry.pool.borrow_mut().back_off(endpoint, clock::now() + rollouts::NEW_VERSION_HOLD);
+    }
     entry.registered.borrow_mut().insert(instance.clone(), endpoint);
     limits::apply(entry, instance);
     endpoint
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -42,6 +42,7 @@
 use crate::core::configuration::Version;
 use crate::core::configuration_change::ConfigurationChange;
 use crate::core::endpoints::upstream::ConnectionPool;
+use crate::core::limits;
 use crate::core::metrics::Metrics;
 use crate::core::neighbours::Neighbours;
 use crate::core::occupancy::Occupancy;
@@ -49,6 +50,7 @@
 use crate::core::prompt_parts;
 use crate::core::queue_limit::Inflow;
 use crate::core::quotas::Quotas;
+use crate::core::rollouts::EntryRollouts;
 use crate::core::route_table::RouteTable;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
@@ -142,6 +144,8 @@
     pub origins: StreamOrigins,
     /// The quotas of organisations.
     pub quotas: Quotas,
+    /// Versions of services that are brought in.
+    pub rollouts: EntryRollouts,
     phase: Cell<Phase>,
     started: Instant,
     boot: u64,
@@ -158,16 +162,6 @@
     (percent, reserve.max(1))
 }
 
-/// The number of this box among the entry boxes in its settings; none where control boxes assign
-/// it.
-fn box_number_by_settings(settings: &Settings) -> Option<BoxNumber> {
-    if settings.follow.is_some() {
-        return None;
-    }
-    let number = settings.peers.iter().filter(|peer| peer.name < settings.name).count() as u32;
-    Some(BoxNumber { number, of: settings.peers.len() as u32 + 1 })
-}
-
 /// Number of entry boxes that is assumed before the first update of a control box.
 const ASSUMED_ENTRY_BOXES: u32 = 8;
 
@@ -217,7 +211,7 @@
             quarantine: RefCell::default(),
             unconfirmed_exits: RefCell::default(),
             limits: RefCell::default(),
-            box_number: Cell::new(box_number_by_settings(&settings)),
+            box_number: Cell::new(limits::box_number_by_settings(&settings)),
             neighbours: Neighbours::default(),
             forwarded_listen: Cell::new(None),
             paths: PathWatch::default(),
@@ -227,6 +221,7 @@
             inflow: Inflow::default(),
             origins: StreamOrigins::default(),
             quotas: Quotas::new(follow.map(|follow| follow.quota)),
+            rollouts: EntryRollouts::default(),
             phase: Cell::new(Phase::Serving),
             started: clock::now(),
             boot,
--- a/crates/vaneway-server/src/core/limits.rs
+++ b/crates/vaneway-server/src/core/limits.rs
@@ -9,6 +9,7 @@
 //! all boxes start again from a quarter as many requests a second as it may refuse, as if it had
 //! advertised that as a limit and lifted it; soon after, each box uses its share of all places.
 
+use vaneway_limit::BoxNumber;
 use vaneway_limit::EndpointLimit;
 use vaneway_limit::NumberError;
 use vaneway_limit::Rate;
@@ -19,6 +20,7 @@
 use vaneway_route::EndpointState;
 
 use crate::core::entry::Entry;
+use crate::core::settings::Settings;
 use crate::util::logline::Line;
 
 /// What the head of a response states about its endpoint's limit.
@@ -186,3 +188,13 @@
         .with("why", error.name())
         .warn();
 }
+
+/// The number of this box among the entry boxes in its settings; none where control boxes assign
+/// it.
+pub(super) fn box_number_by_settings(settings: &Settings) -> Option<BoxNumber> {
+    if settings.follow.is_some() {
+        return None;
+    }
+    let number = settings.peers.iter().filter(|peer| peer.name < settings.name).count() as u32;
+    Some(BoxNumber { number, of: settings.peers.len() as u32 + 1 })
+}
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -26,6 +26,7 @@
 pub mod queue_limit;
 pub mod quotas;
 pub mod retry_after;
+pub mod rollouts;
 pub mod route_table;
 pub mod running;
 pub mod settings;
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -73,6 +73,18 @@
     pub quota: QuotaAllowance,
     /// Retry budget of each service.
     pub retries: RetryAllowance,
+    /// How much may be sent to a version on trial, over all entry boxes together; none if no roll-outs
+    /// are made here.
+    pub exposure: Option<Exposure>,
+}
+
+/// How many requests of a service may be sent to a version on trial.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Exposure {
+    /// Share of the service's requests.
+    pub share: f64,
+    /// Requests in addition to that.
+    pub slack: f64,
 }
 
 /// Retry budget of a service for a short time, over all entry boxes together.
@@ -129,6 +141,9 @@
     pub cloud: Option<CloudSettings>,
     /// Policy for ordering replicas.
     pub capacity: vaneway_capacity::Policy,
+    /// Time within which a version on trial must be taken back once its answers show that it is bad;
+    /// none if roll-outs are refused.
+    pub rollback: Option<Duration>,
 }
 
 /// Interface of the cloud for reports and orders.
--- a/crates/vaneway-server/src/core/settings/read/control.rs
+++ b/crates/vaneway-server/src/core/settings/read/control.rs
@@ -5,6 +5,7 @@
 use crate::core::settings::CloudSettings;
 use crate::core::settings::ControlSettings;
 use crate::core::settings::read::values::DURATION_RANGE_MS;
+use crate::core::settings::read::values::NONZERO_DURATION_RANGE_MS;
 use crate::core::settings::read::values::address;
 use crate::core::settings::read::values::millis;
 use crate::core::settings::read::values::seconds;
@@ -30,6 +31,7 @@
         window: seconds(&mut fields, "usage_window_s", 60.0),
         cloud: fields.optional("cloud").and_then(|node| node.object()).map(cloud),
         capacity: capacity(fields.section("capacity")),
+        rollback: fields.optional("rollouts").and_then(|node| node.object()).map(rollback),
     };
     if !cluster_listen.is_ipv4() {
         fields.node().report("`cluster_listen` must be an IPv4 address");
@@ -63,6 +65,12 @@
     policy
 }
 
+fn rollback(mut fields: Fields<'_>) -> Duration {
+    let rollback = millis(&mut fields, "rollback_ms", NONZERO_DURATION_RANGE_MS, 5_000);
+    fields.finish();
+    rollback
+}
+
 fn cloud(mut fields: Fields<'_>) -> CloudSettings {
     let duties = strings(&mut fields, "duties");
     let settings = CloudSettings {
--- a/crates/vaneway-server/src/core/settings/read/entry.rs
+++ b/crates/vaneway-server/src/core/settings/read/entry.rs
@@ -6,6 +6,7 @@
 
 use crate::core::settings::ClaimSettings;
 use crate::core::settings::Cluster;
+use crate::core::settings::Exposure;
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Limits;
 use crate::core::settings::OperatorToken;
@@ -150,6 +151,7 @@
         window: seconds(&mut fields, "usage_window_s", 60.0),
         quota: quota(fields.section("quota")),
         retries: retries(fields.section("retries")),
+        exposure: fields.optional("exposure").and_then(|node| node.object()).map(exposure),
     };
     fields.finish();
     settings
@@ -174,6 +176,15 @@
     allowance
 }
 
+fn exposure(mut fields: Fields<'_>) -> Exposure {
+    let exposure = Exposure {
+        share: fields.float("share", 0.0..=1.0, 0.1),
+        slack: fields.float("slack", 0.0..=1e9, 0.0),
+    };
+    fields.finish();
+    exposure
+}
+
 fn peer(mut fields: Fields<'_>) -> Peer {
     let peer = Peer { name: fields.string("name"), address: address(fields.required("address")) };
     fields.finish();
--- a/crates/vaneway-test-support/src/control_group.rs
+++ b/crates/vaneway-test-support/src/control_group.rs
@@ -165,6 +165,7 @@
             "data_folder": self.data_folder(i),
             "snapshot_entries": self.snapshot_entries,
             "remembered_ms": REMEMBERED_MAX_AGE.as_millis() as u64,
+            "rollouts": { "rollback_ms": 5_000 },
         });
         let folder = self.folder.path();
         let process = match self.adapter {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod registrations;
 mod registry;
 mod rollout_decisions;
+mod rollouts;
 mod routing;
 mod schema;
 mod settings;
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -70,6 +70,7 @@
             isolation_hash: None,
             queue_limit: None,
             sender: Sender::default(),
+            versions: None,
         };
         self.pool.choose(self.now, query)
     }
@@ -163,6 +164,7 @@
         isolation_hash: None,
         queue_limit: None,
         sender: Sender::default(),
+        versions: None,
     };
     let Choice::Endpoint(chosen) = fleet.pool.choose(fleet.now, query) else {
         panic!("40 endpoints are available")
@@ -232,6 +234,7 @@
                 standing: None,
             }),
             sender: Sender { now, number },
+            versions: None,
         };
         let choices: Vec<Choice> = (0..6).map(|_| fleet.pool.choose(fleet.now, query)).collect();
         let sent = choices.iter().filter(|choice| matches!(choice, Choice::Endpoint(_))).count();
--- a/tests/testsuite/simulated_crashes.rs
+++ b/tests/testsuite/simulated_crashes.rs
@@ -422,6 +422,7 @@
             isolation_hash: (!this.crashes.is_empty()).then_some(self.fingerprint(this.request)),
             queue_limit: None,
             sender: Sender::default(),
+            versions: None,
         };
         match self.boxes[this.box_index].pool.choose(self.now, query) {
             Choice::Endpoint(endpoint) => Event::Chosen { endpoint },
--- a/tests/testsuite/simulated_shortage.rs
+++ b/tests/testsuite/simulated_shortage.rs
@@ -282,6 +282,7 @@
             isolation_hash: None,
             queue_limit,
             sender: Sender::default(),
+            versions: None,
         };
         let pool = &mut self.pools[box_index];
         let Choice::Endpoint(endpoint) = pool.choose(self.now, query) else {
