--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -378,7 +378,7 @@
 
     /// Reports the answers of roll-outs that are not over.
     fn report_rollouts(&self) {
-        let reports = self.entry.rollouts.reports();
+        let reports = self.entry.rollouts.take_reports();
         if !reports.is_empty() {
             self.send_to_all(FromEntry::RolloutReports(reports));
         }
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -260,7 +260,7 @@
     pub number: u64,
     /// Number of the last step that the entry box has carried out.
     pub revision: u64,
-    /// All answers of this process.
+    /// Answers of this process, in the cells that changed since the last report or in all.
     pub evidence: Evidence,
 }
 
--- a/crates/vaneway-server/src/core/control/rollouts.rs
+++ b/crates/vaneway-server/src/core/control/rollouts.rs
@@ -184,7 +184,18 @@
 pub(super) fn record(control: &Control, from: &EntryIncarnation, reports: Vec<RolloutReport>) {
     let mut all = control.rollout_reports.borrow_mut();
     let of_box = all.entry(from.clone()).or_default();
-    of_box.extend(reports.into_iter().map(|report| (report.service.clone(), report)));
+    for report in reports {
+        match of_box.get_mut(&report.service).filter(|known| known.number == report.number) {
+            // The cells are sums since the process began, so the newer ones replace the others.
+            Some(known) => {
+                known.revision = known.revision.max(report.revision);
+                known.evidence.cells.extend(report.evidence.cells);
+            }
+            None => {
+                of_box.insert(report.service.clone(), report);
+            }
+        }
+    }
 }
 
 /// Whether a replica belongs to a version that carries the load of its service.
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -211,10 +211,10 @@
         max_open: details.slots.saturating_mul(1 + MAX_QUEUED_PER_SLOT),
         software: details.software.clone(),
     };
-    let is_held = rollouts::is_new_version(entry, &spec);
+    let held_until = rollouts::held_until(entry, &spec);
     let endpoint = entry.update_pool(|pool, _, _| pool.add(spec));
-    if is_held {
-        entry.pool.borrow_mut().back_off(endpoint, clock::now() + rollouts::NEW_VERSION_HOLD);
+    if let Some(until) = held_until {
+        entry.pool.borrow_mut().back_off(endpoint, until);
     }
     entry.registered.borrow_mut().insert(instance.clone(), endpoint);
     limits::apply(entry, instance);
--- a/crates/vaneway-server/src/core/rollouts.rs
+++ b/crates/vaneway-server/src/core/rollouts.rs
@@ -6,7 +6,9 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use vaneway_rollout::Cell;
 use vaneway_rollout::CellKey;
@@ -15,6 +17,7 @@
 use vaneway_rollout::Rollout;
 use vaneway_rollout::Share;
 use vaneway_route::EndpointSpec;
+use vaneway_route::ServiceId;
 use vaneway_route::VersionRule;
 
 use crate::core::cluster::wire::RolloutReport;
@@ -29,9 +32,13 @@
 /// short beside the time in which a bad version must be taken back.
 const CONFIRMATION_AGE: Duration = Duration::from_secs(2);
 
+/// Every how many reports of answers all cells are repeated, for control boxes that missed some.
+const REPORTS_PER_FULL: u64 = 10;
+
 /// Time in which a version that a service has not had before gets nothing: the order that brings it
-/// in may arrive after its first replica. Longer than messages take between boxes in contact.
-pub const NEW_VERSION_HOLD: Duration = Duration::from_secs(1);
+/// in may arrive after its first replica. Longer than messages take between boxes in contact, and
+/// short for replicas that are released without an order.
+const NEW_VERSION_HOLD: Duration = Duration::from_millis(600);
 
 /// Number of entry boxes that is assumed before the first update of a control box.
 const ASSUMED_ENTRY_BOXES: u32 = 350;
@@ -40,6 +47,10 @@
 #[derive(Debug, Default)]
 pub struct EntryRollouts {
     known: RefCell<BTreeMap<String, Known>>,
+    /// Until when versions that are new here get nothing.
+    held: RefCell<BTreeMap<(ServiceId, String), Instant>>,
+    /// Number of reports.
+    reports: std::cell::Cell<u64>,
 }
 
 /// A roll-out, and its answers.
@@ -47,6 +58,8 @@
 struct Known {
     rollout: Rollout,
     evidence: Evidence,
+    /// Cells that changed since the last report.
+    changed: BTreeSet<CellKey>,
 }
 
 impl EntryRollouts {
@@ -72,18 +85,27 @@
         });
         if let Some(known) = running {
             change(known.evidence.cell(key.clone()));
+            known.changed.insert(key.clone());
         }
     }
 
-    /// The answers of the roll-outs that are not over.
-    pub fn reports(&self) -> Vec<RolloutReport> {
-        let known = self.known.borrow();
-        let running = known.values().filter(|known| !known.rollout.phase.is_over());
-        let reports = running.map(|Known { rollout, evidence }| RolloutReport {
-            service: rollout.order.service.clone(),
-            number: rollout.number,
-            revision: rollout.revision,
-            evidence: evidence.clone(),
+    /// The answers of the roll-outs that are not over: cells that changed since the last report, and
+    /// now and then all.
+    pub fn take_reports(&self) -> Vec<RolloutReport> {
+        self.reports.update(|reports| reports + 1);
+        let is_full = self.reports.get().is_multiple_of(REPORTS_PER_FULL);
+        let mut known = self.known.borrow_mut();
+        let running = known.values_mut().filter(|known| !known.rollout.phase.is_over());
+        let reports = running.map(|Known { rollout, evidence, changed }| {
+            let changed = std::mem::take(changed);
+            let cells = evidence.cells.iter().filter(|(key, _)| is_full || changed.contains(key));
+            let cells = cells.map(|(key, cell)| (key.clone(), cell.clone())).collect();
+            RolloutReport {
+                service: rollout.order.service.clone(),
+                number: rollout.number,
+                revision: rollout.revision,
+                evidence: Evidence { cells },
+            }
         });
         reports.collect()
     }
@@ -96,7 +118,8 @@
             Some(known) if known.rollout.revision >= rollout.revision => return false,
             Some(known) if known.rollout.number == rollout.number => known.rollout = rollout,
             _ => {
-                known.insert(service, Known { rollout, evidence: Evidence::default() });
+                let (evidence, changed) = (Evidence::default(), BTreeSet::new());
+                known.insert(service, Known { rollout, evidence, changed });
             }
         }
         true
@@ -148,14 +171,23 @@
     entry.pool.borrow_mut().set_version_rule(service, rule, share, until);
 }
 
-/// Whether an endpoint has a version that its service has not had before here, so that an order may
-/// be on its way.
-pub fn is_new_version(entry: &Entry, spec: &EndpointSpec) -> bool {
-    let follow = entry.settings.follow.as_ref();
-    if follow.is_none_or(|follow| follow.exposure.is_none()) {
-        return false;
+/// Until when a new endpoint gets nothing: it has a version that its service has not had before here,
+/// and the order that brings it in may be on its way. None if it need not be held.
+pub fn held_until(entry: &Entry, spec: &EndpointSpec) -> Option<Instant> {
+    entry.settings.follow.as_ref()?.exposure?;
+    let now = clock::now();
+    let mut held = entry.rollouts.held.borrow_mut();
+    held.retain(|_, until| now < *until);
+    let version = (spec.service, spec.software.clone());
+    if let Some(until) = held.get(&version) {
+        return Some(*until);
     }
     let pool = entry.pool.borrow();
-    let mut versions = pool.software_versions(spec.service).peekable();
-    versions.peek().is_some() && versions.all(|version| *version != spec.software)
+    let mut known = pool.software_versions(spec.service).peekable();
+    let is_new = known.peek().is_some() && known.all(|known| *known != spec.software);
+    is_new.then(|| {
+        let until = now + NEW_VERSION_HOLD;
+        held.insert(version, until);
+        until
+    })
 }
--- a/tests/testsuite/rollout_decisions.rs
+++ b/tests/testsuite/rollout_decisions.rs
@@ -1,6 +1,7 @@
 //! Roll-outs without I/O: the steps of an order, the share of a box, and the verdict over made-up
 //! versions.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt as _;
@@ -9,6 +10,9 @@
 use vaneway_rollout::Applied;
 use vaneway_rollout::CellKey;
 use vaneway_rollout::Evidence;
+use vaneway_rollout::Known;
+use vaneway_rollout::MIN_ANSWERS;
+use vaneway_rollout::Next;
 use vaneway_rollout::Order;
 use vaneway_rollout::Phase;
 use vaneway_rollout::Rollouts;
@@ -16,6 +20,9 @@
 use vaneway_rollout::Step;
 use vaneway_rollout::Turn;
 use vaneway_rollout::judge;
+use vaneway_server::core::control::machine::Command;
+use vaneway_server::core::control::machine::Effect;
+use vaneway_server::core::control::machine::StateMachine;
 
 /// Seed of the made-up versions.
 const SEED: u64 = 3_407;
@@ -329,3 +336,59 @@
     assert_eq!(rollout.phase, Phase::Running);
     assert!(rollout.is_barred("v2"), "a version that was taken back stays barred");
 }
+
+/// A snapshot of before the first roll-out is read, and one with roll-outs by earlier programs too:
+/// these read its beginning.
+#[test]
+fn snapshots_hold_roll_outs_behind_all_else() {
+    let mut machine = StateMachine::default();
+    machine.apply(Command::FixUsage { window: 7, counts: BTreeMap::new() });
+    let before = machine.encode();
+    assert!(StateMachine::decode(&before).expect("it is valid").rollouts().is_empty());
+    let step = Command::Rollout(Step::Start(order("v2")));
+    let command = Command::decode(&step.encode()).expect("it is valid");
+    assert_eq!(machine.apply(command), Effect::RolloutChanged);
+    let after = machine.encode();
+    assert!(after.starts_with(&before));
+    let decoded = StateMachine::decode(&after).expect("it is valid");
+    assert_eq!(decoded.rollouts(), machine.rollouts());
+    assert_eq!(decoded.usage(), machine.usage());
+}
+
+/// A trial in the time for the change, of which all is well.
+fn known_at_change() -> Known {
+    Known {
+        phase: Phase::Running,
+        now: Duration::from_secs(21),
+        started: Duration::from_secs(10),
+        deadline: Duration::from_secs(22),
+        finding: None,
+        answers: MIN_ANSWERS,
+        ready: 9,
+        ready_replaced: 10,
+        confirmed: false,
+        open_at_replaced: 5,
+    }
+}
+
+#[test]
+fn next_step_follows_from_evidence_replicas_and_confirmations() {
+    let at = Duration::from_millis;
+    let well = known_at_change;
+    assert!(matches!(well().next(), Next::Shift(_)));
+    assert_eq!(Known { now: at(18_900), ..well() }.next(), Next::Wait, "a fault may show later");
+    assert_eq!(Known { ready: 8, ..well() }.next(), Next::Wait);
+    assert_eq!(Known { answers: MIN_ANSWERS - 1, ..well() }.next(), Next::Wait);
+    let late = || Known { now: at(21_500), ..well() };
+    assert!(matches!(late().next(), Next::Shift(_)));
+    assert!(matches!(Known { ready: 8, ..late() }.next(), Next::RollBack(_)));
+    assert!(matches!(Known { answers: 0, ..late() }.next(), Next::RollBack(_)));
+    let shifting = || Known { phase: Phase::Shifting, ..well() };
+    assert_eq!(shifting().next(), Next::Wait, "boxes may still send to the old version");
+    let confirmed = || Known { confirmed: true, ..shifting() };
+    assert_eq!(confirmed().next(), Next::Wait, "requests are open at the old version");
+    let done = Known { open_at_replaced: 0, ..confirmed() };
+    assert!(matches!(done.next(), Next::Complete(_)));
+    assert!(matches!(Known { now: at(21_500), ..confirmed() }.next(), Next::Complete(_)));
+    assert_eq!(Known { now: at(60_000), ..shifting() }.next(), Next::Wait);
+}
