--- a/crates/vaneway-rollout/src/state.rs
+++ b/crates/vaneway-rollout/src/state.rs
@@ -76,7 +76,8 @@
 impl Rollout {
     /// Whether endpoints of a version carry the load of the service, beyond a trial.
     pub fn carries_load(&self, version: &str) -> bool {
-        !self.is_barred(version) && !(self.phase == Phase::Running && version == self.order.target)
+        let is_on_trial = self.phase == Phase::Running && version == self.order.target;
+        !is_on_trial && !self.is_barred(version)
     }
 
     /// Whether a version may get no requests at all.
--- a/crates/vaneway-rollout/src/verdict.rs
+++ b/crates/vaneway-rollout/src/verdict.rs
@@ -182,19 +182,19 @@
     let left_out = worst.filter(|_| excess.len() > 2).map(|(replica, _)| *replica);
     let holds_without = left_out.is_none_or(|left_out| {
         let others = samples.iter().filter(|sample| sample.replica != left_out);
-        strength(aspect, others.copied()) >= MIN_REMAINING_RATIO.log10()
+        strength(aspect, &others.copied()) >= MIN_REMAINING_RATIO.log10()
     });
     Finding {
         aspect,
         route: route.map(str::to_owned),
         answers: samples.iter().map(|sample| sample.answers).sum(),
         bad: samples.iter().map(|sample| sample.bad).sum(),
-        strength: if holds_without { strength(aspect, samples.iter().copied()) } else { 0.0 },
+        strength: if holds_without { strength(aspect, &samples.iter().copied()) } else { 0.0 },
     }
 }
 
 /// Decimal logarithm of the likelihood ratio of samples.
-fn strength<'a>(aspect: Aspect, samples: impl Iterator<Item = Sample<'a>> + Clone) -> f64 {
+fn strength<'a>(aspect: Aspect, samples: &(impl Iterator<Item = Sample<'a>> + Clone)) -> f64 {
     let sizes = match aspect {
         Aspect::Failures => &EXCESS_FAILURES[..],
         Aspect::FirstEvent | Aspect::Pauses => &SLOW_ODDS[..],
--- a/crates/vaneway-route/src/pool/versions.rs
+++ b/crates/vaneway-route/src/pool/versions.rs
@@ -77,12 +77,11 @@
         share: Share,
         confirmed_until: Instant,
     ) {
-        match self.gates.get_mut(&service).filter(|gate| *gate.rule == rule) {
-            Some(gate) => gate.confirmed_until = confirmed_until,
-            None => {
-                let gate = Gate { rule: Rc::new(rule), share, confirmed_until };
-                self.gates.insert(service, gate);
-            }
+        if let Some(gate) = self.gates.get_mut(&service).filter(|gate| *gate.rule == rule) {
+            gate.confirmed_until = confirmed_until;
+        } else {
+            let gate = Gate { rule: Rc::new(rule), share, confirmed_until };
+            self.gates.insert(service, gate);
         }
     }
 
--- a/crates/vaneway-server/src/core/calls/rollout_sample.rs
+++ b/crates/vaneway-server/src/core/calls/rollout_sample.rs
@@ -67,9 +67,10 @@
                 self.first.get_or_insert_with(clock::now);
                 self.end(!response.status().is_server_error());
             }
-            CallItem::Failed(_) => self.end(false),
             CallItem::Ended { outcome: Outcome::Done, .. } => self.end(true),
-            CallItem::Ended { outcome: Outcome::Unknown, .. } => self.end(false),
+            CallItem::Failed(_) | CallItem::Ended { outcome: Outcome::Unknown, .. } => {
+                self.end(false);
+            }
             // The endpoint did not run it.
             CallItem::Ended { outcome: Outcome::Refused | Outcome::NotSent, .. }
             | CallItem::Condemned
