--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -25,6 +25,8 @@
 use vaneway_origins::StreamKey;
 use vaneway_quarantine::QuarantineRecord;
 use vaneway_registry::Report;
+use vaneway_rollout::Evidence;
+use vaneway_rollout::Rollout;
 
 use crate::core::cached_parts::CachedParts;
 use crate::core::configuration::Configuration;
@@ -169,6 +171,8 @@
     },
     /// What callers of each service's engines get since the box started.
     CallerTimes(Vec<(String, CallerTimes)>),
+    /// Answers of the versions in roll-outs that are not over.
+    RolloutReports(Vec<RolloutReport>),
 }
 
 /// A message of a control box to an entry box.
@@ -245,6 +249,26 @@
         /// Where it began; none if the control box doesn't know it.
         origin: Option<Origin>,
     },
+    /// The last roll-out of each service.
+    Rollouts {
+        /// The roll-outs.
+        rollouts: Vec<Rollout>,
+        /// Whether the control box knows a leader, so that it would know an end of them.
+        confirmed: bool,
+    },
+}
+
+/// An entry box's answers of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// Name of the service.
+    pub service: String,
+    /// Number of the order.
+    pub number: u64,
+    /// Number of the last step that the entry box has carried out.
+    pub revision: u64,
+    /// Answers of this process, in the cells that changed since the last report or in all.
+    pub evidence: Evidence,
 }
 
 /// An entry box that handles calls which other entry boxes forward.
