--- a/crates/vaneway-relay/src/event.rs
+++ b/crates/vaneway-relay/src/event.rs
@@ -62,6 +62,12 @@
         /// Its outcome.
         outcome: Outcome,
     },
+    /// The endpoint sent far more than was asked for: what the caller has is no part of a sound
+    /// response, so a stream that has begun goes on nowhere.
+    Overran {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// The request is condemned for crashing the endpoints that run it: the running attempt is
     /// aborted and no other one is started.
     Condemned,
--- a/crates/vaneway-relay/src/relay.rs
+++ b/crates/vaneway-relay/src/relay.rs
@@ -190,6 +190,7 @@
             Event::Head { attempt } => self.head(attempt),
             Event::Chunk { attempt, chunk } => self.chunk(now, attempt, chunk, out),
             Event::Ended { attempt, outcome } => self.ended(now, attempt, outcome, budget, out),
+            Event::Overran { attempt } => self.overran(now, attempt, budget, out),
             Event::Condemned => self.condemned(now, out),
             Event::Answered { attempt } => self.answered(now, attempt, budget, out),
             Event::Leaving { endpoint, gone_at } => self.leaving(now, endpoint, gone_at, out),
@@ -321,6 +322,21 @@
         }
     }
 
+    fn overran(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        budget: &mut RetryBudget,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.splice.has_sent() {
+            self.ended(now, attempt, Outcome::Unknown, budget, out);
+        } else if self.current.take_if(|current| current.attempt == attempt).is_some() {
+            self.failure = FailureKind::AttemptsExhausted;
+            self.step(now, RequestEvent::LostForGood, out);
+        }
+    }
+
     fn condemned(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.failure = FailureKind::CrashesEndpoints;
         if let Some(Current { attempt, .. }) = self.abort_current() {
--- a/crates/vaneway-server/src/core/callers/answer.rs
+++ b/crates/vaneway-server/src/core/callers/answer.rs
@@ -23,7 +23,8 @@
 use crate::core::callers::api_error::ApiError;
 use crate::util::body::ResponseBody;
 use crate::util::outbox::Outbox;
-use crate::util::outbox::outbox;
+use crate::util::outbox::QueueLimits;
+use crate::util::outbox::outbox_within;
 
 /// Receives the response once its status is known.
 pub type ReplyReceiver = oneshot::Receiver<Response<ResponseBody>>;
@@ -56,7 +57,7 @@
 
 #[derive(Debug)]
 enum ResponseForm {
-    Stream { limit: usize, outbox: Option<Outbox> },
+    Stream { queue: QueueLimits, outbox: Option<Outbox> },
     Buffered { interface: Interface, collected: CollectedChunks },
 }
 
@@ -68,9 +69,9 @@
 }
 
 impl CallerResponse {
-    /// A streamed response that buffers at most about `limit` bytes for a slow caller.
-    pub fn stream(limit: usize) -> (Self, ReplyReceiver) {
-        Self::with(ResponseForm::Stream { limit, outbox: None })
+    /// A streamed response that buffers as much for a slow caller as `queue` allows.
+    pub fn stream(queue: QueueLimits) -> (Self, ReplyReceiver) {
+        Self::with(ResponseForm::Stream { queue, outbox: None })
     }
 
     /// A response in one piece.
@@ -164,8 +165,8 @@
     }
 
     fn send_event(&mut self, data: &str) {
-        if let ResponseForm::Stream { limit, outbox: slot @ None } = &mut self.form {
-            let (outbox, body) = outbox(*limit);
+        if let ResponseForm::Stream { queue, outbox: slot @ None } = &mut self.form {
+            let (outbox, body) = outbox_within(queue);
             *slot = Some(outbox);
             self.respond(event_stream(ResponseBody::Streamed(body)));
         }
--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -58,11 +58,19 @@
 use crate::util::clock;
 use crate::util::logline::Line;
 use crate::util::outbox::Outbox;
-use crate::util::outbox::outbox;
+use crate::util::outbox::outbox_within;
 
 /// Time between two checks whether an endpoint with an open request is unresponsive.
 const UNRESPONSIVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Why an attempt ends at an endpoint that has become unresponsive.
+const UNRESPONSIVE: &str =
+    "responses of the endpoint or its availability zone have stopped arriving";
+
+/// How many times as long as a pause may last a pause with comments may: they show that the endpoint is
+/// at work, and mustn't hold its place without end.
+const MAX_PAUSES_WITH_COMMENTS: u32 = 4;
+
 /// Maximum size of what a neighbour sends in place of an endpoint's response, in bytes.
 const MAX_CASE_BYTES: usize = 64 << 10;
 
@@ -230,13 +238,9 @@
                     Stage::Over,
                 );
             }
-            None => {
-                let cause =
-                    "responses of the endpoint or its availability zone have stopped arriving";
-                return (CallItem::ended(Outcome::Unknown, cause), Stage::Over);
-            }
+            None => return (CallItem::ended(Outcome::Unknown, UNRESPONSIVE), Stage::Over),
         };
-        let (mut head, body) = response.into_parts();
+        let (mut head, mut body) = response.into_parts();
         if is_neighbour {
             let result = AttemptResult::take(&mut head);
             if result != AttemptResult::Answer {
@@ -251,6 +255,7 @@
             ResponseKind::Answer => {
                 let streamed = matches!(request.form, AnswerForm::EventStream { .. });
                 if streamed && head.status.is_success() && is_event_stream(&head.headers) {
+                    body.expect_stream(request.work.as_ref().map(|work| work.max_tokens));
                     let reader = EventStreamReader {
                         sender,
                         may_be_empty: after.is_none()
@@ -270,7 +275,8 @@
                 let response = Response::from_parts(head, body);
                 let failed = response.status().is_server_error() && request.repeatable;
                 let started = StartedResponse { response, attempt };
-                let read = read_response(entry, &*protocol, &request, sender, started).await;
+                let read =
+                    read_response(entry, &*protocol, &request, sender, started, time_left).await;
                 match read {
                     CallItem::Response(response) if failed => CallItem::Failed(response),
                     item => item,
@@ -390,16 +396,18 @@
 }
 
 async fn next_event<E>(mut reader: Box<EventStreamReader>) -> (CallItem, Stage<E>) {
+    let quiet_since = clock::now();
     let cause = loop {
         if let Some(event) = reader.splitter.next_event() {
             reader.occupancy.record_chunk();
-            reader.has_event = reader.has_event || event.is_event();
+            reader.has_event = true;
+            reader.body.passed_on();
             return (CallItem::Event(event), Stage::Reading(reader));
         }
         let limits = &reader.limits;
         let timeout =
             if reader.occupancy.is_responding() { limits.gap_timeout } else { limits.head_timeout };
-        let until = clock::now() + timeout;
+        let until = (clock::now() + timeout).min(quiet_since + timeout * MAX_PAUSES_WITH_COMMENTS);
         let timers = reader.entry.timers.clone();
         match timers.timeout_at(until, reader.body.data()).await {
             Some(Some(Ok(data))) => reader.splitter.push(&data),
@@ -453,6 +461,7 @@
     request: &Rc<CallRequest>,
     sender: Sender,
     started: StartedResponse,
+    time_left: Duration,
 ) -> CallItem {
     let addr = entry.address(sender.endpoint);
     let StartedResponse { response, mut attempt } = started;
@@ -473,7 +482,7 @@
             protocol.prepare_headers(&mut head.headers);
             let is_success = head.status.is_success();
             let request = Rc::clone(request);
-            let body = forward_rest(entry, request, sender, is_success, &buffered, body);
+            let body = forward_rest(entry, request, sender, is_success, buffered, body, time_left);
             return CallItem::Response(Response::from_parts(head, body));
         }
         Err(error) => error.to_string(),
@@ -505,19 +514,22 @@
     answer_end::check(entry, sender, body.framing(), Received::All).await
 }
 
-/// Forwards the rest of a long response at the speed of the caller.
+/// Forwards the rest of a long response at the speed of the caller. The endpoint may take `patience`
+/// for it, beside the time that the caller takes.
 fn forward_rest(
     entry: Rc<Entry>,
     request: Rc<CallRequest>,
     sender: Sender,
     is_success: bool,
-    buffered: &[u8],
+    buffered: BytesMut,
     mut body: ConnectionBody,
+    patience: Duration,
 ) -> ResponseBody {
-    let (tx, rx) = outbox(entry.settings.limits.stream_bytes);
-    tx.push(buffered);
+    let (tx, rx) = outbox_within(&entry.connections.bounds().queue);
+    tx.begin(buffered);
+    body.passed_on();
     compio::runtime::spawn(async move {
-        let end = match copy_body(&entry, &tx, &mut body).await {
+        let end = match copy_body(&entry, &tx, &mut body, patience).await {
             CopyEnd::EndOfBody => check_end(&entry, sender, &body).await.map_err(|e| e.to_string()),
             CopyEnd::Broken(cause) => Err(cause),
             CopyEnd::CallerGone => return,
@@ -568,7 +580,13 @@
 }
 
 /// Copies a body into an outbox.
-async fn copy_body(entry: &Entry, tx: &Outbox, body: &mut ConnectionBody) -> CopyEnd {
+async fn copy_body(
+    entry: &Entry,
+    tx: &Outbox,
+    body: &mut ConnectionBody,
+    patience: Duration,
+) -> CopyEnd {
+    let mut patience = patience;
     loop {
         let until = clock::now() + entry.settings.limits.caller_stall_timeout;
         let capacity = poll_fn(|cx| match tx.poll_closed(cx) {
@@ -578,8 +596,15 @@
         if entry.timers.timeout_at(until, capacity).await != Some(true) {
             return CopyEnd::CallerGone;
         }
-        match entry.timers.timeout_at(until, body.data()).await {
-            Some(Some(Ok(data))) => tx.push(&data),
+        let waiting_since = clock::now();
+        let until = until.min(waiting_since + patience);
+        let read = entry.timers.timeout_at(until, body.data()).await;
+        patience = patience.saturating_sub(clock::elapsed(waiting_since));
+        match read {
+            Some(Some(Ok(data))) => {
+                tx.push(&data);
+                body.passed_on();
+            }
             Some(None) => return CopyEnd::EndOfBody,
             Some(Some(Err(error))) => return CopyEnd::Broken(error.to_string()),
             None => return CopyEnd::Broken("the endpoint sent nothing for too long".to_owned()),
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -519,12 +519,12 @@
             }
             Action::Wake { at } => self.events.wake_at(at),
             Action::Emit { chunk } => {
-                let limit = self.entry.settings.limits.stream_bytes;
+                let queue = &self.entry.connections.bounds().queue;
                 if self.relay.splice().sent_tokens() <= 1 {
                     let taken = clock::elapsed(self.received_at).as_secs_f64();
                     self.entry.metrics.first_token.observe(taken);
                 }
-                self.reply.push_event(limit, chunk.data.as_bytes());
+                self.reply.push_event(queue, chunk.data.as_bytes());
             }
             Action::Fail { failure } => self.failure = Some(failure),
             // Handled in `finish` or in the loop, or not used for this form of response.
--- a/crates/vaneway-server/src/core/calls/events.rs
+++ b/crates/vaneway-server/src/core/calls/events.rs
@@ -46,12 +46,15 @@
     }
 }
 
-/// Buffers the bytes of a stream that have not been returned as events yet.
+/// Buffers the bytes of a stream that have not been returned as events yet. Comments are returned with
+/// the event that follows them: alone, they would count as an event of the stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
     /// Offset in `buffer` up to which no event ends.
     scanned: usize,
+    /// Offset in `buffer` up to which there are only comments and empty lines.
+    commented: usize,
 }
 
 impl EventSplitter {
@@ -65,6 +68,7 @@
         let end = self.end_of_event()?;
         let bytes = self.buffer.split_to(end).freeze();
         self.scanned = 0;
+        self.commented = 0;
         Some(RawEvent { number: event_number(&bytes), bytes })
     }
 
@@ -80,9 +84,12 @@
         while let Some(length) = self.buffer[line..].iter().position(|byte| *byte == b'\n') {
             let next = line + length + 1;
             let empty = matches!(&self.buffer[line..next], b"\n" | b"\r\n");
-            if empty && line > 0 {
+            if empty && has_event(&self.buffer[self.commented..next]) {
                 return Some(next);
             }
+            if empty {
+                self.commented = next;
+            }
             line = next;
         }
         self.scanned = line;
--- a/crates/vaneway-server/src/core/calls/keyed_call.rs
+++ b/crates/vaneway-server/src/core/calls/keyed_call.rs
@@ -35,7 +35,7 @@
 use crate::util::logline::Line;
 use crate::util::outbox::Outbox;
 use crate::util::outbox::OutboxBody;
-use crate::util::outbox::outbox;
+use crate::util::outbox::outbox_within;
 
 /// Digest of method, path and body, by which two requests count as the same.
 pub fn digest(method: &str, path: &str, body: &[u8]) -> Digest {
@@ -137,7 +137,7 @@
         }
         ResponseBody::Streamed(streamed) => {
             let limits = &entry.settings.limits;
-            let (tx, rx) = outbox(limits.stream_bytes);
+            let (tx, rx) = outbox_within(&entry.connections.bounds().queue);
             let _gone = reply.send(Response::from_parts(head, ResponseBody::Streamed(rx)));
             let outcome = match copy_body(streamed, &tx, limits.answer_bytes).await {
                 CopyResult::Complete(body) => store(Some(body)),
--- a/crates/vaneway-server/src/core/calls/model_request.rs
+++ b/crates/vaneway-server/src/core/calls/model_request.rs
@@ -47,6 +47,8 @@
     pub prompt_tokens: u32,
     /// Maximum length of the response in tokens.
     pub max_tokens: u32,
+    /// The maximum that the request states.
+    pub stated_tokens: Option<u32>,
     /// Hash of the beginning of the prompt.
     pub prefix: u64,
     /// The body sent to engines, always with streaming turned on.
@@ -109,6 +111,7 @@
         wants_usage: !view.stream || view.stream_options.is_some_and(|o| o.include_usage),
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
         max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        stated_tokens: max_tokens,
         prefix: hash::of(hashed_prefix),
         body: Bytes::new(),
     };
--- a/crates/vaneway-server/src/core/calls/reply.rs
+++ b/crates/vaneway-server/src/core/calls/reply.rs
@@ -10,7 +10,8 @@
 use crate::core::callers::api_error::ApiError;
 use crate::util::body::ResponseBody;
 use crate::util::outbox::Outbox;
-use crate::util::outbox::outbox;
+use crate::util::outbox::QueueLimits;
+use crate::util::outbox::outbox_within;
 
 /// The response as far as it is known. The response of a later attempt replaces that of an earlier
 /// one, unless events have already been sent to the caller.
@@ -68,10 +69,10 @@
         }
     }
 
-    pub(super) fn push_event(&mut self, limit: usize, bytes: &[u8]) {
+    pub(super) fn push_event(&mut self, queue: &QueueLimits, bytes: &[u8]) {
         match std::mem::replace(&mut self.pending, PendingResponse::Empty) {
             PendingResponse::Head(head) => {
-                let (outbox, body) = outbox(limit);
+                let (outbox, body) = outbox_within(queue);
                 self.pending = PendingResponse::Streaming(outbox);
                 self.send(Ok(Response::from_parts(head, ResponseBody::Streamed(body))));
             }
--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -12,6 +12,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::fmt;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -30,7 +31,11 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 
+use crate::core::endpoints::answer_bounds::AnswerBounds;
+use crate::core::endpoints::answer_bounds::AnswerMeter;
+use crate::core::endpoints::answer_bounds::Excess;
 use crate::core::endpoints::framing::Framing;
+use crate::util::allowance::Allowance;
 use crate::util::socket::SocketStream;
 
 /// A request as it is sent to an endpoint.
@@ -51,25 +56,51 @@
     closed: bool,
     /// Whether the last read of the socket found no data.
     drained: Rc<Cell<bool>>,
+    /// The bytes without data that may still be read.
+    allowance: Rc<Allowance>,
+    bounds: Rc<AnswerBounds>,
 }
 
+/// Why a body can't be read to its end.
+#[derive(Debug)]
+pub enum ReadError {
+    /// The connection broke, or what arrived is no answer.
+    Broken(hyper::Error),
+    /// The answer exceeds a bound.
+    TooLong(Excess),
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => error.fmt(f),
+            Self::TooLong(excess) => excess.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
+
 impl Connection {
-    /// Creates an HTTP connection on a connected socket.
+    /// Creates an HTTP connection on a connected socket, whose answers have these bounds.
     ///
     /// # Errors
     ///
     /// If hyper's handshake fails.
-    pub async fn open(stream: SocketStream) -> hyper::Result<Self> {
+    pub async fn open(mut stream: SocketStream, bounds: &Rc<AnswerBounds>) -> hyper::Result<Self> {
+        let allowance = stream.bound_reads();
         let drained = stream.drained();
         let (sender, driver) =
             http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
-        Ok(Self { sender, driver: Box::pin(driver), closed: false, drained })
+        let (driver, bounds) = (Box::pin(driver), Rc::clone(bounds));
+        Ok(Self { sender, driver, closed: false, drained, allowance, bounds })
     }
 
     /// Whether another request can be sent. Reads the socket, to detect that the endpoint closed
     /// the idle connection before a request is lost on it, though the event loop has not run since.
     pub fn is_ready(&mut self) -> bool {
         self.drained.set(false);
+        self.allowance.grant_head(self.bounds.head_bytes);
         self.drive(&mut Context::from_waker(Waker::noop()));
         !self.closed && self.sender.is_ready()
     }
@@ -90,6 +121,7 @@
         req: EndpointRequest,
     ) -> Result<Response<ConnectionBody>, Box<TrySendError<EndpointRequest>>> {
         let method = req.method().clone();
+        self.allowance.grant_head(self.bounds.head_bytes);
         let response = self.sender.try_send_request(req);
         futures_util::pin_mut!(response);
         let response = poll_fn(|cx| {
@@ -104,7 +136,9 @@
         .await;
         let (head, body) = response.map_err(Box::new)?.into_parts();
         let framing = Framing::of(&method, &head);
-        Ok(Response::from_parts(head, ConnectionBody { connection: self, body, framing }))
+        self.allowance.grant_body();
+        let meter = self.bounds.meter();
+        Ok(Response::from_parts(head, ConnectionBody { connection: self, body, framing, meter }))
     }
 }
 
@@ -114,6 +148,7 @@
     connection: Connection,
     body: Incoming,
     framing: Framing,
+    meter: AnswerMeter,
 }
 
 impl ConnectionBody {
@@ -122,8 +157,27 @@
         self.framing
     }
 
+    /// Bounds the body as that of an event stream for which `tokens` were asked, if that is known.
+    pub fn expect_stream(&mut self, tokens: Option<u32>) {
+        let bounds = &self.connection.bounds;
+        self.meter = match tokens {
+            Some(_) => bounds.stream_meter(tokens),
+            None => bounds.open_stream_meter(),
+        };
+    }
+
+    /// Bounds the body as that of a stream of tokens; none were stated if none.
+    pub fn expect_tokens(&mut self, tokens: Option<u32>) {
+        self.meter = self.connection.bounds.stream_meter(tokens);
+    }
+
+    /// Notes that the reader has passed on the data that it held.
+    pub fn passed_on(&mut self) {
+        self.meter.passed_on();
+    }
+
     /// Polls for the next chunk of data; none at the end.
-    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<hyper::Result<Bytes>>> {
+    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, ReadError>>> {
         loop {
             let mut frame = Pin::new(&mut self.body).poll_frame(cx);
             if frame.is_pending() {
@@ -132,29 +186,37 @@
             }
             return match std::task::ready!(frame) {
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => Poll::Ready(Some(Ok(data))),
+                    Ok(data) => {
+                        self.connection.allowance.grant_after(data.len());
+                        let added = self.meter.add(data.len());
+                        Poll::Ready(Some(added.map(|()| data).map_err(ReadError::TooLong)))
+                    }
                     // Trailers are not used.
                     Err(_trailers) => continue,
                 },
-                Some(Err(error)) => Poll::Ready(Some(Err(error))),
+                Some(Err(error)) => Poll::Ready(Some(Err(ReadError::Broken(error)))),
                 None => Poll::Ready(None),
             };
         }
     }
 
     /// Waits for the next chunk of data; none at the end.
-    pub async fn data(&mut self) -> Option<hyper::Result<Bytes>> {
+    pub async fn data(&mut self) -> Option<Result<Bytes, ReadError>> {
         poll_fn(|cx| self.poll_data(cx)).await
     }
 
     /// Appends data to `buffer` until the end of the body or until the buffer exceeds `limit`
-    /// bytes; true at the end of the body.
+    /// bytes or its share of the box's memory; true at the end of the body.
     ///
     /// # Errors
     ///
-    /// hyper's error if the body is truncated.
-    pub async fn read_into(&mut self, buffer: &mut BytesMut, limit: usize) -> hyper::Result<bool> {
-        while buffer.len() <= limit {
+    /// [`ReadError`] if the body is truncated or too long.
+    pub async fn read_into(
+        &mut self,
+        buffer: &mut BytesMut,
+        limit: usize,
+    ) -> Result<bool, ReadError> {
+        while buffer.len() <= limit && !self.meter.is_over_share() {
             match self.data().await {
                 Some(data) => buffer.extend_from_slice(&data?),
                 None => return Ok(true),
@@ -179,6 +241,11 @@
         Self(Rc::new(RefCell::new(body)))
     }
 
+    /// Notes that the reader has passed on the data that it held.
+    pub fn passed_on(&self) {
+        self.0.borrow_mut().passed_on();
+    }
+
     /// Returns the body if this is the last reference to it.
     pub fn into_body(self) -> Option<ConnectionBody> {
         Rc::into_inner(self.0).map(RefCell::into_inner)
@@ -186,7 +253,7 @@
 }
 
 impl Stream for SharedBody {
-    type Item = hyper::Result<Bytes>;
+    type Item = Result<Bytes, ReadError>;
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         self.0.borrow_mut().poll_data(cx)
--- a/crates/vaneway-server/src/core/endpoints/mod.rs
+++ b/crates/vaneway-server/src/core/endpoints/mod.rs
@@ -1,5 +1,6 @@
 //! Protocols, connections and attempts to endpoints, and the endpoints that registered themselves.
 
+pub mod answer_bounds;
 pub mod framing;
 pub mod link;
 pub mod protocol;
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -10,12 +10,14 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use eventsource_stream::EventStream;
+use eventsource_stream::EventStreamError;
 use eventsource_stream::Eventsource as _;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
@@ -30,13 +32,17 @@
 use vaneway_relay::AttemptEvent;
 use vaneway_relay::Outcome;
 
+use crate::core::endpoints::answer_bounds::AnswerBounds;
+use crate::core::endpoints::answer_bounds::Excess;
 use crate::core::endpoints::link::Connection;
 use crate::core::endpoints::link::ConnectionBody;
 use crate::core::endpoints::link::EndpointRequest;
+use crate::core::endpoints::link::ReadError;
 use crate::core::endpoints::link::SharedBody;
 use crate::core::endpoints::protocol;
 use crate::core::endpoints::protocol::LEAVING_HEADER;
 use crate::core::endpoints::protocol::LIMIT_HEADER;
+use crate::core::settings::Limits;
 use crate::util::clock;
 use crate::util::socket;
 use crate::util::timers::Timers;
@@ -120,13 +126,24 @@
     /// The latest used ones last.
     idle: RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>,
     reset_on_close: bool,
+    bounds: Rc<AnswerBounds>,
 }
 
 impl ConnectionPool {
+    /// Creates a pool whose answers have the bounds that settings state.
+    pub fn with_limits(limits: &Limits) -> Self {
+        Self { bounds: AnswerBounds::of(limits), ..Self::default() }
+    }
+
     /// Creates a pool whose connections are reset when they are closed, so that data that was
     /// written but has not arrived, for example because of a network partition, never arrives.
     pub fn reset_on_close() -> Self {
-        Self { idle: RefCell::default(), reset_on_close: true }
+        Self { reset_on_close: true, ..Self::default() }
+    }
+
+    /// The bounds of answers.
+    pub fn bounds(&self) -> &Rc<AnswerBounds> {
+        &self.bounds
     }
 
     /// Sends `req` to `addr` and waits for the head of the response until `head_deadline`.
@@ -247,7 +264,7 @@
         {
             return Err(ended(attempt, AttemptEvent::Returned, error));
         }
-        Connection::open(stream)
+        Connection::open(stream, &self.bounds)
             .await
             .map_err(|error| ended(attempt, AttemptEvent::Returned, error))
     }
@@ -351,6 +368,11 @@
         /// Description of the refusal, for the log.
         cause: String,
     },
+    /// The engine sent more than was asked for.
+    Overran {
+        /// Description of the error, for the log.
+        cause: String,
+    },
     /// The attempt ended.
     Ended {
         /// What is known about the request's execution.
@@ -377,6 +399,8 @@
     pub stall_timeout: Duration,
     /// Deadline for the head of the response.
     pub head_deadline: Instant,
+    /// Tokens that were asked for; none if no maximum was stated.
+    pub max_tokens: Option<u32>,
 }
 
 type Events = EventStream<SharedBody>;
@@ -417,8 +441,16 @@
 where
     C: std::ops::Deref<Target = ConnectionPool>,
 {
-    let ModelAttempt { connections, timers, addr, req, reuse, stall_timeout, head_deadline } =
-        attempt;
+    let ModelAttempt {
+        connections,
+        timers,
+        addr,
+        req,
+        reuse,
+        stall_timeout,
+        head_deadline,
+        max_tokens,
+    } = attempt;
     let sent = connections.send(&timers, addr, req, reuse, head_deadline).await;
     let started = match sent {
         Ok(started) => started,
@@ -432,6 +464,7 @@
     let leaving = protocol::has_flag(response.headers(), &LEAVING_HEADER);
     let (head, mut body) = response.into_parts();
     if status == StatusCode::OK {
+        body.expect_tokens(max_tokens);
         let body = SharedBody::new(body);
         let events = body.clone().eventsource();
         let reading = Reading { connections, timers, addr, stall_timeout, body, attempt, events };
@@ -478,9 +511,13 @@
             return (finish(*reading).await, Stage::Over);
         }
         Some(Some(Ok(event))) => {
+            reading.body.passed_on();
             let item = AttemptItem::Data { id: event.id, data: event.data };
             return (item, Stage::Reading(reading));
         }
+        Some(Some(Err(EventStreamError::Transport(ReadError::TooLong(Excess::Body))))) => {
+            return (AttemptItem::Overran { cause: Excess::Body.to_string() }, Stage::Over);
+        }
         Some(Some(Err(error))) => error.to_string(),
         Some(None) => "event stream ended before its last event".to_owned(),
         None => "no event from the engine within the stall timeout".to_owned(),
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -205,7 +205,7 @@
             pool: RefCell::new(pool),
             boxes,
             budgets: RefCell::new(settings.services.iter().map(budget).collect()),
-            connections: ConnectionPool::default(),
+            connections: ConnectionPool::with_limits(&settings.limits),
             timers,
             open: OpenRequests::default(),
             claims,
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -302,6 +302,17 @@
     pub stream_bytes: usize,
     /// Maximum bytes of a plain response that are buffered until it is complete.
     pub answer_bytes: usize,
+    /// Maximum bytes of an answer up to the end of its head.
+    pub answer_head_bytes: usize,
+    /// Maximum bytes of one event of a stream.
+    pub event_bytes: usize,
+    /// Maximum bytes of a stream for each token that was asked for, beside `answer_bytes`.
+    pub token_bytes: usize,
+    /// Maximum bytes of any answer's body.
+    pub long_answer_bytes: u64,
+    /// Bytes of answers that are held for all callers together, beyond which those that hold more
+    /// than an equal share stop.
+    pub held_bytes: usize,
     /// Maximum number of open requests.
     pub open_requests: usize,
     /// How long a caller may leave its stream unread.
--- a/crates/vaneway-server/src/core/settings/read/entry.rs
+++ b/crates/vaneway-server/src/core/settings/read/entry.rs
@@ -212,6 +212,12 @@
         body_bytes: fields.integer("body_bytes", SIZE_RANGE_BYTES, 4 << 20) as usize,
         stream_bytes: fields.integer("stream_bytes", SIZE_RANGE_BYTES, 64 << 10) as usize,
         answer_bytes: fields.integer("answer_bytes", SIZE_RANGE_BYTES, 1 << 20) as usize,
+        answer_head_bytes: fields.integer("answer_head_bytes", MIN_HEADER_BYTES..=1 << 20, 64 << 10)
+            as usize,
+        event_bytes: fields.integer("event_bytes", SIZE_RANGE_BYTES, 256 << 10) as usize,
+        token_bytes: fields.integer("token_bytes", SIZE_RANGE_BYTES, 1 << 10) as usize,
+        long_answer_bytes: fields.integer("long_answer_bytes", SIZE_RANGE_BYTES, 1 << 30),
+        held_bytes: fields.integer("held_bytes", SIZE_RANGE_BYTES, 16 << 20) as usize,
         open_requests: fields.integer("open_requests", 1..=1_000_000, 20_000) as usize,
         caller_stall_timeout: millis(
             &mut fields,
--- a/crates/vaneway-server/src/util/mod.rs
+++ b/crates/vaneway-server/src/util/mod.rs
@@ -1,5 +1,6 @@
 //! General-purpose helpers, independent of the serving logic.
 
+pub mod allowance;
 pub mod body;
 pub mod clock;
 pub mod command_line;
@@ -7,6 +8,7 @@
 pub mod findings;
 pub mod frames;
 pub mod hash;
+pub mod held;
 pub mod http_server;
 pub mod log_output;
 pub mod logline;
--- a/crates/vaneway-server/src/util/outbox.rs
+++ b/crates/vaneway-server/src/util/outbox.rs
@@ -3,7 +3,7 @@
 //! The caller may read more slowly than the endpoint sends. The writer sees when the queue is full
 //! and stops reading from the endpoint; it is also woken as soon as the caller disconnects. Writer
 //! and reader run on one thread, so no lock or atomic is needed. All bytes queued since the last
-//! read are returned as one frame, which saves a system call for each chunk.
+//! read, up to `FRAME_BYTES`, are returned as one frame, which saves a system call for each chunk.
 
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -18,9 +18,27 @@
 use http_body::Body;
 use http_body::Frame;
 
+use crate::util::held::Held;
+use crate::util::held::HeldBytes;
+
+/// Maximum bytes of a frame. The HTTP server holds a frame until its caller has read it, where it isn't
+/// counted among the bytes held; a long first part of an answer would be a megabyte there.
+const FRAME_BYTES: usize = 16 << 10;
+
+/// Bounds of queues to callers.
+#[derive(Debug, Clone)]
+pub struct QueueLimits {
+    /// Bytes of one queue from which it has no capacity.
+    pub bytes: usize,
+    /// Bytes held for all callers together.
+    pub held: Rc<HeldBytes>,
+}
+
 #[derive(Debug, Default)]
 struct Queue {
     bytes: BytesMut,
+    /// The same bytes among those that the box holds; none if they aren't counted.
+    held: Option<Held>,
     ended: Option<End>,
     /// Whether the reader has been made to wait once before it gets the error of a truncated body.
     truncation_delayed: bool,
@@ -68,6 +86,14 @@
     }
 }
 
+/// Creates a queue that has capacity within `limits`: while it is full, or over its share of what the
+/// box may hold, its writer waits.
+pub fn outbox_within(limits: &QueueLimits) -> (Outbox, OutboxBody) {
+    let (outbox, body) = outbox(limits.bytes);
+    outbox.queue.borrow_mut().held = Some(limits.held.holder());
+    (outbox, body)
+}
+
 /// Creates a queue that has capacity while it holds less than `limit` bytes.
 pub fn outbox(limit: usize) -> (Outbox, OutboxBody) {
     let queue = Rc::new(RefCell::new(Queue::default()));
@@ -79,13 +105,27 @@
     pub fn push(&self, bytes: &[u8]) {
         let mut queue = self.queue.borrow_mut();
         queue.bytes.extend_from_slice(bytes);
+        if let Some(held) = &mut queue.held {
+            held.add(bytes.len());
+        }
+        wake(&mut queue.reader);
+    }
+
+    /// Sets the first bytes, even if they exceed the limit.
+    pub fn begin(&self, bytes: BytesMut) {
+        let mut queue = self.queue.borrow_mut();
+        if let Some(held) = &mut queue.held {
+            held.add(bytes.len());
+        }
+        queue.bytes.unsplit(bytes);
         wake(&mut queue.reader);
     }
 
     /// Ready if the queue has capacity; otherwise the task is woken once it has.
     pub fn poll_capacity(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut queue = self.queue.borrow_mut();
-        if queue.bytes.len() < self.limit {
+        let is_over_share = queue.held.as_ref().is_some_and(Held::is_over_share);
+        if queue.bytes.len() < self.limit && !is_over_share {
             return Poll::Ready(());
         }
         register_waker(&mut queue.writer, cx);
@@ -120,6 +160,7 @@
     fn drop(&mut self) {
         let mut queue = self.0.borrow_mut();
         queue.reader_dropped = true;
+        queue.held = None;
         wake(&mut queue.writer);
     }
 }
@@ -134,7 +175,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
         let mut queue = self.0.borrow_mut();
         if !queue.bytes.is_empty() {
-            let bytes = queue.bytes.split().freeze();
+            let length = queue.bytes.len().min(FRAME_BYTES);
+            let bytes = queue.bytes.split_to(length).freeze();
+            let left = queue.bytes.len();
+            if let Some(held) = &mut queue.held {
+                held.set(left);
+            }
             wake(&mut queue.writer);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
--- a/crates/vaneway-server/src/util/socket.rs
+++ b/crates/vaneway-server/src/util/socket.rs
@@ -23,6 +23,7 @@
 use socket2::TcpKeepalive;
 use socket2::Type;
 
+use crate::util::allowance::Allowance;
 use crate::util::clock;
 use crate::util::http_server::Activity;
 use crate::util::timers::Timers;
@@ -36,6 +37,8 @@
     drained: Rc<Cell<bool>>,
     /// Notified whenever bytes are received for hyper. It also says how the connection must end.
     activity: Option<Rc<Activity>>,
+    /// How many bytes hyper may read; none if the reads have no bound.
+    allowance: Option<Rc<Allowance>>,
     /// Whether the connection will be reset when it is closed.
     resets: bool,
 }
@@ -171,7 +174,13 @@
     fn new(socket: Socket) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
-        Ok(Self { fd: PollFd::new(socket)?, drained: Rc::default(), activity: None, resets: false })
+        Ok(Self {
+            fd: PollFd::new(socket)?,
+            drained: Rc::default(),
+            activity: None,
+            allowance: None,
+            resets: false,
+        })
     }
 }
 
@@ -181,6 +190,11 @@
         self.activity = Some(activity);
     }
 
+    /// Bounds the bytes that hyper reads by an allowance, which is returned.
+    pub fn bound_reads(&mut self) -> Rc<Allowance> {
+        Rc::clone(self.allowance.get_or_insert_default())
+    }
+
     /// Reads some bytes; 0 at the end of the stream.
     pub fn poll_recv(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         self.fd.poll_read_with(cx, |socket| {
@@ -266,7 +280,11 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         // SAFETY: `recv` only writes initialized bytes into the slice.
-        let free = unsafe { buf.as_mut() };
+        let mut free = unsafe { buf.as_mut() };
+        if let Some(allowance) = &self.allowance {
+            let left = allowance.left()?.min(free.len());
+            free = &mut free[..left];
+        }
         loop {
             if self.drained.get() {
                 std::task::ready!(self.fd.poll_read_ready(cx))?;
@@ -277,6 +295,9 @@
                     if let Some(activity) = &self.activity {
                         activity.received();
                     }
+                    if let Some(allowance) = &self.allowance {
+                        allowance.take(count);
+                    }
                     // SAFETY: `recv` has initialized the first `count` bytes.
                     unsafe { buf.advance(count) };
                     return Poll::Ready(Ok(()));
--- a/crates/vaneway-test-support/src/deployment.rs
+++ b/crates/vaneway-test-support/src/deployment.rs
@@ -53,7 +53,8 @@
         self
     }
 
-    fn to_json(&self) -> Value {
+    /// Its entry in the settings.
+    pub fn to_json(&self) -> Value {
         let mut replica = json!({
             "name": self.name,
             "address": self.address,
--- a/crates/vaneway-test-support/src/lib.rs
+++ b/crates/vaneway-test-support/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod standin;
 pub mod stream_caller;
 pub mod throttle;
+pub mod unending_endpoint;
 pub mod weight_store;
 pub mod wire_control;
 pub mod wire_endpoint;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -61,3 +61,4 @@
 mod support;
 mod telling;
 mod turns;
+mod unending_bytes;
