--- a/crates/vaneway-test-support/src/soak/mod.rs
+++ b/crates/vaneway-test-support/src/soak/mod.rs
@@ -14,6 +14,7 @@
 pub mod plan;
 pub mod promises;
 pub mod taken_up;
+pub mod unending;
 pub mod world;
 
 use std::collections::BTreeMap;
@@ -75,6 +76,7 @@
     steps.extend(plan::configurations(seed, time));
     steps.extend(plan::unframed(seed, time));
     steps.extend(plan::kills(seed, time));
+    steps.extend(unending::plan(seed, time));
     steps.extend(plan::mortal(seed, time));
     steps.sort_by_key(|step| step.at);
     let mut world = World::start(program);
@@ -100,6 +102,7 @@
     let mut violations = promises::violations(&evidence);
     violations.extend(judged.violation());
     violations.extend(deadly_part::violations(&evidence));
+    violations.extend(world.unending().violations());
     let mut outcomes = BTreeMap::new();
     for request in &requests {
         let status = request.response.as_ref().map_or(0, |response| response.status);
--- a/crates/vaneway-test-support/src/soak/plan.rs
+++ b/crates/vaneway-test-support/src/soak/plan.rs
@@ -65,6 +65,8 @@
     StartUnframed(usize, u32),
     /// Starts an endpoint that crashes on a part of prompts.
     StartMortal,
+    /// Starts an endpoint whose bytes never end, of this kind, which sends slowly (true) or fast.
+    StartUnending(usize, bool),
     /// Makes an endpoint request a back-off of this many seconds in its refusals from now on, or
     /// none.
     RequestBackOff(usize, Option<&'static str>),
--- a/crates/vaneway-test-support/src/soak/world.rs
+++ b/crates/vaneway-test-support/src/soak/world.rs
@@ -32,6 +32,7 @@
 use crate::soak::plan::CONTROL_BOXES;
 use crate::soak::plan::ENDPOINTS;
 use crate::soak::plan::ENTRY_BOXES;
+use crate::soak::unending::UnendingEndpoints;
 use crate::wire_endpoint::Behaviour;
 use crate::wire_endpoint::events;
 
@@ -150,6 +151,7 @@
     framed: Arc<Mutex<Vec<Endpoint>>>,
     unframed: Arc<Mutex<Vec<UnframedEndpoint>>>,
     mortal: Arc<Mutex<Vec<MortalEndpoint>>>,
+    unending: UnendingEndpoints,
 }
 
 /// Time at which an entry box was started, stopped, paused, resumed or killed.
@@ -384,6 +386,7 @@
                 e.limit = limit.parse().ok().map(|rate| (rate, Instant::now()));
             }),
             Action::StartUnframed(whole, last) => self.add_unframed_endpoint(whole, last),
+            Action::StartUnending(kind, is_slow) => self.endpoints.unending.start(kind, is_slow),
             Action::StartMortal => {
                 let mut endpoints = lock(&self.endpoints.mortal);
                 let standin = WireEndpoint::spawn(&format!("m-{}", endpoints.len()));
@@ -539,9 +542,15 @@
         };
         let unframed = lock(&self.endpoints.unframed).iter().map(received).sum::<u32>();
         let mortal = lock(&self.endpoints.mortal);
+        let unframed = unframed + self.endpoints.unending.runs(id);
         framed + unframed + mortal.iter().map(|endpoint| endpoint.standin.runs(id)).sum::<u32>()
     }
 
+    /// The endpoints whose bytes never end.
+    pub fn unending(&self) -> &UnendingEndpoints {
+        &self.endpoints.unending
+    }
+
     /// The requests that each endpoint which crashes on a part received, by time and id.
     pub fn received_by_mortal(&self) -> Vec<Vec<(Instant, String)>> {
         let endpoints = lock(&self.endpoints.mortal);
@@ -740,6 +749,9 @@
             for (path, body) in unframed_heartbeats(&endpoints.unframed) {
                 is_accepted_by_any(&path, &body, &controls, &mut next_control);
             }
+            for (path, body) in endpoints.unending.heartbeats() {
+                is_accepted_by_any(&path, &body, &controls, &mut next_control);
+            }
             for (path, body) in mortal_heartbeats(&endpoints.mortal) {
                 is_accepted_by_any(&path, &body, &controls, &mut next_control);
             }
