--- a/crates/vaneway-server/src/util/held.rs
+++ b/crates/vaneway-server/src/util/held.rs
@@ -3,7 +3,7 @@
 //! Why: each reader and each queue has a bound, but thousands of them together would exceed the
 //! memory of a box. Data flow: everything that holds bytes has a [`Held`] and reports how many it
 //! holds. While all together hold more than the budget, those with more than an equal share, or
-//! more than a share of a large box, are over it. What that means is up to the holder: to stop reading, to pass on what it has, or to fail. One
+//! more than `MAX_SHARE_BYTES`, are over it. What that means is up to the holder: to stop reading, to pass on what it has, or to fail. One
 //! that holds little is never over its share, so a few that hold much don't end the others.
 
 use std::cell::Cell;
