--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -65,3 +65,4 @@
 mod support;
 mod telling;
 mod turns;
+mod unending_bytes;
