--- a/crates/vaneway-route/src/expected.rs
+++ b/crates/vaneway-route/src/expected.rs
@@ -6,7 +6,7 @@
 //! - the outstanding tokens there, of this box and the others;
 //! - a small cost for each open request, because it makes every step of a batch longer;
 //! - the request's own prompt, less the parts that the endpoint has probably cached;
-//! - the network delay to another availability zone;
+//! - the way to another availability zone;
 //! - its recent failures;
 //! - a penalty if its responses have stopped arriving.
 //!
@@ -63,6 +63,15 @@
 /// Is Old Information?", 2000): the best of a small random sample is better.
 const SAMPLE_SIZE: usize = 3;
 
+/// The way to endpoints in other availability zones, for [`pick`].
+pub(crate) struct Distance<F> {
+    /// Cost of the way to an endpoint, in tokens.
+    pub(crate) cost: F,
+    /// Whether the candidates are those of one zone already, so that the home zone needs no sample of
+    /// its own.
+    pub(crate) is_zone_chosen: bool,
+}
+
 /// Picks the candidate with the lowest expected cost among those that have probably cached parts of
 /// the prompt and a random sample.
 pub(crate) fn pick(
@@ -70,6 +79,7 @@
     candidates: &[EndpointId],
     now: Instant,
     query: &Query<'_>,
+    distance: &Distance<impl Fn(&Endpoint) -> f64>,
     rng: &mut Pcg64Mcg,
 ) -> Option<EndpointId> {
     let shared = query.work.map_or(&[][..], Work::shared);
@@ -89,18 +99,14 @@
             };
             cached += probability * f64::from(part.tokens);
         }
-        let distance = if endpoint.spec.availability_zone == query.home {
-            0.0
-        } else {
-            CROSS_ZONE_COST_TOKENS
-        };
-        let failures = endpoint.recent_failures.value(now) * FAILURE_COST_TOKENS;
-        let unresponsive =
-            if unresponsive_zones.covers(endpoint, now) { UNRESPONSIVE_COST_TOKENS } else { 0.0 };
-        open_work(endpoint, now) + (prompt - cached).max(0.0) + distance + failures + unresponsive
+        let own = (prompt - cached).max(0.0);
+        let trouble = trouble(endpoint, now, &unresponsive_zones);
+        open_work(endpoint, now) + own + (distance.cost)(endpoint) + trouble
     };
     let at_home = |id: &&EndpointId| endpoints[**id as usize].spec.availability_zone == query.home;
-    let home: Vec<EndpointId> = candidates.iter().filter(at_home).copied().collect();
+    let is_zone_chosen = distance.is_zone_chosen;
+    let home = candidates.iter().filter(|id| !is_zone_chosen && at_home(id)).copied();
+    let home: Vec<EndpointId> = home.collect();
     let mut sampled: Vec<EndpointId> = Vec::with_capacity(2 * SAMPLE_SIZE);
     for from in [&*home, candidates] {
         let sample = |_| from[rng.random_range(0..from.len())];
@@ -113,10 +119,49 @@
     };
     let few = candidates.len() <= 2 * SAMPLE_SIZE;
     let considered = candidates.iter().filter(|id| few || sampled.contains(id) || has_cached(**id));
-    let costs = considered.map(|id| (*id, cost(*id)));
+    // Equal costs are ordered at random: without loads most are equal, and the first endpoints
+    // would get far more than their share.
+    let mut tie_break = || if is_zone_chosen { rng.random_range(0.0..1.0) } else { 0.0 };
+    let costs = considered.map(|id| (*id, cost(*id) + tie_break()));
     costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
 }
 
+/// Cost of the network delay to an endpoint, in tokens, where the settings state no cost of leaving
+/// the availability zone.
+pub(crate) fn fixed_distance(endpoint: &Endpoint, query: &Query<'_>) -> f64 {
+    if endpoint.spec.availability_zone == query.home { 0.0 } else { CROSS_ZONE_COST_TOKENS }
+}
+
+/// Cost of an endpoint's recent failures, or of stopped responses, in tokens.
+pub(crate) fn trouble(endpoint: &Endpoint, now: Instant, zones: &UnresponsiveZones<'_>) -> f64 {
+    let unresponsive = if zones.covers(endpoint, now) { UNRESPONSIVE_COST_TOKENS } else { 0.0 };
+    endpoint.recent_failures.value(now) * FAILURE_COST_TOKENS + unresponsive
+}
+
+/// The candidates that have probably cached a part of a prompt.
+pub(crate) fn with_parts(
+    endpoints: &[Endpoint],
+    candidates: &[EndpointId],
+    now: Instant,
+    query: &Query<'_>,
+) -> Vec<EndpointId> {
+    let shared = query.work.map_or(&[][..], Work::shared);
+    let weight = |part: PartId, id: EndpointId| rendezvous_weight(part, &endpoints[id as usize]);
+    let place = |part: PartId| candidates.iter().copied().max_by_key(|id| weight(part, *id));
+    let mut ids: Vec<EndpointId> = shared.iter().filter_map(|part| place(part.id)).collect();
+    if let Some(last) = shared.last() {
+        let cached = |id: &&EndpointId| is_cached(&endpoints[**id as usize], last.id, now);
+        ids.extend(candidates.iter().filter(cached));
+    }
+    ids
+}
+
+/// Work of a request that it shares with no other, in tokens.
+pub(crate) fn request_work(work: Option<&Work>) -> f64 {
+    let own = work.and_then(|work| work.parts.last()).map_or(0, |part| part.tokens);
+    REQUEST_COST_TOKENS + f64::from(own)
+}
+
 /// Number of endpoints among which an isolated request goes to the one with the least open work.
 const ISOLATION_CANDIDATES: usize = 3;
 
@@ -153,14 +198,18 @@
     endpoint.open_tokens + others_load(endpoint, now).tokens
 }
 
+/// Whether the load of the other boxes at an endpoint is known well enough.
+pub(crate) fn is_others_load_known(endpoint: &Endpoint, now: Instant) -> bool {
+    endpoint.others_load_at.is_some_and(|at| now < at + OTHERS_LOAD_MAX_AGE)
+}
+
 /// Load of the other boxes at an endpoint; zero if it is not known well enough.
 fn others_load(endpoint: &Endpoint, now: Instant) -> Load {
-    let is_known = endpoint.others_load_at.is_some_and(|at| now < at + OTHERS_LOAD_MAX_AGE);
-    if is_known { endpoint.others_load } else { Load::default() }
+    if is_others_load_known(endpoint, now) { endpoint.others_load } else { Load::default() }
 }
 
 /// Cost of the open requests and outstanding tokens of all boxes at an endpoint, in tokens.
-fn open_work(endpoint: &Endpoint, now: Instant) -> f64 {
+pub(crate) fn open_work(endpoint: &Endpoint, now: Instant) -> f64 {
     let others = others_load(endpoint, now);
     let requests = f64::from(endpoint.open + others.requests);
     requests * REQUEST_COST_TOKENS + endpoint.open_tokens as f64 + others.tokens as f64
--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -13,11 +13,13 @@
 
 mod endpoint;
 mod expected;
+mod fitting;
 mod policy;
 mod pool;
 mod service_path;
 mod shortage;
 mod silence;
+mod zones;
 
 pub use endpoint::DecayingSum;
 pub use endpoint::Endpoint;
@@ -32,12 +34,12 @@
 pub use endpoint::ServiceId;
 pub use endpoint::endpoint_chart;
 pub use expected::CACHED_PART_MAX_AGE;
+pub use fitting::FittingCounts;
 pub use policy::Policy;
 pub use policy::PromptPart;
 pub use policy::Work;
 pub use pool::Choice;
 pub use pool::Effect;
-pub use pool::FittingCounts;
 pub use pool::NeighbourQuery;
 pub use pool::Pool;
 pub use pool::Query;
@@ -47,3 +49,9 @@
 pub use shortage::QueueLimit;
 pub use shortage::Standing;
 pub use silence::UNRESPONSIVE_THRESHOLD;
+pub use zones::LeavingZone;
+pub use zones::MessageSizes;
+pub use zones::ZoneDecision;
+pub use zones::ZoneLink;
+pub use zones::ZonePair;
+pub use zones::ZoneReason;
--- a/crates/vaneway-route/src/policy.rs
+++ b/crates/vaneway-route/src/policy.rs
@@ -17,6 +17,8 @@
 use crate::PartId;
 use crate::Query;
 use crate::expected;
+use crate::expected::Distance;
+use crate::zones::Zones;
 
 /// How an endpoint is chosen among the candidates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
@@ -103,6 +105,8 @@
     rng: Pcg64Mcg,
     /// Number of choices made, for [`Policy::RoundRobin`].
     turn: usize,
+    /// Decides whether requests leave the availability zone; none if the policy does.
+    pub(crate) zones: Option<Zones>,
 }
 
 impl Chooser {
@@ -111,7 +115,7 @@
     }
 
     pub(crate) fn new(policy: Policy, rng: Pcg64Mcg) -> Self {
-        Self { policy, rng, turn: 0 }
+        Self { policy, rng, turn: 0, zones: None }
     }
 
     /// Picks one of `candidates`; none if there are none.
@@ -147,11 +151,79 @@
                 .copied()
                 .max_by_key(|id| rendezvous_weight(prefix, &endpoints[*id as usize])),
             Policy::ExpectedWork => {
-                expected::pick(endpoints, candidates, now, query, &mut self.rng)
+                let cost = |endpoint: &Endpoint| match &self.zones {
+                    Some(zones) => zones.distance(endpoint, query),
+                    None => expected::fixed_distance(endpoint, query),
+                };
+                let is_zone_chosen = self.zones.as_ref().is_some_and(Zones::has_decided);
+                let distance = Distance { cost, is_zone_chosen };
+                expected::pick(endpoints, candidates, now, query, &distance, &mut self.rng)
             }
         }
     }
 
+    /// Whether the zone of a request is decided by [`Zones`].
+    pub(crate) fn begin_zone(
+        &mut self,
+        endpoints: &[Endpoint],
+        now: Instant,
+        query: &Query<'_>,
+    ) -> bool {
+        self.zones.as_mut().is_some_and(|zones| zones.begin(endpoints, now, query))
+    }
+
+    /// See [`Zones::limit_stay`]; nothing without rooms.
+    pub(crate) fn limit_stay(
+        &mut self,
+        endpoints: &[Endpoint],
+        rooms: &[(EndpointId, f64)],
+        query: &Query<'_>,
+    ) {
+        let Some((zones, limit)) = self.zones.as_mut().zip(query.queue_limit) else { return };
+        if !rooms.is_empty() {
+            zones.limit_stay(endpoints, rooms, query, limit);
+        }
+    }
+
+    /// See [`Zones::redraw`]; the endpoint that was drawn without rooms.
+    pub(crate) fn redraw(
+        &mut self,
+        endpoints: &[Endpoint],
+        rooms: &[(EndpointId, f64)],
+        drawn: EndpointId,
+        now: Instant,
+        query: &Query<'_>,
+    ) -> EndpointId {
+        if rooms.is_empty() {
+            return drawn;
+        }
+        let random = [self.random_fraction(), self.random_fraction()];
+        let zones = self.zones.as_mut();
+        zones.map_or(drawn, |zones| zones.redraw(endpoints, rooms, drawn, now, query, random))
+    }
+
+    /// See [`Zones::narrow`]; prompt parts count where the policy compares them.
+    pub(crate) fn narrow(
+        &mut self,
+        endpoints: &[Endpoint],
+        candidates: &mut Vec<EndpointId>,
+        now: Instant,
+        query: &Query<'_>,
+    ) {
+        let random = self.random_fraction();
+        let keep_parts = self.policy == Policy::ExpectedWork;
+        if let Some(zones) = &mut self.zones {
+            zones.narrow(endpoints, candidates, now, query, keep_parts, random);
+        }
+    }
+
+    /// See [`Zones::settle`].
+    pub(crate) fn settle_zone(&mut self, chosen: &Endpoint, query: &Query<'_>) {
+        if let Some(zones) = &mut self.zones {
+            zones.settle(chosen, query);
+        }
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction(&mut self) -> f64 {
         self.rng.random_range(0.0..1.0)
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -57,7 +57,7 @@
 
 impl Query<'_> {
     /// Whether an endpoint is one that must respond, whatever its state.
-    fn fits(&self, endpoint: &Endpoint) -> bool {
+    pub(crate) fn fits(&self, endpoint: &Endpoint) -> bool {
         let has_version = self.software.is_none_or(|software| endpoint.spec.software == software);
         has_version && endpoint.spec.service == self.service
     }
@@ -100,24 +100,6 @@
     NoneLeft,
 }
 
-/// Numbers of the endpoints that fit a [`Query`]; each counts only endpoints of the one before it,
-/// except for `exited`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct FittingCounts {
-    /// Those that this box has ever known.
-    pub known: usize,
-    /// Those that are neither leaving nor gone.
-    pub staying: usize,
-    /// Of these, those whose process counts as exited.
-    pub exited: usize,
-    /// Those that are neither suspended nor have requested a back-off that isn't over.
-    pub available: usize,
-    /// Those of whose advertised limits this box has a share left.
-    pub within_limit: usize,
-    /// Those at which this box may open one more request.
-    pub with_room: usize,
-}
-
 /// Consequence of an endpoint's state change for the work that runs there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -158,7 +140,7 @@
     endpoints: Vec<Endpoint>,
     /// Software versions of all endpoints by service.
     software: BTreeMap<ServiceId, BTreeSet<String>>,
-    chooser: Chooser,
+    pub(crate) chooser: Chooser,
     /// Candidates of the current choice; kept to reuse the allocation.
     candidates: Vec<EndpointId>,
     /// Prompt parts that requests of this box used at endpoints where they did not count as cached,
@@ -330,22 +312,32 @@
             |_, tried, _| !tried,
             |_, _, _| true,
         ];
+        let decides_zone = self.chooser.begin_zone(&self.endpoints, now, &query);
         // This policy includes the network delay to other zones in the cost.
-        let is_distance_in_cost = self.chooser.policy() == Policy::ExpectedWork;
+        let is_distance_in_cost = decides_zone || self.chooser.policy() == Policy::ExpectedWork;
         for preferred in preferences.into_iter().skip(usize::from(is_distance_in_cost)) {
             self.collect_candidates(now, &query, preferred);
             if let Some(queue_limit) = query.queue_limit.filter(|_| !self.candidates.is_empty()) {
                 let rooms = shortage::rooms(&self.endpoints, &self.candidates, now, queue_limit);
                 let is_limited =
                     |id: EndpointId| self.endpoints[id as usize].gate.is_limited(query.sender.now);
+                let for_zones = if decides_zone { rooms.clone() } else { Vec::new() };
+                self.chooser.limit_stay(&self.endpoints, &for_zones, &query);
                 match shortage::filter(rooms, queue_limit, is_limited, &mut self.chooser) {
                     QueueFilter::Filtered(ids) => self.candidates = ids,
-                    QueueFilter::Drawn(id) => return Choice::Endpoint(id),
+                    QueueFilter::Drawn(id) => {
+                        let id = self.chooser.redraw(&self.endpoints, &for_zones, id, now, &query);
+                        return Choice::Endpoint(id);
+                    }
                     QueueFilter::Rejected => return Choice::QueuesTooLong,
                 }
             }
+            if decides_zone {
+                self.chooser.narrow(&self.endpoints, &mut self.candidates, now, &query);
+            }
             let candidates = &self.candidates;
             if let Some(id) = self.chooser.pick(&self.endpoints, candidates, now, &query) {
+                self.chooser.settle_zone(&self.endpoints[id as usize], &query);
                 return Choice::Endpoint(id);
             }
         }
@@ -391,26 +383,6 @@
         Choice::Unavailable { until: first.and_then(Endpoint::available_from) }
     }
 
-    /// The numbers of endpoints that could respond to a query, in each respect.
-    pub fn count_fitting(&self, now: Instant, query: &Query<'_>) -> FittingCounts {
-        let fitting = || self.endpoints.iter().filter(|endpoint| query.fits(endpoint));
-        let staying = || self.usable(query.service).map(|id| self.get(id));
-        let staying = || staying().filter(|endpoint| query.fits(endpoint));
-        let available = || fitting().filter(|endpoint| endpoint.takes_work(now));
-        let is_within_limit = |endpoint: &&Endpoint| endpoint.is_within_limit(now, query.sender);
-        let within_limit = || available().filter(is_within_limit);
-        let has_room =
-            |endpoint: &&Endpoint| endpoint.has_room() && endpoint.has_place_for(now, query.sender);
-        FittingCounts {
-            known: fitting().count(),
-            staying: staying().count(),
-            exited: staying().filter(|endpoint| endpoint.has_exited(now)).count(),
-            available: available().count(),
-            within_limit: within_limit().count(),
-            with_room: within_limit().filter(has_room).count(),
-        }
-    }
-
     /// End of the back-off of the endpoint that becomes available first in a service. None if it has
     /// no back-off, or if its suspension ends later: a suspension is only this box's estimate.
     pub fn backoff_until(&self, service: ServiceId) -> Option<Instant> {
--- a/crates/vaneway-route/src/shortage.rs
+++ b/crates/vaneway-route/src/shortage.rs
@@ -47,7 +47,7 @@
 
 /// Minimum ratio of the room of all endpoints to [`QueueLimit::unreported_tokens`] for each box to
 /// choose the endpoint that is best for its request. Below it, boxes draw at random.
-const AMPLE_CAPACITY_RATIO: f64 = 4.0;
+pub(crate) const AMPLE_CAPACITY_RATIO: f64 = 4.0;
 
 /// Result of [`filter`].
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -548,12 +548,11 @@
         if request.stream.is_some_and(|stream| self.entry.origins.is_uncertain(stream)) {
             return Event::NoneLeft;
         }
-        let forwarded =
-            neighbours::choose(&self.entry, request, &self.relay, &self.without_version);
-        if let Some(event) = forwarded {
+        let event = neighbours::choose(&self.entry, request, &self.relay, &self.without_version);
+        if let Some(event) = event {
             return event;
         }
-        self.entry.choose(Query {
+        let query = Query {
             service: request.service,
             avoid: self.relay.tried(),
             prefix: request.prefix,
@@ -562,7 +561,8 @@
             isolation_hash,
             queue_limit: self.queue_limit(),
             ..Query::default()
-        })
+        };
+        self.entry.choose_for(&request.id, &request.service_name, query)
     }
 
     /// The bound on an endpoint's queue that lets the first event arrive in time. It applies only
--- a/crates/vaneway-server/src/core/calls/model_call.rs
+++ b/crates/vaneway-server/src/core/calls/model_call.rs
@@ -400,13 +400,17 @@
 
     fn choose(&mut self) -> Event {
         self.occupancy = None;
-        let chosen = self.entry.choose(Query {
-            service: self.request.service as ServiceId,
-            avoid: self.relay.tried(),
-            prefix: self.request.prefix,
-            software: self.software.as_deref(),
-            ..Query::default()
-        });
+        let chosen = self.entry.choose_for(
+            &self.id,
+            &self.open().service,
+            Query {
+                service: self.request.service as ServiceId,
+                avoid: self.relay.tried(),
+                prefix: self.request.prefix,
+                software: self.software.as_deref(),
+                ..Query::default()
+            },
+        );
         match chosen {
             // An engine that replaces the lost one may have the version.
             Event::NoneLeft => Event::Unavailable { full: false, until: None },
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -53,6 +53,7 @@
 use crate::core::settings::FollowSettings;
 use crate::core::settings::Settings;
 use crate::core::stream_origins::StreamOrigins;
+use crate::core::zones;
 use crate::util::clock;
 use crate::util::hash;
 use crate::util::logline::Line;
@@ -185,10 +186,9 @@
 impl Entry {
     pub(crate) fn new(settings: Settings, timers: Timers, components: Components) -> Self {
         let Components { claims, cluster, boot } = components;
-        let routing = &settings.routing;
         // Boxes with the same settings must not draw the same random numbers.
-        let seed = hash::of((routing.seed, &settings.name));
-        let pool = Pool::new(settings.replicas.clone(), routing.policy, seed);
+        let seed = hash::of((settings.routing.seed, &settings.name));
+        let pool = zones::pool(&settings, seed);
         let budget = |service: &crate::core::settings::Service| {
             RetryBudget::new(service.retry_percent, RETRY_RESERVE)
         };
--- a/crates/vaneway-server/src/core/metrics.rs
+++ b/crates/vaneway-server/src/core/metrics.rs
@@ -49,6 +49,8 @@
     pub taken_up: IntCounterVec,
     /// Calls forwarded between entry boxes, by service: `sent` to a neighbour or `taken` from one.
     pub forwarded: IntCounterVec,
+    /// Choices of endpoints by service, this box's availability zone and the endpoint's.
+    pub zones: IntCounterVec,
     /// Requests that are open now.
     pub open: IntGauge,
     /// Services none of whose endpoints this box reaches.
@@ -102,6 +104,12 @@
                 "Calls forwarded between entry boxes",
                 &["service", "direction"],
             ),
+            zones: vec(
+                &registry,
+                "zone_choices",
+                "Choices of endpoints by availability zone",
+                &["service", "from", "to"],
+            ),
             taken_up: vec(
                 &registry,
                 "streams_taken_up",
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -30,3 +30,4 @@
 pub mod running;
 pub mod settings;
 pub mod stream_origins;
+pub mod zones;
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -11,6 +11,7 @@
 
 use serde::Serialize;
 use vaneway_route::EndpointSpec;
+use vaneway_route::LeavingZone;
 use vaneway_route::Policy;
 
 pub use read::SettingsError;
@@ -289,6 +290,8 @@
     /// outcome unknown without need; a new connection costs time. Otherwise it may be sent over one
     /// that has rested.
     pub fresh_for_at_most_once: bool,
+    /// When requests leave the availability zone; none for the policy's own preference.
+    pub leaving_zone: Option<LeavingZone>,
 }
 
 /// Limits for requests and connections of callers.
--- a/crates/vaneway-server/src/core/settings/read/entry.rs
+++ b/crates/vaneway-server/src/core/settings/read/entry.rs
@@ -18,6 +18,7 @@
 use crate::core::settings::Routing;
 use crate::core::settings::Settings;
 use crate::core::settings::Stop;
+use crate::core::settings::read::leaving_zone::leaving_zone;
 use crate::core::settings::read::service::service;
 use crate::core::settings::read::values::DAY_MS;
 use crate::core::settings::read::values::DURATION_RANGE_MS;
@@ -77,7 +78,7 @@
             services.push(service(object, id, &availability_zones, &mut replicas));
         }
     }
-    let routing = routing(fields.section("routing"));
+    let routing = routing(fields.section("routing"), &availability_zones);
     let limits = limits(fields.section("limits"));
     let stop = stop(fields.section("stop"));
     let claims = claims(fields.section("claims"));
@@ -190,7 +191,7 @@
     organisation
 }
 
-fn routing(mut fields: Fields<'_>) -> Routing {
+fn routing(mut fields: Fields<'_>, zones: &[String]) -> Routing {
     let names: Vec<_> = Policy::ALL.iter().map(|policy| policy.name()).collect();
     let expected = format!("one of {}", names.join(", "));
     let policy = fields.optional("policy").and_then(|p| p.parse(&expected, Policy::from_name));
@@ -201,6 +202,10 @@
             .optional("fresh_for_at_most_once")
             .and_then(|node| node.boolean())
             .unwrap_or(true),
+        leaving_zone: fields
+            .optional("leaving_zone")
+            .and_then(|node| node.object())
+            .map(|fields| leaving_zone(fields, zones)),
     };
     fields.finish();
     routing
--- a/crates/vaneway-server/src/core/settings/read/mod.rs
+++ b/crates/vaneway-server/src/core/settings/read/mod.rs
@@ -8,6 +8,7 @@
 mod check;
 mod control;
 mod entry;
+mod leaving_zone;
 mod service;
 mod values;
 
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -175,3 +175,30 @@
         assert!(!error.findings.is_empty());
     });
 }
+
+/// Guards against prices between zones that are missing, negative or of unknown zones.
+#[test]
+fn settings_of_leaving_the_zone_are_checked() {
+    let mut settings: Value = serde_json::from_str(&sample("odalaigh.json")).unwrap();
+    settings["routing"]["leaving_zone"] = json!({
+        "gb_price": -1,
+        "pairs": [
+            { "zones": ["gaillimh-hall"] },
+            { "zones": ["gaillimh-hall", "nowhere"], "price": 1 },
+        ],
+    });
+    assert_eq!(
+        findings(&settings),
+        [
+            "$.routing.leaving_zone.gb_price: expected a number from 0 to 1000000, found `-1`",
+            "$.routing.leaving_zone: field `endpoint_hour_price` is missing, add it",
+            "$.routing.leaving_zone.pairs[0]: field `zones` must list two availability zones",
+            "$.routing.leaving_zone.pairs[1].zones[1]: expected one of the availability zones \
+             (gaillimh-hall, maigh-eo-hall, sligeach-hall), found `\"nowhere\"`",
+            "$.routing.leaving_zone.pairs[1].price: unknown field, known here: zones, gb_price, \
+             delay_ms",
+        ]
+    );
+    settings["routing"]["leaving_zone"] = json!({ "gb_price": 0.02, "endpoint_hour_price": 4 });
+    assert_eq!(findings(&settings), [""; 0]);
+}
