--- a/tests/testsuite/operators.rs
+++ b/tests/testsuite/operators.rs
@@ -5,6 +5,7 @@
 use hyper::Method;
 use serde_json::json;
 use vaneway_test_support::Caller;
+use vaneway_test_support::Replica;
 use vaneway_test_support::deployment::MODEL;
 
 use crate::support::block_on;
@@ -71,6 +72,33 @@
     assert!(!metrics.contains("no such model") && !metrics.contains("/some/path"));
 }
 
+/// Guards against requests that leave the availability zone unseen.
+#[test]
+fn request_that_leaves_the_zone_is_counted_and_logged_with_its_reason() {
+    let a = engine();
+    let elsewhere = Replica::new("a", a.address()).in_zone("south");
+    let leaving = json!({ "gb_price": 0.02, "endpoint_hour_price": 4 });
+    let routing = json!({ "leaving_zone": leaving });
+    let deployment = deployment().engines(&[elsewhere]).set("/routing", routing);
+    let entry = deployment.start();
+    let caller = deployment.caller(&entry);
+
+    let metrics = block_on(async {
+        caller.chat(MODEL, "hello", 5).await;
+        let operators = Caller::new(entry.operators(), "");
+        String::from_utf8(operators.send(Method::GET, "/metrics", "").await.body.to_vec()).unwrap()
+    });
+
+    entry.wait_for_log(&[
+        "event=zone_left",
+        "to=south",
+        "reason=no_endpoint",
+        "leaving_share=1.00",
+    ]);
+    let line = "vaneway_zone_choices_total{from=\"north\",service=\"lm-scribes\",to=\"south\"} 1";
+    assert!(metrics.lines().any(|found| found == line), "no `{line}` in:\n{metrics}");
+}
+
 #[test]
 fn request_head_beyond_the_limit_is_refused() {
     let a = engine();
