--- a/crates/vaneway-route/src/pool/fitting.rs
+++ b/crates/vaneway-route/src/fitting.rs
@@ -1,10 +1,10 @@
-//! Counts of the endpoints that fit a query, for logs.
+//! Counts the endpoints that could respond to a request, for logs.
 
 use std::time::Instant;
 
 use crate::Endpoint;
-use crate::pool::Pool;
-use crate::pool::Query;
+use crate::Pool;
+use crate::Query;
 
 /// Numbers of the endpoints that fit a [`Query`]; each counts only endpoints of the one before it,
 /// except for `exited`.
@@ -27,7 +27,7 @@
 impl Pool {
     /// The numbers of endpoints that could respond to a query, in each respect.
     pub fn count_fitting(&self, now: Instant, query: &Query<'_>) -> FittingCounts {
-        let fitting = || self.endpoints.iter().filter(|endpoint| query.fits(endpoint));
+        let fitting = || self.endpoints().iter().filter(|endpoint| query.fits(endpoint));
         let staying = || self.usable(query.service).map(|id| self.get(id));
         let staying = || staying().filter(|endpoint| query.fits(endpoint));
         let available = || fitting().filter(|endpoint| endpoint.takes_work(now));
--- a/crates/vaneway-route/src/pool.rs
+++ b/crates/vaneway-route/src/pool.rs
@@ -1,9 +1,7 @@
 //! The pool of endpoints that an entry box can use, and the choice among them.
 
-mod fitting;
 mod versions;
 
-pub use fitting::FittingCounts;
 pub use versions::VersionFilter;
 pub use versions::VersionRule;
 
@@ -66,7 +64,7 @@
 
 impl Query<'_> {
     /// Whether an endpoint is one that must respond, whatever its state.
-    fn fits(&self, endpoint: &Endpoint) -> bool {
+    pub(crate) fn fits(&self, endpoint: &Endpoint) -> bool {
         let has_version = self.software.is_none_or(|software| endpoint.spec.software == software);
         has_version
             && endpoint.spec.service == self.service
@@ -153,7 +151,7 @@
     software: BTreeMap<ServiceId, BTreeSet<String>>,
     /// What may be sent to versions of services that are brought in.
     gates: BTreeMap<ServiceId, versions::Gate>,
-    chooser: Chooser,
+    pub(crate) chooser: Chooser,
     /// Candidates of the current choice; kept to reuse the allocation.
     candidates: Vec<EndpointId>,
     /// Prompt parts that requests of this box used at endpoints where they did not count as cached,
@@ -326,22 +324,32 @@
             |_, tried, _| !tried,
             |_, _, _| true,
         ];
+        let decides_zone = self.chooser.begin_zone(&self.endpoints, now, &query);
         // This policy includes the network delay to other zones in the cost.
-        let is_distance_in_cost = self.chooser.policy() == Policy::ExpectedWork;
+        let is_distance_in_cost = decides_zone || self.chooser.policy() == Policy::ExpectedWork;
         for preferred in preferences.into_iter().skip(usize::from(is_distance_in_cost)) {
             self.collect_candidates(now, &query, preferred);
             if let Some(queue_limit) = query.queue_limit.filter(|_| !self.candidates.is_empty()) {
                 let rooms = shortage::rooms(&self.endpoints, &self.candidates, now, queue_limit);
                 let is_limited =
                     |id: EndpointId| self.endpoints[id as usize].gate.is_limited(query.sender.now);
+                let for_zones = if decides_zone { rooms.clone() } else { Vec::new() };
+                self.chooser.limit_stay(&self.endpoints, &for_zones, &query);
                 match shortage::filter(rooms, queue_limit, is_limited, &mut self.chooser) {
                     QueueFilter::Filtered(ids) => self.candidates = ids,
-                    QueueFilter::Drawn(id) => return Choice::Endpoint(id),
+                    QueueFilter::Drawn(id) => {
+                        let id = self.chooser.redraw(&self.endpoints, &for_zones, id, now, &query);
+                        return Choice::Endpoint(id);
+                    }
                     QueueFilter::Rejected => return Choice::QueuesTooLong,
                 }
             }
+            if decides_zone {
+                self.chooser.narrow(&self.endpoints, &mut self.candidates, now, &query);
+            }
             let candidates = &self.candidates;
             if let Some(id) = self.chooser.pick(&self.endpoints, candidates, now, &query) {
+                self.chooser.settle_zone(&self.endpoints[id as usize], &query);
                 return Choice::Endpoint(id);
             }
         }
