--- a/crates/vaneway-quota/src/lib.rs
+++ b/crates/vaneway-quota/src/lib.rs
@@ -127,6 +127,10 @@
     }
 }
 
+/// Maximum age of the demand that shares in a shortage may be based on: unlike what may be admitted
+/// within a limit, an outdated share costs others no more than a delay.
+const MAX_DEMAND_AGE: Duration = Duration::from_secs(2);
+
 /// Number of entry boxes that share a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sharers {
@@ -275,6 +279,14 @@
         others * now.saturating_sub(usage.as_of).as_secs_f64() / MAX_GAIN
     }
 
+    /// Units per second that are requested at all boxes and that the limit allows for long, with the
+    /// age of that knowledge; none if it is too old.
+    pub fn fleet_demand(&self, now: Duration) -> Option<(f64, Duration)> {
+        let usage = self.usage.filter(|usage| !usage.is_from_future(now))?;
+        let age = now.saturating_sub(usage.as_of);
+        (age <= MAX_DEMAND_AGE).then(|| (usage.demand.min(self.limit.rate), age))
+    }
+
     /// The state that a request is decided by.
     pub fn view(&self, now: Duration) -> QuotaView {
         QuotaView {
--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -11,14 +11,20 @@
 //! are defined by the state chart `charts/endpoint.json`. [`ServicePaths`] determines whether this box
 //! reaches a service's endpoints at all.
 
+mod competitors;
 mod endpoint;
 mod expected;
+mod fair_share;
 mod policy;
 mod pool;
 mod service_path;
 mod shortage;
 mod silence;
+mod standing;
 
+pub use competitors::Arrival;
+pub use competitors::Competitors;
+pub use competitors::Rank;
 pub use endpoint::DecayingSum;
 pub use endpoint::Endpoint;
 pub use endpoint::EndpointAction;
@@ -32,6 +38,8 @@
 pub use endpoint::ServiceId;
 pub use endpoint::endpoint_chart;
 pub use expected::CACHED_PART_MAX_AGE;
+pub use fair_share::Claim;
+pub use fair_share::FairShares;
 pub use policy::Policy;
 pub use policy::PromptPart;
 pub use policy::Work;
@@ -45,5 +53,7 @@
 pub use service_path::ServicePaths;
 pub use service_path::path_chart;
 pub use shortage::QueueLimit;
-pub use shortage::Standing;
 pub use silence::UNRESPONSIVE_THRESHOLD;
+pub use standing::MIN_RANK_SHARE;
+pub use standing::RankDemand;
+pub use standing::Standing;
--- a/crates/vaneway-route/src/shortage.rs
+++ b/crates/vaneway-route/src/shortage.rs
@@ -16,8 +16,11 @@
 
 use crate::Endpoint;
 use crate::EndpointId;
+use crate::Pool;
+use crate::ServiceId;
 use crate::expected;
 use crate::policy::Chooser;
+use crate::standing::Standing;
 
 /// Decides whether an engine's queue is short enough for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,18 +36,6 @@
     pub standing: Option<Standing>,
 }
 
-/// How a request stands among those that compete with it for the same room.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Standing {
-    /// Room that is kept for more urgent requests, in prompt tokens.
-    pub reserved_tokens: f64,
-    /// Unreported prompt tokens of the requests that compete for the rest of the room.
-    pub competing_tokens: f64,
-    /// Probability, from 0 to 1, with which the organisation's share admits the request where the
-    /// room does.
-    pub share: f64,
-}
-
 /// Minimum ratio of the room of all endpoints to [`QueueLimit::unreported_tokens`] for each box to
 /// choose the endpoint that is best for its request. Below it, boxes draw at random.
 const AMPLE_CAPACITY_RATIO: f64 = 4.0;
@@ -73,6 +64,16 @@
     candidates.iter().map(|id| (*id, max_tokens - queued(*id) as f64)).collect()
 }
 
+impl Pool {
+    /// Room of all endpoints of a service that accept work, in prompt tokens, for the log.
+    pub fn queue_room(&self, now: Instant, service: ServiceId, limit: QueueLimit) -> f64 {
+        let accepts = |id: &EndpointId| self.get(*id).takes_work(now) && self.get(*id).has_room();
+        let candidates: Vec<EndpointId> = self.usable(service).filter(accepts).collect();
+        let rooms = rooms(self.endpoints(), &candidates, now, limit);
+        rooms.into_iter().map(|(_, room)| room.max(0.0)).sum()
+    }
+}
+
 /// Removes candidates whose queues are too long for the request. If their room is scarce compared
 /// with the unreported tokens, decides by a random draw instead.
 ///
@@ -95,7 +96,12 @@
     if !limited.is_empty() {
         return QueueFilter::Filtered(limited);
     }
-    if chooser.random_fraction() * limit.unreported_tokens.max(total) >= total {
+    let drawn = chooser.random_fraction();
+    let is_admitted = match limit.standing {
+        Some(standing) => drawn < standing.admission(total / limit.unreported_tokens),
+        None => drawn * limit.unreported_tokens.max(total) < total,
+    };
+    if !is_admitted || total <= 0.0 {
         return QueueFilter::Rejected;
     }
     let left = chooser.random_fraction() * total;
--- a/crates/vaneway-server/src/core/calls/call.rs
+++ b/crates/vaneway-server/src/core/calls/call.rs
@@ -43,7 +43,6 @@
 use vaneway_relay::RetryBudget;
 use vaneway_relay::RunState;
 use vaneway_relay::Start;
-use vaneway_relay::WaitPolicy;
 use vaneway_relay::request_chart;
 use vaneway_route::EndpointEvent;
 use vaneway_route::EndpointId;
@@ -60,6 +59,7 @@
 use crate::core::calls::events::RawEvent;
 use crate::core::calls::reply::PendingResponse;
 use crate::core::calls::reply::ResponseSender;
+use crate::core::competition;
 use crate::core::endpoints::protocol::CallRequest;
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::entry::Entry;
@@ -101,7 +101,7 @@
     };
     let (tx, rx) = oneshot::channel();
     if let Some(work) = request.work.as_ref().filter(|_| !request.is_forwarded) {
-        entry.inflow.count(clock::now(), request.service, work);
+        entry.inflow.count(&request, work, &limits);
     }
     // The box that accepted a forwarded call has its budget.
     let own_budget = request.is_forwarded.then(|| RetryBudget::new(0, 0));
@@ -553,7 +553,7 @@
         if let Some(event) = forwarded {
             return event;
         }
-        self.entry.choose(Query {
+        let query = Query {
             service: request.service,
             avoid: self.relay.tried(),
             prefix: request.prefix,
@@ -562,7 +562,8 @@
             isolation_hash,
             queue_limit: self.queue_limit(),
             ..Query::default()
-        })
+        };
+        competition::choose(&self.entry, request, query)
     }
 
     /// The bound on an endpoint's queue that lets the first event arrive in time. It applies only
@@ -570,11 +571,10 @@
     /// if another box began it.
     fn queue_limit(&self) -> Option<QueueLimit> {
         let request = &self.request;
-        let WaitPolicy::IfExpectedBy { deadline } = self.limits.wait_policy else { return None };
         if request.work.is_none() || self.software.is_some() || !self.relay.tried().is_empty() {
             return None;
         }
-        queue_limit::queue_limit(&self.entry, request.service, &request.service_name, deadline)
+        queue_limit::queue_limit(&self.entry, request, self.limits.wait_policy)
     }
 
     fn finish(mut self) {
--- a/crates/vaneway-server/src/core/entry.rs
+++ b/crates/vaneway-server/src/core/entry.rs
@@ -224,7 +224,7 @@
             usage: RefCell::default(),
             table: RefCell::default(),
             service_ids: RefCell::new(service_ids),
-            inflow: Inflow::default(),
+            inflow: Inflow::new(settings.routing.shortage),
             origins: StreamOrigins::default(),
             quotas: Quotas::new(follow.map(|follow| follow.quota)),
             phase: Cell::new(Phase::Serving),
--- a/crates/vaneway-server/src/core/metrics.rs
+++ b/crates/vaneway-server/src/core/metrics.rs
@@ -34,6 +34,8 @@
     pub tokens: IntCounter,
     /// Requests refused on admission, by code.
     pub refused: IntCounterVec,
+    /// Requests refused by a queue limit while ranks or organisations compete, by reason and rank.
+    pub room_refused: IntCounterVec,
     /// Verdicts on requests that were running when endpoints crashed, by service.
     pub quarantine: IntCounterVec,
     /// Changes of the limits that endpoints advertise, by service: `named`, `ended` or
@@ -78,6 +80,12 @@
             recomputed_tokens: counter(&registry, "recomputed_tokens", "Tokens computed again"),
             tokens: counter(&registry, "tokens", "Tokens sent to callers"),
             refused: vec(&registry, "refused", "Requests refused at the door", &["code"]),
+            room_refused: vec(
+                &registry,
+                "room_refused",
+                "Requests refused by rank or share in a shortage",
+                &["reason", "rank"],
+            ),
             quarantine: vec(
                 &registry,
                 "quarantine",
--- a/crates/vaneway-server/src/core/mod.rs
+++ b/crates/vaneway-server/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod calls;
 pub mod cloud_notices;
 pub mod cluster;
+pub mod competition;
 pub mod configuration;
 pub mod configuration_change;
 pub mod control;
--- a/crates/vaneway-server/src/core/queue_limit.rs
+++ b/crates/vaneway-server/src/core/queue_limit.rs
@@ -14,13 +14,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use vaneway_relay::WaitPolicy;
 use vaneway_route::DecayingSum;
 use vaneway_route::QueueLimit;
 use vaneway_route::ServiceId;
 use vaneway_route::Work;
 
+use crate::core::calls::call_limits::CallLimits;
 use crate::core::cluster::wire::LOAD_REPORT_INTERVAL;
+use crate::core::competition::Competition;
+use crate::core::endpoints::protocol::CallRequest;
 use crate::core::entry::Entry;
+use crate::core::settings::ShortageDecisions;
 use crate::util::clock;
 
 /// Share of the time to a request's latency objective that the work queued before it may take.
@@ -36,41 +41,61 @@
 const LOAD_UPDATE_AGE: Duration = LOAD_REPORT_INTERVAL.saturating_mul(2);
 
 /// Prompt tokens of arriving requests, by service.
-#[derive(Debug, Default)]
-pub struct Inflow(RefCell<BTreeMap<ServiceId, DecayingSum>>);
+#[derive(Debug)]
+pub struct Inflow {
+    by_service: RefCell<BTreeMap<ServiceId, DecayingSum>>,
+    competition: Competition,
+}
 
 impl Inflow {
+    /// Nothing has arrived yet.
+    pub fn new(decisions: ShortageDecisions) -> Self {
+        Self { by_service: RefCell::default(), competition: Competition::new(decisions) }
+    }
+
     /// Counts the prompt tokens of an arriving request that it doesn't share with others.
-    pub fn count(&self, now: Instant, service: ServiceId, work: &Work) {
+    pub fn count(&self, request: &CallRequest, work: &Work, limits: &CallLimits) {
+        let now = clock::now();
         let shared: u32 = work.shared().iter().map(|part| part.tokens).sum();
         let own = work.prompt_tokens.saturating_sub(shared);
-        self.0.borrow_mut().entry(service).or_default().add(now, own.into());
+        self.by_service.borrow_mut().entry(request.service).or_default().add(now, own.into());
+        if let WaitPolicy::IfExpectedBy { deadline } = limits.wait_policy {
+            self.competition.count(now, request, own, deadline);
+        }
     }
 
     /// Recent arrival rate, in tokens per second.
     fn rate(&self, now: Instant, service: ServiceId) -> f64 {
-        self.0.borrow().get(&service).map_or(0.0, |inflow| inflow.rate(now))
+        self.by_service.borrow().get(&service).map_or(0.0, |inflow| inflow.rate(now))
+    }
+
+    /// The demand by rank and organisation.
+    pub fn competition(&self) -> &Competition {
+        &self.competition
     }
 }
 
-/// The limit on the queue in front of a request whose first event is due at `by`; none while the
-/// speed of its service's engines is unknown.
+/// The limit on the queue in front of a request that is sent if its first event is expected in time;
+/// none while the speed of its service's engines is unknown.
 pub fn queue_limit(
     entry: &Entry,
-    service: ServiceId,
-    service_name: &str,
-    by: Instant,
+    request: &CallRequest,
+    wait_policy: WaitPolicy,
 ) -> Option<QueueLimit> {
-    let seconds_per_token = entry.usage.borrow_mut().speeds(service_name).prompt_token_s;
+    let WaitPolicy::IfExpectedBy { deadline } = wait_policy else { return None };
+    let speeds = entry.usage.borrow_mut().speeds(&request.service_name);
+    let seconds_per_token = speeds.prompt_token_s;
     if seconds_per_token <= 0.0 {
         return None;
     }
     let now = clock::now();
     let boxes = f64::from(entry.quotas.known_entry_boxes().max(1));
-    Some(QueueLimit {
+    let inflow = entry.inflow.rate(now, request.service);
+    let limit = QueueLimit {
         seconds_per_token,
-        max_wait: by.saturating_duration_since(now).mul_f64(MAX_QUEUE_SHARE),
-        unreported_tokens: entry.inflow.rate(now, service) * boxes * LOAD_UPDATE_AGE.as_secs_f64(),
+        max_wait: deadline.saturating_duration_since(now).mul_f64(MAX_QUEUE_SHARE),
+        unreported_tokens: inflow * boxes * LOAD_UPDATE_AGE.as_secs_f64(),
         standing: None,
-    })
+    };
+    Some(entry.inflow.competition().apply(now, entry, request, limit))
 }
--- a/crates/vaneway-server/src/core/quotas.rs
+++ b/crates/vaneway-server/src/core/quotas.rs
@@ -20,8 +20,10 @@
 use vaneway_quota::QuotaView;
 use vaneway_quota::Sharers;
 use vaneway_quota::Slot;
+use vaneway_route::Claim;
 
 use crate::core::configuration::OrganisationSpec;
+use crate::core::configuration::QuotaUnit;
 use crate::core::configuration::Version;
 use crate::core::settings::QuotaAllowance;
 use crate::util::hash;
@@ -50,6 +52,7 @@
     /// Whether the configuration in force limits the organisation. The quota of an organisation
     /// that was removed is kept for some seconds, so that its usage still counts if it returns.
     in_force: bool,
+    unit: QuotaUnit,
 }
 
 impl Quotas {
@@ -70,10 +73,13 @@
         for known in quotas.values_mut() {
             known.in_force = false;
         }
-        for (name, limit) in organisations.into_iter().filter_map(|o| self.limit_of(o)) {
+        let limited = organisations.into_iter().filter_map(|o| Some((o.unit, self.limit_of(o)?)));
+        for (unit, (name, limit)) in limited {
             let before = quotas.get(name).map(|known| known.quota.limit());
-            let known = quotas.entry(name.to_owned()).or_insert_with(|| self.new_quota(now, limit));
+            let known =
+                quotas.entry(name.to_owned()).or_insert_with(|| self.new_quota(now, limit, unit));
             known.in_force = true;
+            known.unit = unit;
             known.quota.set_limit(now, limit);
             if before != Some(limit) {
                 log_limit(version, name, before, limit, known.quota.level(now));
@@ -83,12 +89,12 @@
     }
 
     /// The quota of a new organisation, which has no usage yet.
-    fn new_quota(&self, now: Duration, limit: Limit) -> OrganisationQuota {
+    fn new_quota(&self, now: Duration, limit: Limit, unit: QuotaUnit) -> OrganisationQuota {
         let mut quota = Quota::new(limit);
         if let Some((as_of, sharers)) = self.last_update.get() {
             quota.update_fleet_usage(now, Some(FleetUsage { as_of, demand: 0.0 }), sharers);
         }
-        OrganisationQuota { quota, in_force: true }
+        OrganisationQuota { quota, in_force: true, unit }
     }
 
     /// The name and limit of an organisation, if it is limited.
@@ -171,6 +177,31 @@
         }
     }
 
+    /// What the limited organisations claim of a service whose requests have a mean size of
+    /// `tokens_per_request`, and the age of these demands; none while no recent ones are known. The
+    /// weight of an organisation is the rate of its quota; with a rate of 0 it has no claim.
+    pub fn claims(
+        &self,
+        now: Duration,
+        tokens_per_request: f64,
+    ) -> Option<(BTreeMap<String, Claim>, Duration)> {
+        let quotas = self.by_organisation.borrow();
+        let in_force = || quotas.iter().filter(|(_, known)| known.in_force);
+        let ages = in_force().filter_map(|(_, known)| known.quota.fleet_demand(now));
+        let age = ages.map(|(_, age)| age).max()?;
+        let claim = |(name, known): (&String, &OrganisationQuota)| {
+            let (demand, _) = known.quota.fleet_demand(now)?;
+            let tokens_per_unit = match known.unit {
+                QuotaUnit::Requests => tokens_per_request,
+                QuotaUnit::Tokens { .. } => 1.0,
+            };
+            let weight = known.quota.limit().rate * tokens_per_unit;
+            let claim = Claim { demand: demand * tokens_per_unit, weight };
+            (weight > 0.0).then(|| (name.clone(), claim))
+        };
+        Some((in_force().filter_map(claim).collect(), age))
+    }
+
     /// Number of entry boxes that may be running, by the latest update; 0 before the first one.
     pub fn known_entry_boxes(&self) -> u32 {
         self.last_update.get().map_or(0, |(_, sharers)| sharers.known)
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -289,6 +289,17 @@
     /// outcome unknown without need; a new connection costs time. Otherwise it may be sent over one
     /// that has rested.
     pub fresh_for_at_most_once: bool,
+    /// Who is admitted first in a shortage.
+    pub shortage: ShortageDecisions,
+}
+
+/// Who is admitted first while engines have too little room for all requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct ShortageDecisions {
+    /// Whether the more urgent are admitted first.
+    pub order: bool,
+    /// Whether organisations get weighted max-min shares of the room.
+    pub shares: bool,
 }
 
 /// Limits for requests and connections of callers.
--- a/crates/vaneway-server/src/core/settings/read/entry.rs
+++ b/crates/vaneway-server/src/core/settings/read/entry.rs
@@ -17,6 +17,7 @@
 use crate::core::settings::RetryAllowance;
 use crate::core::settings::Routing;
 use crate::core::settings::Settings;
+use crate::core::settings::ShortageDecisions;
 use crate::core::settings::Stop;
 use crate::core::settings::read::service::service;
 use crate::core::settings::read::values::DAY_MS;
@@ -201,11 +202,20 @@
             .optional("fresh_for_at_most_once")
             .and_then(|node| node.boolean())
             .unwrap_or(true),
+        shortage: shortage(fields.section("shortage")),
     };
     fields.finish();
     routing
 }
 
+fn shortage(mut fields: Fields<'_>) -> ShortageDecisions {
+    let mut is_on =
+        |name| fields.optional(name).and_then(|node| node.boolean()).unwrap_or_default();
+    let decisions = ShortageDecisions { order: is_on("order"), shares: is_on("shares") };
+    fields.finish();
+    decisions
+}
+
 fn limits(mut fields: Fields<'_>) -> Limits {
     let limits = Limits {
         header_bytes: fields.integer("header_bytes", MIN_HEADER_BYTES..=1 << 20, 16_384) as usize,
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -43,6 +43,22 @@
     }
 }
 
+#[test]
+fn decisions_in_a_shortage_are_off_unless_settings_switch_them_on() {
+    let mut settings: Value = serde_json::from_str(&sample("odalaigh.json")).unwrap();
+    let decisions = |settings: &Value| {
+        let Ok(settings) = settings::read(&settings.to_string()) else { panic!("{settings}") };
+        (settings.routing.shortage.order, settings.routing.shortage.shares)
+    };
+    assert_eq!(decisions(&settings), (false, false));
+    settings["routing"]["shortage"] = json!({ "order": true, "shares": true });
+    assert_eq!(decisions(&settings), (true, true));
+    settings["routing"]["shortage"] = json!({ "order": 1, "rank": true });
+    let findings = findings(&settings);
+    assert!(findings.iter().any(|f| f.starts_with("$.routing.shortage.order:")), "{findings:?}");
+    assert!(findings.iter().any(|f| f.starts_with("$.routing.shortage.rank:")), "{findings:?}");
+}
+
 #[test]
 fn all_findings_are_reported_together_with_their_paths() {
     let mut settings: Value = serde_json::from_str(&sample("odalaigh.json")).unwrap();
--- a/tests/testsuite/shortage.rs
+++ b/tests/testsuite/shortage.rs
@@ -9,7 +9,8 @@
 
 use vaneway_server::core::queue_limit;
 
-use crate::simulated_shortage::RequestClass;
+use crate::simulated_demand::RequestClass;
+use crate::simulated_shortage::ONE_CALLER;
 use crate::simulated_shortage::Served;
 use crate::simulated_shortage::Shortage;
 use crate::simulated_shortage::SimulatedShortage;
@@ -22,6 +23,7 @@
         objective: Duration::from_millis(1_200),
         caller_timeout: Duration::from_millis(4_800),
         value: 4.0,
+        rank: 0,
     },
     RequestClass {
         rate: 133.0,
@@ -30,6 +32,7 @@
         objective: Duration::from_millis(800),
         caller_timeout: Duration::from_millis(3_200),
         value: 2.0,
+        rank: 0,
     },
     RequestClass {
         rate: 77.8,
@@ -38,6 +41,7 @@
         objective: Duration::from_millis(600),
         caller_timeout: Duration::from_millis(3_200),
         value: 0.46,
+        rank: 0,
     },
 ];
 
@@ -53,6 +57,9 @@
     restored_at: Duration::from_secs(26),
     duration: Duration::from_secs(34),
     queue_share: Some(queue_limit::MAX_QUEUE_SHARE),
+    callers: &ONE_CALLER,
+    surges: &[],
+    decisions: None,
 };
 
 /// Share of the value that any scheduler could have served in time that was served in time, over a
