--- a/crates/vaneway-route/src/lib.rs
+++ b/crates/vaneway-route/src/lib.rs
@@ -11,16 +11,22 @@
 //! are defined by the state chart `charts/endpoint.json`. [`ServicePaths`] determines whether this box
 //! reaches a service's endpoints at all.
 
+mod competitors;
 mod endpoint;
 mod expected;
+mod fair_share;
 mod fitting;
 mod policy;
 mod pool;
 mod service_path;
 mod shortage;
 mod silence;
+mod standing;
 mod zones;
 
+pub use competitors::Arrival;
+pub use competitors::Competitors;
+pub use competitors::Rank;
 pub use endpoint::DecayingSum;
 pub use endpoint::Endpoint;
 pub use endpoint::EndpointAction;
@@ -34,6 +40,8 @@
 pub use endpoint::ServiceId;
 pub use endpoint::endpoint_chart;
 pub use expected::CACHED_PART_MAX_AGE;
+pub use fair_share::Claim;
+pub use fair_share::FairShares;
 pub use fitting::FittingCounts;
 pub use policy::Policy;
 pub use policy::PromptPart;
@@ -49,8 +57,10 @@
 pub use service_path::ServicePaths;
 pub use service_path::path_chart;
 pub use shortage::QueueLimit;
-pub use shortage::Standing;
 pub use silence::UNRESPONSIVE_THRESHOLD;
+pub use standing::MIN_RANK_SHARE;
+pub use standing::RankDemand;
+pub use standing::Standing;
 pub use zones::LeavingZone;
 pub use zones::MessageSizes;
 pub use zones::ZoneDecision;
--- a/crates/vaneway-server/src/core/settings/mod.rs
+++ b/crates/vaneway-server/src/core/settings/mod.rs
@@ -307,6 +307,17 @@
     pub fresh_for_at_most_once: bool,
     /// When requests leave the availability zone; none for the policy's own preference.
     pub leaving_zone: Option<LeavingZone>,
+    /// Who is admitted first in a shortage.
+    pub shortage: ShortageDecisions,
+}
+
+/// Who is admitted first while engines have too little room for all requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct ShortageDecisions {
+    /// Whether the more urgent are admitted first.
+    pub order: bool,
+    /// Whether organisations get weighted max-min shares of the room.
+    pub shares: bool,
 }
 
 /// Limits for requests and connections of callers.
--- a/crates/vaneway-server/src/core/settings/read/entry.rs
+++ b/crates/vaneway-server/src/core/settings/read/entry.rs
@@ -18,6 +18,7 @@
 use crate::core::settings::RetryAllowance;
 use crate::core::settings::Routing;
 use crate::core::settings::Settings;
+use crate::core::settings::ShortageDecisions;
 use crate::core::settings::Stop;
 use crate::core::settings::read::leaving_zone::leaving_zone;
 use crate::core::settings::read::service::service;
@@ -217,11 +218,20 @@
             .optional("leaving_zone")
             .and_then(|node| node.object())
             .map(|fields| leaving_zone(fields, zones)),
+        shortage: shortage(fields.section("shortage")),
     };
     fields.finish();
     routing
 }
 
+fn shortage(mut fields: Fields<'_>) -> ShortageDecisions {
+    let mut is_on =
+        |name| fields.optional(name).and_then(|node| node.boolean()).unwrap_or_default();
+    let decisions = ShortageDecisions { order: is_on("order"), shares: is_on("shares") };
+    fields.finish();
+    decisions
+}
+
 fn limits(mut fields: Fields<'_>) -> Limits {
     let limits = Limits {
         header_bytes: fields.integer("header_bytes", MIN_HEADER_BYTES..=1 << 20, 16_384) as usize,
