--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -267,10 +267,8 @@
 
     fn preferred(&mut self, now: Instant, input: &Input, demand: f64) -> u32 {
         let by_utilisation = replicas(demand, self.policy.busy_most);
-        match &mut self.sizing {
-            Some(sizing) => sizing.preferred(now, input, demand, by_utilisation),
-            None => by_utilisation,
-        }
+        let Some(sizing) = &mut self.sizing else { return by_utilisation };
+        sizing.preferred(now, input, demand, by_utilisation)
     }
 
     /// Records the result of an order.
