--- a/crates/vaneway-capacity/src/sizing.rs
+++ b/crates/vaneway-capacity/src/sizing.rs
@@ -3,7 +3,8 @@
 //! Data flow: [`Sizing::observe`] is passed what callers ask for and get; [`Sizing::preferred`]
 //! returns the number of replicas that must remain after the loss of any one availability zone. The
 //! whole fleet is at least what the forecast requires, and what remains is at least what the
-//! utilisation requires.
+//! utilisation requires. [`Sizing::minimum`] returns the number that on-demand replicas make up
+//! while reclaimable ones are refused or were just reclaimed.
 //!
 //! Rules:
 //!
@@ -111,6 +112,16 @@
         self.decision
     }
 
+    /// Minimum replicas in all, whatever they cost, for the maximum `demand` of the last seconds,
+    /// which requires `by_utilisation` of them at the utilisation for on-demand replicas. Callers wait
+    /// behind long prompts as long at an on-demand replica as at any other.
+    pub(crate) fn minimum(&self, input: &Input, demand: f64, by_utilisation: u32) -> u32 {
+        let callers = self.callers.as_ref().filter(|_| input.demand.is_some());
+        callers.map_or(by_utilisation, |callers| {
+            callers.replicas(demand, self.policy.target, by_utilisation)
+        })
+    }
+
     /// Number of replicas that must remain after the loss of any one zone, for the maximum `demand`
     /// of late, which requires `by_utilisation` of them at the target utilisation.
     pub(crate) fn preferred(
