--- a/crates/vaneway-capacity/src/lib.rs
+++ b/crates/vaneway-capacity/src/lib.rs
@@ -227,7 +227,7 @@
             |count: u32| count + (input.lost_to_limits.round() as u32).min(count);
         let need = Need {
             preferred: with_substitutes(self.preferred(now, input, demand)),
-            minimum: with_substitutes(self.minimum(input, recent)),
+            minimum: with_substitutes(self.minimum(recent)),
             on_demand_reserve: (recent * self.policy.last_share).ceil() as u32,
         };
         for zone in input.leaving.iter().filter(|(_, count)| **count > 0).map(|(zone, _)| zone) {
@@ -271,10 +271,10 @@
         sizing.preferred(now, input, demand, by_utilisation)
     }
 
-    fn minimum(&self, input: &Input, recent: f64) -> u32 {
+    fn minimum(&self, recent: f64) -> u32 {
         let by_utilisation = replicas(recent, self.policy.busy_scarce);
         let sizing = self.sizing.as_ref();
-        sizing.map_or(by_utilisation, |sizing| sizing.minimum(input, recent, by_utilisation))
+        sizing.map_or(by_utilisation, |sizing| sizing.minimum(recent, by_utilisation))
     }
 
     /// Records the result of an order.
--- a/crates/vaneway-capacity/src/sizing.rs
+++ b/crates/vaneway-capacity/src/sizing.rs
@@ -114,10 +114,10 @@
 
     /// Minimum replicas in all, whatever they cost, for the maximum `demand` of the last seconds,
     /// which requires `by_utilisation` of them at the utilisation for on-demand replicas. Callers wait
-    /// behind long prompts as long at an on-demand replica as at any other.
-    pub(crate) fn minimum(&self, input: &Input, demand: f64, by_utilisation: u32) -> u32 {
-        let callers = self.callers.as_ref().filter(|_| input.demand.is_some());
-        callers.map_or(by_utilisation, |callers| {
+    /// behind long prompts as long at an on-demand replica as at any other. A demand of which only
+    /// a lower bound is known counts too: control boxes are often cut off when replicas are lost.
+    pub(crate) fn minimum(&self, demand: f64, by_utilisation: u32) -> u32 {
+        self.callers.as_ref().map_or(by_utilisation, |callers| {
             callers.replicas(demand, self.policy.target, by_utilisation)
         })
     }
--- a/crates/vaneway-server/src/core/control/rollouts.rs
+++ b/crates/vaneway-server/src/core/control/rollouts.rs
@@ -2,7 +2,7 @@
 //! steps.
 //!
 //! Data flow: an order is committed ([`start`]) and sent to the entry boxes like every further step
-//! ([`publish`]). Entry boxes report answers to all control boxes ([`record`]). The leader sums them
+//! (`publish`). Entry boxes report answers to all control boxes (`record`). The leader sums them
 //! up and proposes the next step ([`run`]).
 
 use std::collections::BTreeMap;
--- a/tests/testsuite/fleet_sizing.rs
+++ b/tests/testsuite/fleet_sizing.rs
@@ -16,7 +16,6 @@
 
 use crate::simulated_sizing::Day;
 use crate::simulated_sizing::RequestKind;
-use crate::simulated_sizing::Results;
 use crate::simulated_sizing::play;
 
 /// Prompts that differ much, before tight objectives.
