--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 //! if the case couldn't be played. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod deployment;
+mod hot;
 mod http;
 mod platform;
 mod random;
@@ -28,6 +29,9 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = match case.as_str() {
+        // The last word is the replica's id.
+        "replica" => hot::serve(record),
+        "hot" => hot::play(Path::new(record), trouble),
         "surplus" => surplus::play(Path::new(record), trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -28,7 +28,8 @@
         if connection.read_body(&head, None).is_err() {
             return;
         }
-        let answer = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+        let answer =
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
         if connection.write(answer).is_err() {
             return;
         }
