--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,11 +6,13 @@
 mod hot;
 mod http;
 mod platform;
+mod proxy;
 mod random;
 mod record;
 mod replica;
 mod surplus;
 mod template;
+mod unframed;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -31,6 +33,8 @@
     let played = match case.as_str() {
         // The last word is the replica's id.
         "replica" => hot::serve(record),
+        "unframed-replica" => unframed::serve(record),
+        "unframed" => unframed::play(Path::new(record), trouble),
         "hot" => hot::play(Path::new(record), trouble),
         "surplus" => surplus::play(Path::new(record), trouble),
         _ => Err(std::io::Error::other("no such case")),
