--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -205,6 +205,24 @@
         Ok(())
     }
 
+    /// Kills the process of a machine that serves control.
+    pub fn kill_core(&mut self, n: usize) {
+        if let Some(process) = &mut self.cores[n].process {
+            let _ended_already = process.kill();
+            let _status = process.wait();
+        }
+    }
+
+    /// Starts it again, with its disk.
+    ///
+    /// # Errors
+    ///
+    /// If the process can't be started.
+    pub fn start_core(&mut self, n: usize) -> io::Result<()> {
+        self.cores[n].process = Some(self.spawn(&self.cores[n], false)?);
+        Ok(())
+    }
+
     /// Sends a configuration to the machines that serve control until one acknowledges it. Returns
     /// when that was; none if none does in time.
     pub fn configure(&self, configuration: &str, timeout: Duration) -> Option<Instant> {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod hot;
 mod http;
+mod leaving;
 mod platform;
 mod proxy;
 mod random;
@@ -35,6 +36,7 @@
         "replica" => hot::serve(record),
         "unframed-replica" => unframed::serve(record),
         "unframed" => unframed::play(Path::new(record), trouble),
+        "leaving" => leaving::play(Path::new(record), trouble),
         "hot" => hot::play(Path::new(record), trouble),
         "surplus" => surplus::play(Path::new(record), trouble),
         _ => Err(std::io::Error::other("no such case")),
