--- a/crates/vaneway-server/src/core/calls/attempt.rs
+++ b/crates/vaneway-server/src/core/calls/attempt.rs
@@ -41,6 +41,8 @@
 use crate::core::endpoints::protocol::EndpointProtocol;
 use crate::core::endpoints::protocol::ResponseKind;
 use crate::core::endpoints::registered;
+use crate::core::endpoints::response_owner::ResponseOwner;
+use crate::core::endpoints::upstream::OF_EARLIER_REQUEST;
 use crate::core::endpoints::upstream::Reuse;
 use crate::core::endpoints::upstream::SendError;
 use crate::core::endpoints::upstream::StartedResponse;
@@ -231,11 +233,7 @@
             protocol.request(&request, Dispatch { endpoint: &spec, time_left, resume_after: after })
         };
         let head_deadline = clock::now() + limits.head_timeout;
-        let reuse = match request.repeatable {
-            true => Reuse::Any,
-            false if entry.settings.routing.fresh_for_at_most_once => Reuse::Never,
-            false => Reuse::Rested,
-        };
+        let reuse = reuse_for(&entry, &request);
         let sent = entry.connections.send(&entry.timers, spec.address, req, reuse, head_deadline);
         let sent = unless_unresponsive(&entry, endpoint, request.repeatable, sent).await;
         let StartedResponse { response, attempt } = match sent {
@@ -255,7 +253,8 @@
                 return (end_at_neighbour(&entry, &request, result, body).await, Stage::Over);
             }
         }
-        let kind = protocol.classify(&request, &head);
+        let owner = body.owner();
+        let kind = protocol.classify(&request, &head, owner);
         if !is_neighbour {
             observe_head(&entry, &*protocol, &request, endpoint, &head, kind);
         }
@@ -310,14 +309,29 @@
                 cause: "the address belongs to another endpoint now".to_owned(),
                 observation: EndpointObservation::Replaced,
             },
-            ResponseKind::Mismatched => {
-                CallItem::ended(Outcome::Unknown, "the response belongs to another request")
-            }
+            ResponseKind::Mismatched => CallItem::ended(Outcome::Unknown, mismatch_cause(owner)),
         };
         (item, Stage::Over)
     }
 }
 
+/// Which idle connections a request may be sent over.
+fn reuse_for(entry: &Entry, request: &CallRequest) -> Reuse {
+    match request.repeatable {
+        true => Reuse::Any,
+        false if entry.settings.routing.fresh_for_at_most_once => Reuse::Never,
+        false => Reuse::Rested,
+    }
+}
+
+/// Why an attempt ends at a response that is not shown to be that of its request.
+fn mismatch_cause(owner: ResponseOwner) -> &'static str {
+    match owner {
+        ResponseOwner::Earlier => OF_EARLIER_REQUEST,
+        _ => "the response doesn't show that it belongs to the request",
+    }
+}
+
 /// Takes in what an endpoint says of itself in the head of a response: its limit, and whether it is
 /// leaving.
 fn observe_head<E: EndpointProtocol>(
--- a/crates/vaneway-server/src/core/calls/model_request.rs
+++ b/crates/vaneway-server/src/core/calls/model_request.rs
@@ -20,6 +20,7 @@
 use crate::core::callers::api_error::ApiError;
 use crate::core::calls::events::LAST_EVENT_ID;
 use crate::core::endpoints::link::EndpointRequest;
+use crate::core::endpoints::response_owner::REQUEST_ID;
 use crate::core::entry::Entry;
 use crate::util::hash;
 
@@ -147,7 +148,7 @@
             .method(Method::POST)
             .uri(self.interface.path())
             .header("content-type", "application/json")
-            .header("x-request-id", id)
+            .header(REQUEST_ID, id)
             .header("x-attempt", attempt);
         let mut body = self.body.clone();
         match how {
--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -35,6 +35,8 @@
 use crate::core::endpoints::answer_bounds::AnswerMeter;
 use crate::core::endpoints::answer_bounds::Excess;
 use crate::core::endpoints::framing::Framing;
+use crate::core::endpoints::response_owner::ConnectionRequests;
+use crate::core::endpoints::response_owner::ResponseOwner;
 use crate::util::allowance::Allowance;
 use crate::util::socket::SocketStream;
 
@@ -59,6 +61,7 @@
     /// The bytes without data that may still be read.
     allowance: Rc<Allowance>,
     bounds: Rc<AnswerBounds>,
+    requests: ConnectionRequests,
 }
 
 /// Why a body can't be read to its end.
@@ -92,8 +95,15 @@
         let drained = stream.drained();
         let (sender, driver) =
             http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
-        let (driver, bounds) = (Box::pin(driver), Rc::clone(bounds));
-        Ok(Self { sender, driver, closed: false, drained, allowance, bounds })
+        Ok(Self {
+            sender,
+            driver: Box::pin(driver),
+            closed: false,
+            drained,
+            allowance,
+            bounds: Rc::clone(bounds),
+            requests: ConnectionRequests::default(),
+        })
     }
 
     /// Whether another request can be sent. Reads the socket, to detect that the endpoint closed
@@ -105,6 +115,11 @@
         !self.closed && self.sender.is_ready()
     }
 
+    /// The requests that it has carried.
+    pub fn requests(&self) -> &ConnectionRequests {
+        &self.requests
+    }
+
     fn drive(&mut self, cx: &mut Context<'_>) {
         if !self.closed && self.driver.as_mut().poll(cx).is_ready() {
             self.closed = true;
@@ -122,6 +137,7 @@
     ) -> Result<Response<ConnectionBody>, Box<TrySendError<EndpointRequest>>> {
         let method = req.method().clone();
         self.allowance.grant_head(self.bounds.head_bytes);
+        self.requests.begin(req.headers());
         let response = self.sender.try_send_request(req);
         futures_util::pin_mut!(response);
         let response = poll_fn(|cx| {
@@ -136,9 +152,11 @@
         .await;
         let (head, body) = response.map_err(Box::new)?.into_parts();
         let framing = Framing::of(&method, &head);
+        let owner = self.requests.owner(&head.headers);
         self.allowance.grant_body();
         let meter = self.bounds.meter();
-        Ok(Response::from_parts(head, ConnectionBody { connection: self, body, framing, meter }))
+        let body = ConnectionBody { connection: self, body, framing, owner, meter };
+        Ok(Response::from_parts(head, body))
     }
 }
 
@@ -148,6 +166,7 @@
     connection: Connection,
     body: Incoming,
     framing: Framing,
+    owner: ResponseOwner,
     meter: AnswerMeter,
 }
 
@@ -157,6 +176,11 @@
         self.framing
     }
 
+    /// The request to which the response belongs.
+    pub fn owner(&self) -> ResponseOwner {
+        self.owner
+    }
+
     /// Bounds the body as that of an event stream for which `tokens` were asked, if that is known.
     pub fn expect_stream(&mut self, tokens: Option<u32>) {
         let bounds = &self.connection.bounds;
--- a/crates/vaneway-server/src/core/endpoints/mod.rs
+++ b/crates/vaneway-server/src/core/endpoints/mod.rs
@@ -5,4 +5,5 @@
 pub mod link;
 pub mod protocol;
 pub mod registered;
+pub mod response_owner;
 pub mod upstream;
--- a/crates/vaneway-server/src/core/endpoints/protocol.rs
+++ b/crates/vaneway-server/src/core/endpoints/protocol.rs
@@ -37,6 +37,8 @@
 
 use crate::core::callers::api_error::RUN_HEADER;
 use crate::core::endpoints::link::EndpointRequest;
+use crate::core::endpoints::response_owner::REQUEST_ID;
+use crate::core::endpoints::response_owner::ResponseOwner;
 
 /// Response header in which an endpoint advertises how many requests per second it accepts from all
 /// entry boxes together. The limit is in force until a response no longer has the header.
@@ -125,7 +127,7 @@
     Refused,
     /// Another endpoint has the address now; it did not run the request.
     Replaced,
-    /// It is not a response to this request.
+    /// It is not a response to this request, or may be one to another.
     Mismatched,
 }
 
@@ -134,8 +136,13 @@
     /// Builds the request to send to the endpoint.
     fn request(&self, call: &CallRequest, dispatch: Dispatch<'_>) -> EndpointRequest;
 
-    /// Determines the meaning of the head of a response.
-    fn classify(&self, call: &CallRequest, head: &response::Parts) -> ResponseKind;
+    /// Determines the meaning of the head of a response that belongs to `owner`.
+    fn classify(
+        &self,
+        call: &CallRequest,
+        head: &response::Parts,
+        owner: ResponseOwner,
+    ) -> ResponseKind;
 
     /// Parses the limit that the head of a response advertises, if any.
     ///
@@ -240,19 +247,26 @@
         let builder = Request::builder().method(call.method.clone()).uri(&call.path);
         copy_headers(builder, &call.headers, &[HOST, AUTHORIZATION])
             .header(HOST, dispatch.endpoint.address.to_string())
-            .header("x-request-id", &call.id)
+            .header(REQUEST_ID, &call.id)
             .header("x-organisation", &call.organisation)
             .body(Full::new(call.body.clone()))
             .expect("the parts of the request are valid")
     }
 
-    fn classify(&self, _call: &CallRequest, head: &response::Parts) -> ResponseKind {
+    fn classify(
+        &self,
+        call: &CallRequest,
+        head: &response::Parts,
+        owner: ResponseOwner,
+    ) -> ResponseKind {
         let not_run = self.not_run_header.as_ref();
         let not_run = not_run.is_some_and(|name| head.headers.contains_key(name));
-        if head.status == StatusCode::SERVICE_UNAVAILABLE && not_run {
-            ResponseKind::Refused
-        } else {
-            ResponseKind::Answer
+        let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE && not_run;
+        match owner {
+            ResponseOwner::Earlier => ResponseKind::Mismatched,
+            ResponseOwner::Unknown if is_refusal && !call.repeatable => ResponseKind::Mismatched,
+            _ if is_refusal => ResponseKind::Refused,
+            _ => ResponseKind::Answer,
         }
     }
 
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -42,6 +42,7 @@
 use crate::core::endpoints::protocol;
 use crate::core::endpoints::protocol::LEAVING_HEADER;
 use crate::core::endpoints::protocol::LIMIT_HEADER;
+use crate::core::endpoints::response_owner::ResponseOwner;
 use crate::core::settings::Limits;
 use crate::util::clock;
 use crate::util::socket;
@@ -67,6 +68,9 @@
 /// is not reused.
 const BODY_END_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// Why an attempt ends at a surplus response.
+pub const OF_EARLIER_REQUEST: &str = "the response belongs to an earlier request on the connection";
+
 /// Maximum bytes of an engine's error response that are forwarded.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
@@ -107,7 +111,8 @@
 pub enum Reuse {
     /// Any: the request can be repeated.
     Any,
-    /// Those that have rested so long that a close which followed the last response has arrived.
+    /// Those that have rested so long that a close which followed the last response has arrived, and
+    /// whose endpoint returns the ids of requests, so that the response can be told from others.
     Rested,
     /// None.
     Never,
@@ -163,7 +168,7 @@
         let mut reuse = reuse;
         loop {
             let mut attempt = Attempt::new();
-            let idle = self.take_idle(addr, reuse);
+            let idle = self.take_idle(addr, reuse, req.headers());
             let reused = idle.is_some();
             let connection = match idle {
                 Some(connection) => connection,
@@ -232,6 +237,9 @@
         let StartedResponse { response, mut attempt } =
             self.send(timers, addr, req, Reuse::Any, until).await?;
         let (head, mut body) = response.into_parts();
+        if body.owner() == ResponseOwner::Earlier {
+            return Err(ended(&mut attempt, AttemptEvent::Broken, OF_EARLIER_REQUEST));
+        }
         let mut buffer = BytesMut::new();
         let cause = match timers.timeout_at(until, body.read_into(&mut buffer, limit)).await {
             Some(Ok(true)) => {
@@ -269,8 +277,8 @@
             .map_err(|error| ended(attempt, AttemptEvent::Returned, error))
     }
 
-    /// Takes the latest used idle connection that a request may be sent over.
-    fn take_idle(&self, addr: SocketAddr, reuse: Reuse) -> Option<Connection> {
+    /// Takes the latest used idle connection that a request with these headers may be sent over.
+    fn take_idle(&self, addr: SocketAddr, reuse: Reuse, headers: &HeaderMap) -> Option<Connection> {
         let min_rest = match reuse {
             Reuse::Any => Duration::ZERO,
             Reuse::Rested => MIN_REST,
@@ -278,8 +286,14 @@
         };
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&addr)?;
-        let has_rested = |idle: &IdleConnection| clock::elapsed(idle.since) >= min_rest;
-        while let Some(latest) = connections.iter().rposition(has_rested) {
+        let must_return_ids = reuse == Reuse::Rested;
+        let is_usable = |idle: &IdleConnection| {
+            let requests = idle.connection.requests();
+            clock::elapsed(idle.since) >= min_rest
+                && requests.accepts(headers)
+                && (requests.return_ids() || !must_return_ids)
+        };
+        while let Some(latest) = connections.iter().rposition(is_usable) {
             let mut connection = connections.remove(latest).connection;
             if connection.is_ready() {
                 return Some(connection);
@@ -459,6 +473,11 @@
         }
     };
     let StartedResponse { response, mut attempt } = started;
+    if response.body().owner() == ResponseOwner::Earlier {
+        let SendError { outcome, cause, .. } =
+            ended(&mut attempt, AttemptEvent::Broken, OF_EARLIER_REQUEST);
+        return (AttemptItem::Ended { outcome, cause }, Stage::Over);
+    }
     let status = response.status();
     let limit = protocol::parse_limit(response.headers(), &LIMIT_HEADER);
     let leaving = protocol::has_flag(response.headers(), &LEAVING_HEADER);
--- a/crates/vaneway-server/src/core/neighbours/server.rs
+++ b/crates/vaneway-server/src/core/neighbours/server.rs
@@ -12,6 +12,7 @@
 use crate::core::callers::native;
 use crate::core::calls::call;
 use crate::core::endpoints::protocol::EndpointProtocol;
+use crate::core::endpoints::response_owner::REQUEST_ID;
 use crate::core::entry::Entry;
 use crate::core::entry::Phase;
 use crate::core::neighbours::origins;
@@ -54,6 +55,23 @@
 
 impl<E: EndpointProtocol> Handler for ForwardedHandler<E> {
     async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
+        let id = req.headers().get(REQUEST_ID).cloned();
+        let mut response = self.respond(req).await;
+        if let Some(id) = id
+            && !AttemptResult::Answer.is_of(&response)
+        {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        response
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        ConnectionLimits::for_internal_calls(MAX_HEADER_BYTES)
+    }
+}
+
+impl<E: EndpointProtocol> ForwardedHandler<E> {
+    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
         let entry = &self.entry;
         let path = req.uri().path().to_owned();
         if entry.phase() == Phase::Finishing {
@@ -78,8 +96,4 @@
         let is_cut_off = entry.paths.is_cut_off(copy.service);
         wire::response(result, is_cut_off, || quarantine::cases_of(entry, &copy))
     }
-
-    fn limits(&self) -> ConnectionLimits {
-        ConnectionLimits::for_internal_calls(MAX_HEADER_BYTES)
-    }
 }
--- a/crates/vaneway-server/src/core/neighbours/wire.rs
+++ b/crates/vaneway-server/src/core/neighbours/wire.rs
@@ -34,6 +34,7 @@
 use crate::core::calls::call_limits::CallLimits;
 use crate::core::endpoints::link::EndpointRequest;
 use crate::core::endpoints::protocol::CallRequest;
+use crate::core::endpoints::response_owner::REQUEST_ID;
 use crate::core::entry::Entry;
 use crate::core::quarantine;
 use crate::util::body::ResponseBody;
@@ -119,6 +120,11 @@
         named.unwrap_or(Self::Unknown)
     }
 
+    /// Whether a neighbour's response has this result.
+    pub fn is_of(self, response: &Response<ResponseBody>) -> bool {
+        response.headers().get(RESULT_HEADER).is_some_and(|value| value == self.name())
+    }
+
     /// Adds the result to a neighbour's response.
     fn add_to(self, response: &mut Response<ResponseBody>) {
         let value = HeaderValue::from_static(self.name());
@@ -311,6 +317,7 @@
     body.extend_from_slice(&call.body);
     Request::post(PATH)
         .header(HOST, neighbour.address.to_string())
+        .header(REQUEST_ID, &call.id)
         .body(Full::new(body.freeze()))
         .expect("the parts of the request are valid")
 }
--- a/crates/vaneway-test-support/src/raw_endpoint.rs
+++ b/crates/vaneway-test-support/src/raw_endpoint.rs
@@ -337,7 +337,7 @@
 }
 
 /// Reads a request with its body; none if the connection ends before.
-fn read_request(connection: &TcpStream) -> Option<RawRequest> {
+pub(crate) fn read_request(connection: &TcpStream) -> Option<RawRequest> {
     let mut reader = BufReader::new(connection);
     let mut request = RawRequest::default();
     let mut line = String::new();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -69,6 +69,7 @@
 mod streams;
 mod style;
 mod support;
+mod surplus_responses;
 mod telling;
 mod turns;
 mod unending_bytes;
