--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -322,7 +322,8 @@
                 }
                 self.choose_publishers();
             }
-            ToEntry::Pong { sent_us, time_us } => {
+            ToEntry::Pong { sent_us, time_us, endpoints_known_for } => {
+                self.entry.origins.record_knowledge(endpoints_known_for);
                 if let Some(link) = self.open.borrow().get(&from) {
                     self.handle_pong(link);
                 }
--- a/crates/vaneway-server/src/core/control/entry_updates.rs
+++ b/crates/vaneway-server/src/core/control/entry_updates.rs
@@ -40,7 +40,7 @@
 const ROUNDS_PER_NEIGHBOURS: u64 = 5;
 
 /// Maximum age of the last contact with a leader at which this box does not count as partitioned.
-const MAX_LEADER_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_LEADER_AGE: Duration = Duration::from_millis(1_500);
 
 /// Sends entry boxes the others' usage at a fixed interval, until dropped.
 pub async fn publish_usage(control: Rc<Control>) {
--- a/crates/vaneway-server/src/core/control/group.rs
+++ b/crates/vaneway-server/src/core/control/group.rs
@@ -68,7 +68,7 @@
     let Some(event) = event else { return };
     let committed = handle(control, event);
     if control.node.borrow().leader().is_some() {
-        control.last_leader_at.set(clock::now());
+        control.record_leader();
     }
     if committed {
         compact(control);
--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -194,6 +194,7 @@
         peers: RefCell::default(),
         join_requests: RefCell::default(),
         last_leader_at: Cell::new(now),
+        endpoints_known_since: Cell::new((!settings.form_group).then_some(now)),
         leader_since: Cell::new(None),
         remembered: RefCell::default(),
         usage_ledger: RefCell::default(),
--- a/crates/vaneway-server/src/core/control/state.rs
+++ b/crates/vaneway-server/src/core/control/state.rs
@@ -36,6 +36,7 @@
 use crate::core::control::clock::ClusterClock;
 use crate::core::control::dissemination::ForwardedCounts;
 use crate::core::control::entry_updates;
+use crate::core::control::entry_updates::MAX_LEADER_AGE;
 use crate::core::control::links::EntryLink;
 use crate::core::control::machine::StateMachine;
 use crate::core::control::peers::PeerLink;
@@ -131,6 +132,8 @@
     pub(crate) join_requests: RefCell<BTreeMap<NodeId, Instant>>,
     /// When this node last knew a leader.
     pub(crate) last_leader_at: Cell<Instant>,
+    /// Since when all endpoints that register are known here; none if since the deployment began.
+    pub(crate) endpoints_known_since: Cell<Option<Instant>>,
     /// Since when this node has been the leader, if it is.
     pub(crate) leader_since: Cell<Option<Instant>>,
     /// Endpoints that were ready before this box started, according to its disk.
@@ -196,6 +199,26 @@
         SocketAddr::V4(SocketAddrV4::new(node_address(node), port))
     }
 
+    /// Records that this node knows a leader. While it knew none, endpoints may have registered with
+    /// other boxes only.
+    pub(crate) fn record_leader(&self) {
+        let now = clock::now();
+        let before = self.last_leader_at.replace(now);
+        let is_first = before == self.started;
+        if !is_first && now.saturating_duration_since(before) >= MAX_LEADER_AGE {
+            self.endpoints_known_since.set(Some(now));
+        }
+    }
+
+    /// For how long all endpoints that registered have been known here; [`Duration::MAX`] if since
+    /// the deployment began.
+    pub(crate) fn endpoints_known_for(&self) -> Duration {
+        if clock::elapsed(self.last_leader_at.get()) >= MAX_LEADER_AGE {
+            return Duration::ZERO;
+        }
+        self.endpoints_known_since.get().map_or(Duration::MAX, clock::elapsed)
+    }
+
     /// Whether this node is certainly the only leader and has applied all entries committed before
     /// its term.
     pub fn has_valid_lease(&self) -> bool {
--- a/crates/vaneway-server/src/core/endpoints/registered.rs
+++ b/crates/vaneway-server/src/core/endpoints/registered.rs
@@ -183,10 +183,11 @@
 }
 
 /// The origin of every stream of a service, if all its endpoints that this box knows of run one
-/// software version, those included that are gone or no longer report; none if no control box is
-/// connected, which sends all that have registered.
+/// software version, those included that are gone or no longer report. None if this box may not know
+/// all at which the stream can have begun: a control box says so that has known them for as long as a
+/// stream lasts.
 pub fn sole_origin(entry: &Entry, service: &str) -> Option<Origin> {
-    if !entry.origins.is_connected() {
+    if !entry.origins.knows_endpoints() {
         return None;
     }
     let id = entry.service_id(service);
--- a/crates/vaneway-server/src/core/stream_origins.rs
+++ b/crates/vaneway-server/src/core/stream_origins.rs
@@ -21,6 +21,7 @@
 use std::time::Instant;
 
 use futures_channel::oneshot;
+use vaneway_origins::ORIGIN_RETENTION;
 use vaneway_origins::Origin;
 use vaneway_origins::OriginRecord;
 use vaneway_origins::Origins;
@@ -136,6 +137,8 @@
     /// Woken when more have been reported.
     unreported: RefCell<Vec<Waker>>,
     last_contact: Cell<Option<Instant>>,
+    /// When a control box last said that it has known all endpoints for longer than streams last.
+    last_knowledge: Cell<Option<Instant>>,
 }
 
 /// The key of the stream whose first event answered the request `id` of an organisation.
@@ -229,6 +232,18 @@
         self.last_contact.get().is_some_and(|at| clock::elapsed(at) < MAX_CONTACT_AGE)
     }
 
+    /// Records for how long a control box that has sent its endpoints has known all of them.
+    pub fn record_knowledge(&self, endpoints_known_for: Duration) {
+        if endpoints_known_for >= ORIGIN_RETENTION {
+            self.last_knowledge.set(Some(clock::now()));
+        }
+    }
+
+    /// Whether this box knows all endpoints at which a stream that is taken up may have begun.
+    pub fn knows_endpoints(&self) -> bool {
+        self.last_knowledge.get().is_some_and(|at| clock::elapsed(at) < MAX_CONTACT_AGE)
+    }
+
     /// Waits for the next lookup to send to the control boxes.
     pub async fn next_lookup(&self) -> StreamKey {
         poll_fn(|cx| {
--- a/tests/testsuite/software_versions.rs
+++ b/tests/testsuite/software_versions.rs
@@ -232,6 +232,12 @@
         }
     }
 
+    /// Kills all entry boxes at once and starts as many.
+    fn restart_entries(&mut self) {
+        let killed = self.entries.iter_mut().filter_map(Option::take).map(Process::kill).count();
+        (0..killed).for_each(|_| self.start_entry());
+    }
+
     fn entry(&self, i: usize) -> &Process {
         self.entries[i].as_ref().expect("the entry box is running")
     }
@@ -373,6 +379,38 @@
         self.send_all(streams, i, u32::MAX).await;
     }
 
+    /// Takes streams up at entry box `i` from its start, again and again until each is taken up, and
+    /// reads them up to event `last`. Streams of version `gone` are given up when they are refused.
+    async fn take_up_at_start(
+        &self,
+        streams: &mut [StreamCaller],
+        i: usize,
+        last: u32,
+        gone: Option<&str>,
+    ) {
+        self.behave(if last == u32::MAX {
+            Behaviour::Respond
+        } else {
+            Behaviour::PauseAfter(last)
+        });
+        let entry = self.entry(i).listen();
+        let deadline = Instant::now() + NOTICE_TIMEOUT;
+        let each = streams.iter_mut().map(async |stream| {
+            stream.send(entry).await;
+            while stream.status() != Some(200) {
+                let is_gone = gone.is_some_and(|gone| stream.versions().contains(gone));
+                if is_gone && Instant::now() + NOTICE_TIMEOUT / 2 > deadline {
+                    return;
+                }
+                assert!(Instant::now() < deadline, "{:?}: refused for too long", stream.status());
+                compio::time::sleep(PAUSE).await;
+                stream.send(entry).await;
+            }
+            stream.read_until(last).await;
+        });
+        join_all(each).await;
+    }
+
     /// Takes a stream up at entry box `i`, and panics unless the request is refused at once and has
     /// not run.
     async fn assert_refused(&self, stream: &mut StreamCaller, i: usize) {
@@ -867,3 +905,70 @@
     let mut stream = stream("late").without_first_attempt().with_received("", FIRST_PART);
     block_on(setup.assert_refused(&mut stream, 0));
 }
+
+/// Guards against streams that are joined from two versions because all entry boxes were killed: they
+/// are taken up at boxes that have just started, one version serves on with fewer endpoints, and a new
+/// one has come.
+#[test]
+fn streams_of_entry_boxes_that_were_all_killed_go_on_at_their_versions() {
+    let mut setup = Setup::start(2, &TWO_OF_EACH);
+    let mut streams = block_on(setup.begin_streams(0));
+    setup.restart_entries();
+    block_on(setup.take_up_at_start(&mut streams, 2, SECOND_PART, None));
+    setup.start_endpoint(WireEndpoint::spawn_with_version("i-e", "v3"), 1);
+    setup.call_control("/instances/i-a/deregister", "{}");
+    setup.restart_entries();
+    block_on(setup.take_up_at_start(&mut streams, 5, u32::MAX, None));
+
+    assert_one_version_each(&streams);
+    for version in ["v1", "v2"] {
+        let own = streams.iter().filter(|stream| stream.versions().contains(version));
+        let taken_up_twice = own.filter(|stream| stream.is_complete()).count();
+        assert!(taken_up_twice > 0, "no stream of {version} was taken up twice");
+    }
+    assert!(streams.iter().all(StreamCaller::is_complete));
+}
+
+/// Guards against streams that are joined from two versions because all entry boxes were killed just
+/// after the last endpoint of one version had left. They are refused, and those of the other go on.
+#[test]
+fn streams_of_a_version_that_has_just_left_go_on_nowhere_after_all_entry_boxes_were_killed() {
+    let mut setup = Setup::start(2, &TWO_OF_EACH);
+    let mut streams = block_on(setup.begin_streams(0));
+    for instance in ["i-a", "i-b"] {
+        setup.call_control(&format!("/instances/{instance}/deregister"), "{}");
+        setup.crash(instance);
+    }
+    setup.restart_entries();
+    block_on(setup.take_up_at_start(&mut streams, 2, u32::MAX, Some("v1")));
+
+    assert_one_version_each(&streams);
+    let complete = |version: &str| {
+        let own = streams.iter().filter(|stream| stream.versions().contains(version));
+        own.filter(|stream| stream.is_complete()).count()
+    };
+    assert_eq!(complete("v1"), 0);
+    assert!(complete("v2") > 0, "streams of v2 go on");
+}
+
+/// Guards against a stream that is joined from two versions, at boxes that know one version only
+/// because all of them started after the endpoints of the other had left. Its caller names no attempt.
+#[test]
+fn stream_that_names_no_attempt_is_refused_by_boxes_that_all_started_after_it() {
+    let mut setup = Setup::start(1, &[("i-a", "v1"), ("i-b", "v1")]);
+    let mut stream = stream("stream").without_first_attempt();
+    setup.behave(Behaviour::PauseAfter(FIRST_PART));
+    block_on(async {
+        stream.send(setup.entry(0).listen()).await;
+        stream.read_until(FIRST_PART).await;
+        stream.leave();
+    });
+    setup.kill_all_boxes();
+    setup.endpoints = vec![WireEndpoint::spawn_with_version("i-c", "v2")];
+    setup.control.start_box(0, false);
+    setup.send_heartbeats();
+    setup.start_entry();
+    setup.wait_until_known();
+    block_on(setup.assert_refused(&mut stream, 1));
+    assert_one_version_each(std::slice::from_ref(&stream));
+}
