--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -5,8 +5,8 @@
 //! place, all chunks of one read arrive in one poll and are forwarded in one write. Measurements of
 //! both are in docs/EXPERIMENTS.md.
 //!
-//! Data flow: [`Connection::send`] writes a request and returns the head of the response with a
-//! [`ConnectionBody`]. Polling the body drives the connection. After the end of the body,
+//! Data flow: [`Connection::send`] writes a request, skips surplus responses to earlier ones and
+//! returns the head of the response with a [`ConnectionBody`]. Polling the body drives the connection. After the end of the body,
 //! [`ConnectionBody::into_connection`] returns the connection for the next request. Dropping either
 //! closes the connection.
 
@@ -25,19 +25,26 @@
 use futures_util::Stream;
 use http_body::Body as _;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
+use hyper::header::CONNECTION;
+use hyper::http::response;
 
 use crate::core::endpoints::answer_bounds::AnswerBounds;
 use crate::core::endpoints::answer_bounds::AnswerMeter;
 use crate::core::endpoints::answer_bounds::Excess;
 use crate::core::endpoints::framing::Framing;
+use crate::core::endpoints::replay_stream::ReplayStream;
 use crate::core::endpoints::response_owner::ConnectionRequests;
+use crate::core::endpoints::response_owner::REQUEST_ID;
 use crate::core::endpoints::response_owner::ResponseOwner;
 use crate::util::allowance::Allowance;
+use crate::util::logline::Line;
 use crate::util::socket::SocketStream;
 
 /// A request as it is sent to an endpoint.
@@ -46,7 +53,13 @@
 /// Size of a connection's read buffer: dozens of tokens, and half of hyper's default.
 const READ_BYTES: usize = 4_096;
 
-type HttpConnection = http1::Connection<SocketStream, Full<Bytes>>;
+/// Maximum number of surplus responses that are skipped before the response to a request.
+const MAX_SKIPPED: u32 = 4;
+
+/// Maximum bytes of the body of a surplus response that is skipped.
+const MAX_SKIPPED_BYTES: usize = 64 << 10;
+
+type HttpConnection = http1::Connection<ReplayStream, Full<Bytes>>;
 
 /// An open connection.
 #[derive(Debug)]
@@ -61,6 +74,8 @@
     /// The bytes without data that may still be read.
     allowance: Rc<Allowance>,
     bounds: Rc<AnswerBounds>,
+    /// Bytes of the latest request that were written.
+    sent: Rc<Cell<usize>>,
     requests: ConnectionRequests,
 }
 
@@ -93,15 +108,17 @@
     pub async fn open(mut stream: SocketStream, bounds: &Rc<AnswerBounds>) -> hyper::Result<Self> {
         let allowance = stream.bound_reads();
         let drained = stream.drained();
-        let (sender, driver) =
-            http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
+        let stream = ReplayStream::new(stream);
+        let sent = stream.sent();
+        let (sender, driver) = handshake(stream).await?;
         Ok(Self {
             sender,
-            driver: Box::pin(driver),
+            driver,
             closed: false,
             drained,
             allowance,
             bounds: Rc::clone(bounds),
+            sent,
             requests: ConnectionRequests::default(),
         })
     }
@@ -126,40 +143,141 @@
         }
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. Surplus responses to earlier requests
+    /// are skipped, since the response to this one follows them; one that can't be skipped is returned.
     ///
     /// # Errors
     ///
-    /// hyper's error, which contains the request if none of it was written.
+    /// [`NoResponse`], which contains the request if none of it was written.
     pub async fn send(
         mut self,
         req: EndpointRequest,
-    ) -> Result<Response<ConnectionBody>, Box<TrySendError<EndpointRequest>>> {
+    ) -> Result<Response<ConnectionBody>, NoResponse> {
         let method = req.method().clone();
+        self.requests.begin(&method, req.headers());
+        self.sent.set(0);
+        let copy = self.requests.may_have_surplus().then(|| req.clone());
+        let mut response = self.transfer(req).await.map_err(NoResponse::of)?;
+        let mut skipped = 0;
+        loop {
+            let (head, body) = response.into_parts();
+            let framing = Framing::of(&method, &head);
+            let owner = self.requests.owner(&head.headers);
+            self.allowance.grant_body();
+            let meter = self.bounds.meter();
+            let mut body = ConnectionBody { connection: self, body, framing, owner, meter };
+            let Some(copy) = copy.as_ref().filter(|_| owner == ResponseOwner::Earlier) else {
+                return Ok(Response::from_parts(head, body));
+            };
+            let is_skipped = skipped < MAX_SKIPPED && skip(&head, &mut body).await;
+            log_surplus(copy, &head, is_skipped);
+            if !is_skipped {
+                return Ok(Response::from_parts(head, body));
+            }
+            skipped += 1;
+            self = body.connection.for_replay().await.map_err(NoResponse::after_sending)?;
+            let next = self.transfer(copy.clone()).await;
+            response = next.map_err(|error| NoResponse::after_sending(error.into_error()))?;
+        }
+    }
+
+    /// Hands a request to the HTTP connection and waits for the head of the first response.
+    async fn transfer(
+        &mut self,
+        req: EndpointRequest,
+    ) -> Result<Response<Incoming>, TrySendError<EndpointRequest>> {
         self.allowance.grant_head(self.bounds.head_bytes);
-        self.requests.begin(req.headers());
         let response = self.sender.try_send_request(req);
         futures_util::pin_mut!(response);
-        let response = poll_fn(|cx| {
+        poll_fn(|cx| {
             if let Poll::Ready(response) = response.as_mut().poll(cx) {
                 return Poll::Ready(response);
             }
-            if !self.closed && self.driver.as_mut().poll(cx).is_ready() {
-                self.closed = true;
-            }
+            self.drive(cx);
             response.as_mut().poll(cx)
         })
-        .await;
-        let (head, body) = response.map_err(Box::new)?.into_parts();
-        let framing = Framing::of(&method, &head);
-        let owner = self.requests.owner(&head.headers);
-        self.allowance.grant_body();
-        let meter = self.bounds.meter();
-        let body = ConnectionBody { connection: self, body, framing, owner, meter };
-        Ok(Response::from_parts(head, body))
+        .await
+    }
+
+    /// The connection with a new HTTP connection, to which the request under way is handed again.
+    async fn for_replay(self) -> hyper::Result<Self> {
+        let Self { driver, drained, allowance, bounds, sent, requests, .. } = self;
+        let http1::Parts { io, read_buf, .. } = Pin::into_inner(driver).into_parts();
+        let (sender, driver) = handshake(io.replay(read_buf)).await?;
+        Ok(Self { sender, driver, closed: false, drained, allowance, bounds, sent, requests })
+    }
+}
+
+/// Starts an HTTP connection on a stream.
+async fn handshake(
+    stream: ReplayStream,
+) -> hyper::Result<(http1::SendRequest<Full<Bytes>>, Pin<Box<HttpConnection>>)> {
+    let mut builder = http1::Builder::new();
+    let (sender, driver) = builder.read_buf_exact_size(Some(READ_BYTES)).handshake(stream).await?;
+    Ok((sender, Box::pin(driver)))
+}
+
+/// Reads a surplus response to its end. Returns false if its end doesn't show, or is that of the
+/// connection, or if it is too long.
+async fn skip(head: &response::Parts, body: &mut ConnectionBody) -> bool {
+    let ends_connection = head.version != Version::HTTP_11 || closes_connection(&head.headers);
+    if !body.framing.shows_end() || ends_connection {
+        return false;
     }
+    let read = body.read_into(&mut BytesMut::new(), MAX_SKIPPED_BYTES).await;
+    matches!(read, Ok(true))
 }
 
+/// Whether the sender of a message closes its connection after it.
+fn closes_connection(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+fn log_surplus(req: &EndpointRequest, head: &response::Parts, is_skipped: bool) {
+    let id = |headers: &HeaderMap| {
+        let id = headers.get(REQUEST_ID).map(|id| String::from_utf8_lossy(id.as_bytes()));
+        id.unwrap_or_default().into_owned()
+    };
+    Line::new("surplus_response")
+        .with("request", id(req.headers()))
+        .with("belongs_to", id(&head.headers))
+        .with("status", head.status.as_u16())
+        .with("skipped", is_skipped)
+        .info();
+}
+
+/// Why no response to a request arrived.
+#[derive(Debug)]
+pub struct NoResponse {
+    /// hyper's error.
+    pub error: hyper::Error,
+    /// The request, if none of it was written.
+    pub unsent: Option<EndpointRequest>,
+}
+
+impl NoResponse {
+    fn of(mut error: TrySendError<EndpointRequest>) -> Self {
+        let unsent = error.take_message();
+        Self { error: error.into_error(), unsent }
+    }
+
+    /// The request was sent and only its response is missing.
+    fn after_sending(error: hyper::Error) -> Self {
+        Self { error, unsent: None }
+    }
+}
+
+impl fmt::Display for NoResponse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.error.fmt(f)
+    }
+}
+
+impl std::error::Error for NoResponse {}
+
 /// The body of a response, with the connection on which it arrives.
 #[derive(Debug)]
 pub struct ConnectionBody {
--- a/crates/vaneway-server/src/core/endpoints/mod.rs
+++ b/crates/vaneway-server/src/core/endpoints/mod.rs
@@ -5,5 +5,6 @@
 pub mod link;
 pub mod protocol;
 pub mod registered;
+pub mod replay_stream;
 pub mod response_owner;
 pub mod upstream;
--- a/crates/vaneway-server/src/core/endpoints/response_owner.rs
+++ b/crates/vaneway-server/src/core/endpoints/response_owner.rs
@@ -13,6 +13,7 @@
 use std::collections::VecDeque;
 
 use hyper::HeaderMap;
+use hyper::Method;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
@@ -66,6 +67,8 @@
     latest: Option<HeaderValue>,
     /// Number of requests so far.
     count: u64,
+    /// Whether one of them was a HEAD request.
+    has_head: bool,
     /// Whether a response did not return the id of its request.
     lacks_ids: bool,
 }
@@ -83,8 +86,15 @@
         !self.lacks_ids
     }
 
-    /// Notes that a request with these headers is sent.
-    pub fn begin(&mut self, headers: &HeaderMap) {
+    /// Whether a surplus response may come before the next one, and the two can be told apart. After a
+    /// HEAD request, the length of a surplus response doesn't show where it ends.
+    pub fn may_have_surplus(&self) -> bool {
+        !self.earlier.is_empty() && !self.has_head
+    }
+
+    /// Notes that a request with this method and these headers is sent.
+    pub fn begin(&mut self, method: &Method, headers: &HeaderMap) {
+        self.has_head |= *method == Method::HEAD;
         if let Some(previous) = self.latest.take() {
             if self.earlier.len() == MAX_REMEMBERED {
                 self.earlier.pop_front();
--- a/crates/vaneway-server/src/core/endpoints/upstream.rs
+++ b/crates/vaneway-server/src/core/endpoints/upstream.rs
@@ -37,6 +37,7 @@
 use crate::core::endpoints::link::Connection;
 use crate::core::endpoints::link::ConnectionBody;
 use crate::core::endpoints::link::EndpointRequest;
+use crate::core::endpoints::link::NoResponse;
 use crate::core::endpoints::link::ReadError;
 use crate::core::endpoints::link::SharedBody;
 use crate::core::endpoints::protocol;
@@ -181,7 +182,7 @@
                     attempt.handle(AttemptEvent::Head);
                     return Ok(StartedResponse { response, attempt });
                 }
-                Some(Err(mut error)) => match error.take_message() {
+                Some(Err(NoResponse { error, unsent })) => match unsent {
                     // The endpoint closed the idle connection: retry on a new one.
                     Some(returned) if reused => {
                         req = returned;
@@ -192,7 +193,7 @@
                             Some(_) => AttemptEvent::Returned,
                             None => AttemptEvent::Broken,
                         };
-                        return Err(ended(&mut attempt, event, error.error()));
+                        return Err(ended(&mut attempt, event, error));
                     }
                 },
                 None => {
