--- a/crates/vaneway-server/src/core/endpoints/link.rs
+++ b/crates/vaneway-server/src/core/endpoints/link.rs
@@ -6,9 +6,9 @@
 //! both are in docs/EXPERIMENTS.md.
 //!
 //! Data flow: [`Connection::send`] writes a request, skips surplus responses to earlier ones and
-//! returns the head of the response with a [`ConnectionBody`]. Polling the body drives the connection. After the end of the body,
-//! [`ConnectionBody::into_connection`] returns the connection for the next request. Dropping either
-//! closes the connection.
+//! returns the head of the response with a [`ConnectionBody`]. Polling the body drives the
+//! connection. After the end of the body, [`ConnectionBody::into_connection`] returns the connection
+//! for the next request. Dropping either closes the connection.
 
 use std::cell::Cell;
 use std::cell::RefCell;
--- a/crates/vaneway-server/src/core/endpoints/replay_stream.rs
+++ b/crates/vaneway-server/src/core/endpoints/replay_stream.rs
@@ -65,7 +65,7 @@
     /// from this stream and not used.
     #[must_use]
     pub fn replay(self, unread: Bytes) -> Self {
-        // A connection reads ahead only what is left of an earlier replay.
+        // What is left of an earlier replay follows what was read of it.
         let unread = [unread, self.unread].concat().into();
         Self { unread, replayed: self.sent.get(), is_held: true, ..self }
     }
--- a/crates/vaneway-server/src/core/endpoints/response_owner.rs
+++ b/crates/vaneway-server/src/core/endpoints/response_owner.rs
@@ -39,23 +39,6 @@
     Unknown,
 }
 
-impl ResponseOwner {
-    /// Whether the response can't belong to any request but the latest.
-    pub fn is_latest(self) -> bool {
-        matches!(self, Self::Latest | Self::Only)
-    }
-
-    /// The name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Latest => "latest",
-            Self::Only => "only",
-            Self::Earlier => "earlier",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
 /// Hash of a request's id.
 type IdHash = u64;
 
