--- a/crates/vaneway-server/src/core/cluster/follow.rs
+++ b/crates/vaneway-server/src/core/cluster/follow.rs
@@ -322,8 +322,8 @@
                 }
                 self.choose_publishers();
             }
-            ToEntry::Pong { sent_us, time_us, endpoints_known_for } => {
-                self.entry.origins.record_knowledge(endpoints_known_for);
+            ToEntry::EndpointsKnownFor(time) => self.entry.origins.record_knowledge(time),
+            ToEntry::Pong { sent_us, time_us } => {
                 if let Some(link) = self.open.borrow().get(&from) {
                     self.handle_pong(link);
                 }
--- a/crates/vaneway-server/src/core/cluster/wire.rs
+++ b/crates/vaneway-server/src/core/cluster/wire.rs
@@ -190,9 +190,6 @@
         /// The cluster time since 1970, in microseconds; none while the control box doesn't know
         /// it.
         time_us: Option<u64>,
-        /// For how long the control box has known all endpoints that registered, with those that are
-        /// gone; [`Duration::MAX`] if since the deployment began.
-        endpoints_known_for: Duration,
     },
     /// The committed configuration.
     Configuration(Configuration),
@@ -259,6 +256,9 @@
         /// Whether the control box knows a leader, so that it would know an end of them.
         confirmed: bool,
     },
+    /// For how long the control box has known all endpoints that registered, with those that are
+    /// gone; [`Duration::MAX`] if since the deployment began. Follows each [`ToEntry::Pong`].
+    EndpointsKnownFor(Duration),
 }
 
 /// An entry box's answers of a roll-out.
--- a/crates/vaneway-server/src/core/control/links.rs
+++ b/crates/vaneway-server/src/core/control/links.rs
@@ -203,8 +203,8 @@
             }
             let time = control.known_time();
             let time_us = time.map(|time| time.as_micros() as u64);
-            let endpoints_known_for = control.endpoints_known_for();
-            outgoing.send(&ToEntry::Pong { sent_us, time_us, endpoints_known_for });
+            outgoing.send(&ToEntry::Pong { sent_us, time_us });
+            outgoing.send(&ToEntry::EndpointsKnownFor(control.endpoints_known_for()));
         }
         ToControl::Entry(FromEntry::Leaving(reports)) => {
             dissemination::merge_endpoints(control, &reports, Source::Entry);
--- a/crates/vaneway-test-support/src/naming_control_box.rs
+++ b/crates/vaneway-test-support/src/naming_control_box.rs
@@ -143,7 +143,7 @@
             }
             ToControl::Entry(FromEntry::Ping { sent_us }) => {
                 let time_us = Some(clock::since_epoch().as_micros() as u64);
-                self.send(&ToEntry::Pong { sent_us, time_us, endpoints_known_for: Duration::MAX });
+                self.send(&ToEntry::Pong { sent_us, time_us });
             }
             ToControl::Entry(FromEntry::Usage(_)) => {
                 shared.reports.fetch_add(1, Ordering::Relaxed);
--- a/crates/vaneway-test-support/src/wire_entry.rs
+++ b/crates/vaneway-test-support/src/wire_entry.rs
@@ -95,7 +95,7 @@
     pub fn ping(&mut self) -> Option<Duration> {
         let number = self.send_ping();
         let time_us = self.wait("a ping is answered", |message| match message {
-            ToEntry::Pong { sent_us, time_us, .. } if *sent_us == number => Some(*time_us),
+            ToEntry::Pong { sent_us, time_us } if *sent_us == number => Some(*time_us),
             _ => None,
         });
         time_us.map(Duration::from_micros)
--- a/tests/testsuite/telling.rs
+++ b/tests/testsuite/telling.rs
@@ -19,6 +19,8 @@
 use vaneway_server::core::cluster::publishers::MAX_PUBLISHERS;
 use vaneway_server::core::cluster::publishers::Publisher;
 use vaneway_server::core::cluster::publishers::choose;
+use vaneway_server::core::cluster::wire::ToEntry;
+use vaneway_server::util::frames;
 use vaneway_test_support::AdvertisingControlBox;
 use vaneway_test_support::Process;
 use vaneway_test_support::control_group::ControlGroup;
@@ -258,3 +260,13 @@
     ledger.expire(start + 2 * CACHED_PART_MAX_AGE);
     assert_eq!(ledger.all(), []);
 }
+
+/// Guards against an entry box that can't read what a control box of an earlier version sends, and
+/// takes it for a box that doesn't answer.
+#[test]
+fn messages_of_an_earlier_version_can_be_read() {
+    let pong = frames::decode::<ToEntry>(&[1, 5, 1, 7]);
+    assert_eq!(pong, Some(ToEntry::Pong { sent_us: 5, time_us: Some(7) }));
+    let rollouts = frames::decode::<ToEntry>(&[16, 0, 1]);
+    assert_eq!(rollouts, Some(ToEntry::Rollouts { rollouts: Vec::new(), confirmed: true }));
+}
