--- a/crates/vaneway-server/src/core/control/running.rs
+++ b/crates/vaneway-server/src/core/control/running.rs
@@ -173,6 +173,8 @@
     machine: StateMachine,
 ) -> Control {
     let now = clock::now();
+    // The settings may still allow a group to be formed when the disk holds one.
+    let begins_deployment = settings.form_group && node.log().last_index() == 0;
     Control {
         node: RefCell::new(node),
         timers,
@@ -194,7 +196,7 @@
         peers: RefCell::default(),
         join_requests: RefCell::default(),
         last_leader_at: Cell::new(now),
-        endpoints_known_since: Cell::new((!settings.form_group).then_some(now)),
+        endpoints_known_since: Cell::new((!begins_deployment).then_some(now)),
         leader_since: Cell::new(None),
         remembered: RefCell::default(),
         usage_ledger: RefCell::default(),
